--- /dev/null
+++ b/packages/dispatch/TargetHealth.h
@@ -0,0 +1,63 @@
+// The dispatcher's own opinion of one target, from its own requests first.
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace magnoliamill::dispatch {
+
+/// Ejects a target for a growing time after failures in a row. Probes are a
+/// hint: a bad probe counts only while no request succeeded lately, and a good
+/// probe never brings a target back by itself.
+class TargetHealth {
+public:
+  void onSuccess(base::Duration latency, base::MonoTime now) {
+    FailuresInRow = 0;
+    EjectedUntil.reset();
+    LastSuccess = now;
+    double us = static_cast<double>(latency.count());
+    MeanLatencyUs =
+        MeanLatencyUs == 0 ? us : MeanLatencyUs + (us - MeanLatencyUs) * Gain;
+  }
+
+  void onFailure(base::MonoTime now) {
+    ++FailuresInRow;
+    if (FailuresInRow < FailuresToEject)
+      return;
+    auto doublings = std::min(FailuresInRow - FailuresToEject, MaxDoublings);
+    EjectedUntil = now + FirstEjection * (1 << doublings);
+  }
+
+  void onProbe(bool healthy, base::MonoTime now) {
+    if (healthy || now - LastSuccess < ProbeCountsAfter)
+      return;
+    onFailure(now);
+  }
+
+  bool isEjected(base::MonoTime now) const {
+    return EjectedUntil && now < *EjectedUntil;
+  }
+  std::optional<base::MonoTime> ejectedUntil() const { return EjectedUntil; }
+  /// Exponentially weighted mean; zero before the first answer.
+  base::Duration meanLatency() const {
+    return base::Duration(static_cast<std::int64_t>(MeanLatencyUs));
+  }
+
+private:
+  static constexpr double Gain = 0.1;
+  static constexpr std::uint32_t FailuresToEject = 3;
+  static constexpr std::uint32_t MaxDoublings = 4;
+  static constexpr base::Duration FirstEjection =
+      std::chrono::milliseconds(200);
+  static constexpr base::Duration ProbeCountsAfter = std::chrono::seconds(5);
+
+  std::uint32_t FailuresInRow = 0;
+  std::optional<base::MonoTime> EjectedUntil;
+  base::MonoTime LastSuccess{};
+  double MeanLatencyUs = 0;
+};
+
+} // namespace magnoliamill::dispatch
--- /dev/null
+++ b/packages/dispatch/internal/Dispatcher.cpp
@@ -0,0 +1,205 @@
+// Events of the dispatcher: views, requests, outcomes, time.
+#include "dispatch/Dispatcher.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliamill::dispatch {
+namespace {
+
+// Pause before a target that shed without naming one gets work again.
+constexpr base::Duration DefaultShedPause = std::chrono::milliseconds(20);
+// Longest sleep between two ticks.
+constexpr base::Duration MaxSleep = std::chrono::milliseconds(100);
+
+template <typename T> void append(std::vector<T> &to, std::vector<T> &&from) {
+  std::ranges::move(from, std::back_inserter(to));
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(base::VmId self)
+    : Self(std::move(self)), Settings(std::make_shared<settings::View>()),
+      Ownership(std::make_shared<ownership::View>()) {}
+
+DispatchActions Dispatcher::setSettings(settings::ViewPtr view,
+                                        base::MonoTime now) {
+  Settings = std::move(view);
+  for (auto &[name, pool] : Pools)
+    if (const auto *service = findService(pool.Service))
+      pool.Queue.setLimit(service->QueueLimitPerTarget *
+                          std::max<std::size_t>(1, pool.Members.size()));
+  return tick(now);
+}
+
+DispatchActions Dispatcher::setOwnership(ownership::ViewPtr view,
+                                         base::MonoTime now) {
+  Ownership = std::move(view);
+  for (auto &[name, pool] : Pools)
+    pool.Members.clear();
+  std::erase_if(Targets, [this](const auto &item) {
+    auto it = Ownership->Targets.find(item.first);
+    bool gone = it == Ownership->Targets.end() || it->second.Dispatcher != Self;
+    return gone && item.second.InFlight == 0;
+  });
+  for (const auto &[instance, target] : Ownership->Targets) {
+    if (target.Dispatcher != Self)
+      continue;
+    auto [it, added] = Targets.try_emplace(instance);
+    it->second.View = target;
+    it->second.Limit.setSlots(target.Slots);
+    const auto *service = findService(target.Service);
+    bool keyed = service && service->Keyed;
+    Pool &pool = poolNamed(poolNameOf(target, keyed), target.Service);
+    pool.Members.push_back(instance);
+    if (service)
+      pool.Queue.setLimit(service->QueueLimitPerTarget * pool.Members.size());
+  }
+  return tick(now);
+}
+
+DispatchActions Dispatcher::submit(RequestInfo info, base::MonoTime now) {
+  DispatchActions actions;
+  const auto *service = findService(info.Service);
+  if (!service) {
+    refuse(info, base::ResultCode::UnknownService, "no such service in force",
+           {}, actions);
+    return actions;
+  }
+  std::string name = poolNameOf(info);
+  if (name.empty()) {
+    refuse(info, base::ResultCode::NotRunNotOwner,
+           "this VM does not dispatch for the owner", {}, actions);
+    return actions;
+  }
+  Pool &pool = poolNamed(name, info.Service);
+  base::Duration wait = estimateWait(pool, info);
+  if (now + wait >= info.Deadline) {
+    refuse(info, base::ResultCode::NotRunDeadline,
+           fmt::format("the wait would be {} ms", base::toMs(wait)), wait,
+           actions);
+    return actions;
+  }
+  if (auto evicted = pool.Queue.push(std::move(info))) {
+    TriesSoFar.erase(evicted->Id);
+    refuse(*evicted, base::ResultCode::NotRunQueueFull,
+           "the queue of the target is full", wait, actions);
+  }
+  startWaiting(now, actions);
+  return actions;
+}
+
+DispatchActions Dispatcher::finish(const base::RequestId &id,
+                                   const AttemptOutcome &outcome,
+                                   base::MonoTime now) {
+  DispatchActions actions;
+  auto node = Running.extract(id);
+  if (node.empty())
+    return actions;
+  Attempt attempt = std::move(node.mapped());
+  if (attempt.Info.Slot)
+    --InFlightOfSlot[{attempt.Info.Service, *attempt.Info.Slot}];
+  if (auto it = Targets.find(attempt.Target); it != Targets.end()) {
+    Target &target = it->second;
+    --target.InFlight;
+    if (outcome.Answered) {
+      target.Health.onSuccess(outcome.Latency, now);
+      target.Limit.onSuccess();
+    } else if (outcome.Shed) {
+      target.Limit.onShed();
+      auto pause =
+          outcome.RetryAfterMs > 0
+              ? base::Duration(std::chrono::milliseconds(outcome.RetryAfterMs))
+              : DefaultShedPause;
+      target.PausedUntil = std::max(target.PausedUntil, now + pause);
+    } else if (!attempt.Abandoned) {
+      target.Health.onFailure(now);
+      if (target.Health.isEjected(now))
+        actions.Suspect.push_back(attempt.Target);
+    }
+  }
+  if (outcome.Answered) {
+    auto [budget, added] = Budgets.try_emplace(
+        attempt.Info.Service,
+        findService(attempt.Info.Service)
+            ? findService(attempt.Info.Service)->RetryBudgetPercent
+            : 0);
+    budget->second.onAnswer();
+  } else if (!attempt.Abandoned) {
+    if (mayRetry(attempt, outcome, now)) {
+      TriesSoFar[id] = attempt.Tries;
+      DispatchActions again = submit(std::move(attempt.Info), now);
+      append(actions.Start, std::move(again.Start));
+      append(actions.End, std::move(again.End));
+    } else {
+      base::ResultCode code = outcome.Code;
+      if (code == base::ResultCode::Ok)
+        code = outcome.MayHaveRun ? base::ResultCode::OutcomeUnknownTargetLost
+                                  : base::ResultCode::NotRunTargetRefused;
+      actions.End.push_back(
+          {id, {code, std::string(base::nameOf(code)), outcome.RetryAfterMs}});
+    }
+  }
+  startWaiting(now, actions);
+  reportDrained(actions);
+  return actions;
+}
+
+DispatchActions Dispatcher::cancel(const base::RequestId &id,
+                                   base::MonoTime now) {
+  DispatchActions actions;
+  if (auto it = Running.find(id); it != Running.end()) {
+    it->second.Abandoned = true;
+    actions.Abandon.push_back(id);
+    return actions;
+  }
+  TriesSoFar.erase(id);
+  for (auto &[name, pool] : Pools)
+    if (pool.Queue.remove(id))
+      break;
+  startWaiting(now, actions);
+  return actions;
+}
+
+DispatchActions Dispatcher::tick(base::MonoTime now) {
+  DispatchActions actions;
+  bounceMoved(actions);
+  expire(now, actions);
+  startWaiting(now, actions);
+  reportDrained(actions);
+  return actions;
+}
+
+base::MonoTime Dispatcher::nextWake(base::MonoTime now) const {
+  base::MonoTime wake = now + MaxSleep;
+  for (const auto &[name, pool] : Pools)
+    if (auto deadline = pool.Queue.earliestDeadline())
+      wake = std::min(wake, *deadline);
+  for (const auto &[instance, target] : Targets) {
+    if (target.PausedUntil > now)
+      wake = std::min(wake, target.PausedUntil);
+    if (target.Health.isEjected(now))
+      wake = std::min(wake, *target.Health.ejectedUntil());
+  }
+  return wake;
+}
+
+std::uint32_t Dispatcher::countInFlight(const base::SlotId &slot) const {
+  auto it = InFlightOfSlot.find(slot);
+  return it == InFlightOfSlot.end() ? 0 : it->second;
+}
+
+std::uint32_t
+Dispatcher::countInFlight(const base::TargetInstanceId &target) const {
+  auto it = Targets.find(target);
+  return it == Targets.end() ? 0 : it->second.InFlight;
+}
+
+std::size_t Dispatcher::countQueued() const {
+  std::size_t queued = 0;
+  for (const auto &[name, pool] : Pools)
+    queued += pool.Queue.size();
+  return queued;
+}
+
+} // namespace magnoliamill::dispatch
--- /dev/null
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -0,0 +1,246 @@
+// The single decisions behind the dispatcher's events.
+#include "dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+namespace magnoliamill::dispatch {
+namespace {
+
+// Attempts at targets for one request, the first included.
+constexpr std::uint32_t MaxTries = 4;
+// Latency assumed for a target that has not answered yet.
+constexpr base::Duration FirstLatency = std::chrono::milliseconds(5);
+
+} // namespace
+
+const settings::ServiceView *
+Dispatcher::findService(const base::ServiceId &id) const {
+  auto it = Settings->Services.find(id);
+  return it == Settings->Services.end() ? nullptr : &it->second;
+}
+
+const ownership::SlotView *Dispatcher::findSlot(const RequestInfo &info) const {
+  if (!info.Slot)
+    return nullptr;
+  for (const auto &hot : Ownership->HotKeys)
+    if (hot.KeyHash == info.KeyHash && hot.Service == info.Service)
+      return &hot.Slot;
+  auto it = Ownership->Slots.find(info.Service);
+  if (it == Ownership->Slots.end() || *info.Slot >= it->second.size())
+    return nullptr;
+  return &it->second[*info.Slot];
+}
+
+std::string Dispatcher::poolNameOf(const ownership::TargetView &target,
+                                   bool keyed) {
+  return keyed ? "target " + target.Instance.Value
+               : "service " + target.Service.Value;
+}
+
+std::string Dispatcher::poolNameOf(const RequestInfo &info) const {
+  if (!info.Slot) {
+    std::string name = "service " + info.Service.Value;
+    auto it = Pools.find(name);
+    bool serves = it != Pools.end() && !it->second.Members.empty();
+    return serves ? name : std::string();
+  }
+  const auto *slot = findSlot(info);
+  if (!slot || slot->Owner.empty())
+    return {};
+  auto it = Ownership->Targets.find(slot->Owner);
+  if (it == Ownership->Targets.end() || it->second.Dispatcher != Self)
+    return {};
+  return poolNameOf(it->second, true);
+}
+
+Dispatcher::Pool &Dispatcher::poolNamed(const std::string &name,
+                                        const base::ServiceId &service) {
+  auto it = Pools.find(name);
+  if (it != Pools.end())
+    return it->second;
+  FairQueueConfig config;
+  const auto *found = findService(service);
+  if (found)
+    config.Limit = found->QueueLimitPerTarget;
+  config.WeightOf = [this, service](const base::PartnerId &partner) {
+    const auto *view = findService(service);
+    if (!view)
+      return std::uint32_t(1);
+    auto weight = view->PartnerWeights.find(partner);
+    return weight == view->PartnerWeights.end() ? 1 : weight->second;
+  };
+  auto &pool = Pools.emplace(name, Pool(std::move(config))).first->second;
+  pool.Service = service;
+  return pool;
+}
+
+base::Duration Dispatcher::estimateWait(const Pool &pool,
+                                        const RequestInfo &info) const {
+  std::uint32_t capacity = 0;
+  std::uint32_t running = 0;
+  base::Duration latency{};
+  for (const auto &instance : pool.Members) {
+    auto it = Targets.find(instance);
+    if (it == Targets.end())
+      continue;
+    capacity += it->second.Limit.value();
+    running += it->second.InFlight;
+    latency = std::max(latency, it->second.Health.meanLatency());
+  }
+  if (capacity == 0)
+    return {};
+  if (latency == base::Duration{})
+    latency = FirstLatency;
+  std::size_t ahead = pool.Queue.countAhead(info.Partner);
+  // The request's own service time counts: it has to end before the deadline.
+  if (ahead == 0 && running < capacity)
+    return latency;
+  return latency * static_cast<std::int64_t>(ahead) / capacity + 2 * latency;
+}
+
+bool Dispatcher::isStartable(const RequestInfo &info) const {
+  if (!info.Slot)
+    return true;
+  const auto *slot = findSlot(info);
+  return slot && !slot->Releasing;
+}
+
+Dispatcher::Target *Dispatcher::chooseTarget(const Pool &pool,
+                                             base::MonoTime now) {
+  Target *best = nullptr;
+  Target *lastResort = nullptr;
+  auto load = [](const Target &target) {
+    return static_cast<double>(target.InFlight) / target.Limit.value();
+  };
+  for (const auto &instance : pool.Members) {
+    auto it = Targets.find(instance);
+    if (it == Targets.end())
+      continue;
+    Target &target = it->second;
+    if (target.View.State != ownership::TargetState::Active ||
+        target.InFlight >= target.Limit.value() || now < target.PausedUntil)
+      continue;
+    if (target.Health.isEjected(now)) {
+      // Never eject all: the one that comes back first serves as last resort.
+      if (!lastResort ||
+          *target.Health.ejectedUntil() < *lastResort->Health.ejectedUntil())
+        lastResort = &target;
+      continue;
+    }
+    if (!best || load(target) < load(*best))
+      best = &target;
+  }
+  if (best || !lastResort)
+    return best;
+  bool allEjected = std::ranges::all_of(pool.Members, [&](const auto &id) {
+    auto it = Targets.find(id);
+    return it == Targets.end() || it->second.Health.isEjected(now);
+  });
+  // One request at a time probes the target of last resort.
+  return allEjected && lastResort->InFlight == 0 ? lastResort : nullptr;
+}
+
+bool Dispatcher::mayRetry(const Attempt &attempt, const AttemptOutcome &outcome,
+                          base::MonoTime now) {
+  if (outcome.AnswerStarted)
+    return false;
+  if (outcome.MayHaveRun && !attempt.Info.Idempotent)
+    return false;
+  // The entry VM routes these anew.
+  if (outcome.Code == base::ResultCode::NotRunNotOwner ||
+      outcome.Code == base::ResultCode::NotRunLeaseLost)
+    return false;
+  if (attempt.Tries >= MaxTries || now >= attempt.Info.Deadline)
+    return false;
+  auto it = Budgets.find(attempt.Info.Service);
+  if (it == Budgets.end()) {
+    const auto *service = findService(attempt.Info.Service);
+    std::uint32_t percent = service ? service->RetryBudgetPercent : 0;
+    it = Budgets.emplace(attempt.Info.Service, RetryBudget(percent)).first;
+  }
+  return it->second.tryTake();
+}
+
+void Dispatcher::refuse(const RequestInfo &info, base::ResultCode code,
+                        std::string message, base::Duration retryAfter,
+                        DispatchActions &actions) const {
+  actions.End.push_back({info.Id,
+                         {code, std::move(message),
+                          static_cast<std::uint32_t>(std::max<std::int64_t>(
+                              0, base::toMs(retryAfter)))}});
+}
+
+void Dispatcher::startWaiting(base::MonoTime now, DispatchActions &actions) {
+  auto startable = [this](const RequestInfo &info) {
+    return isStartable(info);
+  };
+  for (auto &[name, pool] : Pools) {
+    while (pool.Queue.size() > 0) {
+      Target *target = chooseTarget(pool, now);
+      if (!target)
+        break;
+      auto info = pool.Queue.pop(startable);
+      if (!info)
+        break;
+      ++target->InFlight;
+      if (info->Slot)
+        ++InFlightOfSlot[{info->Service, *info->Slot}];
+      base::RequestId id = info->Id;
+      std::uint32_t tries = 1;
+      if (auto it = TriesSoFar.find(id); it != TriesSoFar.end()) {
+        tries = it->second + 1;
+        TriesSoFar.erase(it);
+      }
+      actions.Start.push_back({id, target->View.Instance});
+      Running.emplace(id, Attempt{std::move(*info), target->View.Instance, name,
+                                  tries, false});
+    }
+  }
+}
+
+void Dispatcher::expire(base::MonoTime now, DispatchActions &actions) {
+  for (auto &[name, pool] : Pools) {
+    auto expired = pool.Queue.removeIf(
+        [now](const RequestInfo &info) { return info.Deadline <= now; });
+    for (const auto &info : expired) {
+      TriesSoFar.erase(info.Id);
+      refuse(info, base::ResultCode::NotRunDeadline,
+             "the deadline passed in the queue", estimateWait(pool, info),
+             actions);
+    }
+  }
+}
+
+void Dispatcher::bounceMoved(DispatchActions &actions) {
+  for (auto &[name, pool] : Pools) {
+    auto moved = pool.Queue.removeIf([this, &name](const RequestInfo &info) {
+      return poolNameOf(info) != name;
+    });
+    for (const auto &info : moved) {
+      TriesSoFar.erase(info.Id);
+      refuse(info, base::ResultCode::NotRunNotOwner,
+             "the slot moved while the request waited", {}, actions);
+    }
+  }
+  std::erase_if(Pools, [](const auto &item) {
+    return item.second.Members.empty() && item.second.Queue.size() == 0;
+  });
+}
+
+void Dispatcher::reportDrained(DispatchActions &actions) {
+  for (const auto &[service, slots] : Ownership->Slots)
+    for (std::uint32_t n = 0; n < slots.size(); ++n) {
+      if (!slots[n].Releasing)
+        continue;
+      base::SlotId id{service, n};
+      if (countInFlight(id) > 0)
+        continue;
+      auto [it, added] = ReportedDrained.try_emplace(id, slots[n].Token);
+      if (!added && it->second == slots[n].Token)
+        continue;
+      it->second = slots[n].Token;
+      actions.Drained.push_back(id);
+    }
+}
+
+} // namespace magnoliamill::dispatch
