--- /dev/null
+++ b/apps/magnoliamilld/main.cpp
@@ -0,0 +1,80 @@
+// magnoliamilld: the daemon of one entry VM.
+#include "base/Log.h"
+#include "node/Node.h"
+#include "settings/NodeSettings.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iterator>
+
+DEFINE_string(settings, "", "Path of the VM's settings file (JSON).");
+DEFINE_bool(check, false,
+            "Only check the settings file and report all faults.");
+DEFINE_bool(
+    bootstrap, false,
+    "First start of a new installation: found the settings group. Never "
+    "use it to bring back a VM whose disk was lost.");
+
+namespace {
+
+using namespace magnoliamill;
+
+constexpr int ExitOk = 0;
+constexpr int ExitBadSettings = 10;
+constexpr int ExitStartFailed = 50;
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+std::optional<settings::NodeSettings> loadSettings() {
+  auto text = readFile(FLAGS_settings);
+  if (!text) {
+    base::logError("node", base::ResultCode::FileUnreadable,
+                   "the settings file cannot be read",
+                   {{"path", FLAGS_settings}});
+    return std::nullopt;
+  }
+  auto checked = settings::checkNodeSettings(*text);
+  for (const auto &fault : checked.Faults)
+    base::logError("node", fault.Code, fault.Message, {{"path", fault.Path}});
+  return std::move(checked.Settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("magnoliamilld --settings FILE [--check]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  auto settings = loadSettings();
+  if (!settings)
+    return ExitBadSettings;
+  if (FLAGS_check) {
+    fmt::print("{}: no faults\n", FLAGS_settings);
+    return ExitOk;
+  }
+  base::setLogIdentity(settings->Vm.Value, settings->DataCentre.Value);
+  base::setLogLevel(settings->LogLevel);
+
+  boost::asio::io_context context;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  node::Node node(std::move(*settings), FLAGS_bootstrap);
+  auto started = node.start();
+  if (!started) {
+    base::logError("node", started.error().Code, started.error().Message);
+    return ExitStartFailed;
+  }
+  signals.async_wait([&](const boost::system::error_code &ec, int) {
+    if (!ec)
+      node.beginStop([&context] { context.stop(); });
+  });
+  context.run();
+  return ExitOk;
+}
--- a/packages/base/DutyThread.h
+++ b/packages/base/DutyThread.h
@@ -54,6 +54,10 @@
   [[nodiscard]] bool tryPost(Task task) {
     return Ring.tryPost(std::move(task));
   }
+  /// For what belongs to work that was admitted before (an answer, an end): it
+  /// must not be lost, and its number is bounded by the admitted work. Goes
+  /// past the ring when that is full.
+  void postReply(Task task);
   std::uint64_t countRefused() const { return Ring.countRefused(); }
   const std::string &name() const { return Name; }
 
--- a/packages/base/Log.h
+++ b/packages/base/Log.h
@@ -3,17 +3,23 @@
 
 #include "base/ResultCode.h"
 
-#include <boost/json/value.hpp>
+#include <boost/json/value_from.hpp>
 #include <initializer_list>
 #include <string_view>
-#include <utility>
 
 namespace magnoliamill::base {
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
 /// A named value on a log line. Standard names: request, change, target, path.
-using LogField = std::pair<std::string_view, boost::json::value>;
+struct LogField {
+  template <typename T>
+  LogField(std::string_view name, const T &value)
+      : Name(name), Value(boost::json::value_from(value)) {}
+
+  std::string_view Name;
+  boost::json::value Value;
+};
 
 /// Names that every line of this process carries. Called once at start.
 void setLogIdentity(std::string_view vm, std::string_view centre);
--- a/packages/base/internal/DutyThread.cpp
+++ b/packages/base/internal/DutyThread.cpp
@@ -46,6 +46,12 @@
 
 DutyThread::~DutyThread() { stop(); }
 
+void DutyThread::postReply(Task task) {
+  // A copy, since the ring takes its task also when it refuses it.
+  if (!Ring.tryPost(task))
+    boost::asio::post(Context, std::move(task));
+}
+
 void DutyThread::start() {
   Thread = std::thread([this] {
     pthread_setname_np(pthread_self(), Name.substr(0, 15).c_str());
--- a/packages/base/internal/Log.cpp
+++ b/packages/base/internal/Log.cpp
@@ -59,8 +59,8 @@
   line["component"] = component;
   line["code"] = numberOf(code);
   line["text"] = text;
-  for (const auto &[name, value] : fields)
-    line[name] = value;
+  for (const LogField &field : fields)
+    line[field.Name] = field.Value;
   // One call per line: lines of several threads do not mix.
   fmt::print(stderr, "{}\n", boost::json::serialize(line));
 }
--- a/packages/dispatch/Dispatcher.h
+++ b/packages/dispatch/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "settings/View.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,21 +48,43 @@
   protocol::RequestFailure Failure;
 };
 
+/// Nothing of the slot runs any more under this token.
+struct DrainedSlot {
+  base::SlotId Slot;
+  base::Token Token;
+};
+
+/// Nothing runs any more at the target under this dispatch token.
+struct DrainedTarget {
+  base::TargetInstanceId Instance;
+  base::Token DispatchToken;
+};
+
 struct DispatchActions {
   std::vector<StartAttempt> Start;
   /// Final refusals and losses. A request that was answered ends without one.
   std::vector<EndRequest> End;
   /// Attempts to break off: the caller went away or the deadline passed.
   std::vector<base::RequestId> Abandon;
-  /// Slots under release with nothing in flight any more.
-  std::vector<base::SlotId> Drained;
+  /// Answers to drainSlot and drainTarget: nothing is in flight any more.
+  std::vector<DrainedSlot> DrainedSlots;
+  std::vector<DrainedTarget> DrainedTargets;
   /// Targets whose requests fail in a row: a hint for the grant's keeper.
   std::vector<base::TargetInstanceId> Suspect;
 };
 
+struct DispatcherConfig {
+  base::VmId Self;
+  /// Whether a request may be written to the target now (lease and grant).
+  /// Those that may not wait in their queue. Empty: always.
+  std::function<bool(const base::TargetInstanceId &,
+                     const std::optional<base::SlotId> &, base::MonoTime)>
+      MayStart;
+};
+
 class Dispatcher {
 public:
-  explicit Dispatcher(base::VmId self);
+  explicit Dispatcher(DispatcherConfig config);
 
   DispatchActions setSettings(settings::ViewPtr view, base::MonoTime now);
   DispatchActions setOwnership(ownership::ViewPtr view, base::MonoTime now);
@@ -70,6 +93,11 @@
                          const AttemptOutcome &outcome, base::MonoTime now);
   /// The caller went away.
   DispatchActions cancel(const base::RequestId &id, base::MonoTime now);
+  /// Starts nothing of the slot under \p token any more; answered in
+  /// DrainedSlots at once or when the last attempt has ended.
+  DispatchActions drainSlot(const base::SlotId &slot, base::Token token);
+  DispatchActions drainTarget(const base::TargetInstanceId &instance,
+                              base::Token token);
   DispatchActions tick(base::MonoTime now);
   base::MonoTime nextWake(base::MonoTime now) const;
 
@@ -112,7 +140,9 @@
                                 bool keyed);
   Pool &poolNamed(const std::string &name, const base::ServiceId &service);
   base::Duration estimateWait(const Pool &pool, const RequestInfo &info) const;
-  bool isStartable(const RequestInfo &info) const;
+  bool isStartable(const RequestInfo &info, const Target &target,
+                   base::MonoTime now) const;
+  bool isOpen(const Target &target, base::MonoTime now) const;
   Target *chooseTarget(const Pool &pool, base::MonoTime now);
   bool mayRetry(const Attempt &attempt, const AttemptOutcome &outcome,
                 base::MonoTime now);
@@ -124,7 +154,7 @@
   void bounceMoved(DispatchActions &actions);
   void reportDrained(DispatchActions &actions);
 
-  base::VmId Self;
+  DispatcherConfig Config;
   settings::ViewPtr Settings;
   ownership::ViewPtr Ownership;
   std::map<base::TargetInstanceId, Target> Targets;
@@ -134,7 +164,12 @@
   std::unordered_map<base::RequestId, std::uint32_t> TriesSoFar;
   std::map<base::ServiceId, RetryBudget> Budgets;
   std::map<base::SlotId, std::uint32_t> InFlightOfSlot;
-  std::map<base::SlotId, base::Token> ReportedDrained;
+  // What is being drained, and under which token; a newer token ends it.
+  std::map<base::SlotId, base::Token> DrainingSlots;
+  std::map<base::TargetInstanceId, base::Token> DrainingTargets;
+  // The token under which DrainedSlots or DrainedTargets was last given.
+  std::map<base::SlotId, base::Token> ToldSlots;
+  std::map<base::TargetInstanceId, base::Token> ToldTargets;
 };
 
 } // namespace magnoliamill::dispatch
--- a/packages/dispatch/internal/Dispatcher.cpp
+++ b/packages/dispatch/internal/Dispatcher.cpp
@@ -10,7 +10,7 @@
 // Pause before a target that shed without naming one gets work again.
 constexpr base::Duration DefaultShedPause = std::chrono::milliseconds(20);
 // Longest sleep between two ticks.
-constexpr base::Duration MaxSleep = std::chrono::milliseconds(100);
+constexpr base::Duration MaxSleep = std::chrono::milliseconds(20);
 
 template <typename T> void append(std::vector<T> &to, std::vector<T> &&from) {
   std::ranges::move(from, std::back_inserter(to));
@@ -18,8 +18,8 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(base::VmId self)
-    : Self(std::move(self)), Settings(std::make_shared<settings::View>()),
+Dispatcher::Dispatcher(DispatcherConfig config)
+    : Config(std::move(config)), Settings(std::make_shared<settings::View>()),
       Ownership(std::make_shared<ownership::View>()) {}
 
 DispatchActions Dispatcher::setSettings(settings::ViewPtr view,
@@ -39,11 +39,12 @@
     pool.Members.clear();
   std::erase_if(Targets, [this](const auto &item) {
     auto it = Ownership->Targets.find(item.first);
-    bool gone = it == Ownership->Targets.end() || it->second.Dispatcher != Self;
+    bool gone =
+        it == Ownership->Targets.end() || it->second.Dispatcher != Config.Self;
     return gone && item.second.InFlight == 0;
   });
   for (const auto &[instance, target] : Ownership->Targets) {
-    if (target.Dispatcher != Self)
+    if (target.Dispatcher != Config.Self)
       continue;
     auto [it, added] = Targets.try_emplace(instance);
     it->second.View = target;
@@ -161,6 +162,22 @@
   return actions;
 }
 
+DispatchActions Dispatcher::drainSlot(const base::SlotId &slot,
+                                      base::Token token) {
+  DispatchActions actions;
+  DrainingSlots[slot] = token;
+  reportDrained(actions);
+  return actions;
+}
+
+DispatchActions Dispatcher::drainTarget(const base::TargetInstanceId &instance,
+                                        base::Token token) {
+  DispatchActions actions;
+  DrainingTargets[instance] = token;
+  reportDrained(actions);
+  return actions;
+}
+
 DispatchActions Dispatcher::tick(base::MonoTime now) {
   DispatchActions actions;
   bounceMoved(actions);
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -48,7 +48,7 @@
   if (!slot || slot->Owner.empty())
     return {};
   auto it = Ownership->Targets.find(slot->Owner);
-  if (it == Ownership->Targets.end() || it->second.Dispatcher != Self)
+  if (it == Ownership->Targets.end() || it->second.Dispatcher != Config.Self)
     return {};
   return poolNameOf(it->second, true);
 }
@@ -98,11 +98,32 @@
   return latency * static_cast<std::int64_t>(ahead) / capacity + 2 * latency;
 }
 
-bool Dispatcher::isStartable(const RequestInfo &info) const {
-  if (!info.Slot)
-    return true;
-  const auto *slot = findSlot(info);
-  return slot && !slot->Releasing;
+bool Dispatcher::isStartable(const RequestInfo &info, const Target &target,
+                             base::MonoTime now) const {
+  std::optional<base::SlotId> slot;
+  if (info.Slot) {
+    const auto *view = findSlot(info);
+    if (!view)
+      return false;
+    slot = base::SlotId{info.Service, *info.Slot};
+    auto draining = DrainingSlots.find(*slot);
+    if (draining != DrainingSlots.end() && view->Token <= draining->second)
+      return false;
+  }
+  return !Config.MayStart || Config.MayStart(target.View.Instance, slot, now);
+}
+
+bool Dispatcher::isOpen(const Target &target, base::MonoTime now) const {
+  if (target.View.State != ownership::TargetState::Active)
+    return false;
+  if (target.InFlight >= target.Limit.value() || now < target.PausedUntil)
+    return false;
+  auto draining = DrainingTargets.find(target.View.Instance);
+  if (draining != DrainingTargets.end() &&
+      target.View.DispatchToken <= draining->second)
+    return false;
+  return !Config.MayStart ||
+         Config.MayStart(target.View.Instance, std::nullopt, now);
 }
 
 Dispatcher::Target *Dispatcher::chooseTarget(const Pool &pool,
@@ -117,8 +138,7 @@
     if (it == Targets.end())
       continue;
     Target &target = it->second;
-    if (target.View.State != ownership::TargetState::Active ||
-        target.InFlight >= target.Limit.value() || now < target.PausedUntil)
+    if (!isOpen(target, now))
       continue;
     if (target.Health.isEjected(now)) {
       // Never eject all: the one that comes back first serves as last resort.
@@ -171,15 +191,14 @@
 }
 
 void Dispatcher::startWaiting(base::MonoTime now, DispatchActions &actions) {
-  auto startable = [this](const RequestInfo &info) {
-    return isStartable(info);
-  };
   for (auto &[name, pool] : Pools) {
     while (pool.Queue.size() > 0) {
       Target *target = chooseTarget(pool, now);
       if (!target)
         break;
-      auto info = pool.Queue.pop(startable);
+      auto info = pool.Queue.pop([&](const RequestInfo &waiting) {
+        return isStartable(waiting, *target, now);
+      });
       if (!info)
         break;
       ++target->InFlight;
@@ -228,18 +247,17 @@
 }
 
 void Dispatcher::reportDrained(DispatchActions &actions) {
-  for (const auto &[service, slots] : Ownership->Slots)
-    for (std::uint32_t n = 0; n < slots.size(); ++n) {
-      if (!slots[n].Releasing)
-        continue;
-      base::SlotId id{service, n};
-      if (countInFlight(id) > 0)
-        continue;
-      auto [it, added] = ReportedDrained.try_emplace(id, slots[n].Token);
-      if (!added && it->second == slots[n].Token)
-        continue;
-      it->second = slots[n].Token;
-      actions.Drained.push_back(id);
+  // Entries stay: they keep new starts back until a newer token is in force.
+  // They are told once, which is when their in-flight count is found at zero.
+  for (const auto &[slot, token] : DrainingSlots)
+    if (countInFlight(slot) == 0 && ToldSlots[slot] < token) {
+      ToldSlots[slot] = token;
+      actions.DrainedSlots.push_back({slot, token});
+    }
+  for (const auto &[instance, token] : DrainingTargets)
+    if (countInFlight(instance) == 0 && ToldTargets[instance] < token) {
+      ToldTargets[instance] = token;
+      actions.DrainedTargets.push_back({instance, token});
     }
 }
 
--- /dev/null
+++ b/packages/node/DispatchFlow.h
@@ -0,0 +1,96 @@
+// The dispatch duty: runs the dispatcher and the agent that keeps the VM's
+// lease and its targets' grants, and talks to the targets.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "dispatch/Dispatcher.h"
+#include "gateway/TargetClient.h"
+#include "ownership/DispatchAgent.h"
+#include "protocol/Messages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace magnoliamill::node {
+
+struct DispatchFlowHooks {
+  /// Sends a lease request to the leader of the data-centre group.
+  std::function<void(protocol::LeaseRequest,
+                     protocol::Reply<protocol::LeaseReply>)>
+      RenewLease;
+};
+
+struct DispatchFlowConfig {
+  base::VmId Self;
+  std::uint64_t Incarnation = 0;
+  gateway::TargetClientConfig Targets;
+};
+
+/// Public methods from any thread; everything else on the duty's.
+class DispatchFlow {
+public:
+  DispatchFlow(base::DutyThread &duty, DispatchFlowConfig config,
+               DispatchFlowHooks hooks);
+
+  /// Takes a request whose target this VM dispatches, or fails it as
+  /// NotRunNotOwner.
+  protocol::CancelHook submit(protocol::ForwardRequest request,
+                              protocol::AnswerSink sink);
+  void setSettings(settings::ViewPtr view);
+  void setOwnership(ownership::ViewPtr view);
+  /// Hands all targets over; \p done is called when they are and nothing is in
+  /// flight any more.
+  void beginStopping(std::function<void()> done);
+
+private:
+  struct Open {
+    protocol::ForwardRequest Request;
+    protocol::AnswerSink Sink;
+    base::MonoTime Deadline;
+    bool Idempotent = false;
+    std::optional<base::SlotId> Slot;
+    base::TargetInstanceId Target;
+    protocol::CancelHook Cancel;
+    bool HeadSent = false;
+    // Number of the present attempt: what belongs to an earlier one is dropped.
+    std::uint32_t Attempt = 0;
+    // True between the start and the end of an attempt.
+    bool Running = false;
+  };
+  using OpenPtr = std::shared_ptr<Open>;
+
+  void admit(const OpenPtr &open);
+  void perform(dispatch::DispatchActions actions);
+  void perform(ownership::AgentActions actions);
+  void stepAgent(const ownership::AgentEvent &event);
+  void startAttempt(const dispatch::StartAttempt &start);
+  protocol::AnswerSink sinkFor(const OpenPtr &open);
+  void finishAttempt(const OpenPtr &open, std::uint32_t attempt,
+                     const gateway::TargetOutcome &outcome);
+  void endRequest(const dispatch::EndRequest &ended);
+  void abandon(const base::RequestId &id);
+  void abandonTarget(const base::TargetInstanceId &instance);
+  void cancel(const base::RequestId &id);
+  void sendLease(ownership::SendLease lease);
+  void sendGrant(ownership::SendGrant grant);
+  base::Token tokenOf(const std::optional<base::SlotId> &slot) const;
+  void checkStopped();
+  void armTimer();
+
+  base::DutyThread &Duty;
+  DispatchFlowConfig Config;
+  DispatchFlowHooks Hooks;
+  ownership::DispatchAgent Agent;
+  dispatch::Dispatcher Dispatcher;
+  gateway::TargetClient Targets;
+  settings::ViewPtr Settings;
+  ownership::ViewPtr Ownership;
+  boost::asio::steady_timer Timer;
+  std::unordered_map<base::RequestId, OpenPtr> Requests;
+  std::function<void()> WhenStopped;
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/GroupFollower.h
@@ -0,0 +1,58 @@
+// Follows a replicated log that this VM is no replica of: pulls committed
+// entries from VMs that have them.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "base/Ids.h"
+#include "consensus/Types.h"
+#include "protocol/Messages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace magnoliamill::node {
+
+struct GroupFollowerHooks {
+  std::function<void(const base::VmId &, protocol::FetchRequest,
+                     protocol::Reply<protocol::FetchReply>)>
+      Fetch;
+  /// VMs that may be asked, best first; those that do not answer are skipped.
+  std::function<std::vector<base::VmId>()> Sources;
+  std::function<void(consensus::LogIndex, const std::string &)> Restore;
+  std::function<void(const consensus::Entry &)> Apply;
+  /// Called after a reply was worked in; true when it reached the commit index
+  /// that the source knew.
+  std::function<void(bool caughtUp)> AfterFetch;
+};
+
+/// All methods on the duty's thread. Entries are applied in order, each once,
+/// and never from below what is applied already.
+class GroupFollower {
+public:
+  GroupFollower(base::DutyThread &duty, protocol::GroupKind group,
+                base::VmId self, GroupFollowerHooks hooks);
+  ~GroupFollower();
+  GroupFollower(const GroupFollower &) = delete;
+  GroupFollower &operator=(const GroupFollower &) = delete;
+
+  void start();
+  consensus::LogIndex appliedIndex() const { return Applied; }
+
+private:
+  void fetch();
+  void onReply(base::Result<protocol::FetchReply> reply);
+  void fetchLater();
+
+  base::DutyThread &Duty;
+  protocol::GroupKind Group;
+  base::VmId Self;
+  GroupFollowerHooks Hooks;
+  boost::asio::steady_timer Timer;
+  consensus::LogIndex Applied = 0;
+  std::size_t Source = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/GroupRunner.h
@@ -0,0 +1,103 @@
+// Runs one replica of a replicated log on the state duty: feeds its core with
+// messages, proposals and time, and does what the core asks for.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "base/Time.h"
+#include "consensus/LogWindow.h"
+#include "consensus/ReplicaCore.h"
+#include "consensus/Storage.h"
+#include "protocol/Messages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace magnoliamill::node {
+
+struct GroupRunnerHooks {
+  std::function<void(const base::VmId &, std::vector<consensus::Message>)> Send;
+  /// Applies a committed entry; for commands returns the outcome.
+  std::function<std::string(const consensus::Entry &)> Apply;
+  std::function<void(const consensus::RestoreSnapshot &)> Restore;
+  /// The state machine's snapshot as of the last applied entry.
+  std::function<std::string()> TakeSnapshot;
+  /// Called after every step that may have changed what the replica knows.
+  std::function<void()> AfterStep;
+};
+
+struct GroupRunnerConfig {
+  /// Entries after which the log is cut by a snapshot.
+  std::uint64_t SnapshotEvery = 1000;
+};
+
+/// All methods on the state duty's thread.
+class GroupRunner {
+public:
+  /// \p storage is the duty that syncs; null when the store keeps nothing and
+  /// needs no thread of its own.
+  GroupRunner(base::DutyThread &duty, base::DutyThread *storage,
+              GroupRunnerConfig config, consensus::CoreConfig core,
+              consensus::OpenedStorage opened, GroupRunnerHooks hooks);
+  ~GroupRunner();
+  GroupRunner(const GroupRunner &) = delete;
+  GroupRunner &operator=(const GroupRunner &) = delete;
+
+  void start();
+  void receive(consensus::Message message);
+  /// The reply comes when the command is applied here, or refused.
+  void propose(std::string command,
+               protocol::Reply<protocol::ProposeReply> reply);
+  void proposeMembership(consensus::Membership next);
+  void transferLeadership();
+
+  const consensus::ReplicaCore &core() const { return Core; }
+  const consensus::LogWindow &window() const { return Window; }
+  consensus::LogIndex appliedIndex() const { return Applied; }
+  bool isLeader() const;
+
+private:
+  void step(const consensus::Event &event);
+  void perform(consensus::Actions actions);
+  void persist(consensus::Actions &actions);
+  void writeNext();
+  void onWritten(std::uint64_t id);
+  void sendAll(std::vector<consensus::Message> messages);
+  void applyCommitted(std::vector<consensus::Entry> entries);
+  void finishProposals(std::vector<consensus::ProposalOutcome> outcomes);
+  void snapshotIfDue();
+  void armTimer();
+
+  struct PendingWrite {
+    consensus::PersistRequest Request;
+    std::vector<consensus::Message> SendAfter;
+  };
+
+  base::DutyThread &Duty;
+  base::DutyThread *StorageDuty;
+  GroupRunnerConfig Config;
+  GroupRunnerHooks Hooks;
+  std::shared_ptr<consensus::Storage> Store;
+  consensus::ReplicaCore Core;
+  consensus::LogWindow Window;
+  boost::asio::steady_timer Timer;
+  consensus::LogIndex Applied = 0;
+  std::uint64_t NextProposal = 1;
+  std::unordered_map<std::uint64_t, protocol::Reply<protocol::ProposeReply>>
+      Proposals;
+  // Outcomes of the entries applied in the present step.
+  std::map<consensus::LogIndex, std::string> Outcomes;
+  // Writes go to storage one at a time and in order.
+  std::deque<PendingWrite> Writes;
+  bool WriteInFlight = false;
+  // Ends posted continuations of a runner that was replaced.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/OperatorApi.h
@@ -0,0 +1,65 @@
+// The control API under /v1: settings, audit, status, owners, targets, members,
+// and the announcements of targets.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "gateway/HttpGateway.h"
+#include "node/DataCentrePart.h"
+#include "node/SettingsPart.h"
+#include "settings/Access.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace magnoliamill::node {
+
+/// All methods on the state duty's thread; replies are given there.
+class OperatorApi {
+public:
+  using Respond = std::function<void(gateway::ApiReply)>;
+  /// Asks another VM; used for what only replicas know.
+  using QueryAt = std::function<void(const base::VmId &, protocol::QueryRequest,
+                                     protocol::Reply<protocol::QueryReply>)>;
+
+  OperatorApi(const settings::NodeSettings &node, SettingsPart &settings,
+              DataCentrePart &centre, QueryAt query);
+
+  void handle(gateway::ApiRequest request, Respond respond);
+  /// Answers watchers whose changes came or whose time is over.
+  void answerWatchers();
+  /// The document behind /v1/status, from this VM's knowledge.
+  std::string renderStatus(consensus::LogIndex index) const;
+
+private:
+  using Parameters = std::map<std::string, std::string>;
+  struct Watcher {
+    consensus::LogIndex After = 0;
+    std::string Prefix;
+    base::MonoTime Until;
+    Respond Reply;
+  };
+
+  void handleSettings(const gateway::ApiRequest &request,
+                      const std::string &path, const Parameters &parameters,
+                      const settings::Principal &principal, Respond respond);
+  void change(settings::Command command, const Respond &respond);
+  void list(const std::string &prefix, const Respond &respond) const;
+  void audit(const Parameters &parameters, const Respond &respond) const;
+  void watch(const Parameters &parameters, Respond respond);
+  void status(const Parameters &parameters, Respond respond);
+  void targets(const Parameters &parameters, const Respond &respond) const;
+  void owners(const Parameters &parameters, const Respond &respond) const;
+  void members(const Respond &respond) const;
+  void announce(gateway::ApiRequest request, const Respond &respond);
+  std::string renderChanges(const Watcher &watcher, bool &any) const;
+
+  const settings::NodeSettings &Node;
+  SettingsPart &Settings;
+  DataCentrePart &Centre;
+  QueryAt Query;
+  std::vector<Watcher> Watchers;
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/RequestFlow.h
@@ -0,0 +1,92 @@
+// The life of callers' requests on an entry VM: from the gateway over the
+// router to the dispatcher, here or at another VM, and back.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "dispatch/Router.h"
+#include "protocol/Messages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace magnoliamill::node {
+
+struct RequestFlowHooks {
+  /// Gives a request to this VM's dispatcher.
+  std::function<protocol::CancelHook(protocol::ForwardRequest,
+                                     protocol::AnswerSink)>
+      DispatchHere;
+  /// Gives it to another VM.
+  std::function<protocol::CancelHook(
+      const base::VmId &, protocol::ForwardRequest, protocol::AnswerSink)>
+      ForwardTo;
+  std::function<bool(const base::VmId &)> IsAlive;
+};
+
+struct RequestFlowConfig {
+  base::VmId Self;
+  base::DataCentreId DataCentre;
+  std::uint64_t Incarnation = 0;
+  std::uint32_t MaxDeadlineMs = 60000;
+};
+
+/// Public methods from any thread; everything else on the front duty.
+class RequestFlow {
+public:
+  RequestFlow(base::DutyThread &duty, RequestFlowConfig config,
+              RequestFlowHooks hooks);
+
+  /// A caller's request at this entry VM.
+  protocol::CancelHook submit(protocol::ForwardRequest request,
+                              protocol::AnswerSink sink);
+  /// A request that came from another VM: HopFinal means that this VM is to
+  /// dispatch it, HopRoute that it is to find the dispatcher in its data
+  /// centre.
+  protocol::CancelHook onForwarded(protocol::ForwardRequest request,
+                                   protocol::AnswerSink sink);
+  void setSettings(settings::ViewPtr view);
+  void setOwnership(ownership::ViewPtr view);
+  /// Requests between submit and end.
+  std::size_t countOpen() const { return OpenCount.load(); }
+
+  /// Values of ForwardRequest::Hops.
+  static constexpr std::uint8_t HopFromCaller = 0;
+  static constexpr std::uint8_t HopRoute = 1;
+  static constexpr std::uint8_t HopFinal = 2;
+
+private:
+  struct Open {
+    protocol::ForwardRequest Request;
+    protocol::AnswerSink Sink;
+    base::MonoTime Deadline;
+    protocol::CancelHook Cancel;
+    bool HeadSent = false;
+  };
+
+  void admit(std::shared_ptr<Open> open, bool mayLeave);
+  void perform(dispatch::RouteActions actions);
+  void go(const base::RequestId &id, const base::VmId &vm);
+  protocol::AnswerSink sinkFor(const base::RequestId &id,
+                               const std::shared_ptr<Open> &open);
+  void onFailure(const base::RequestId &id,
+                 const protocol::RequestFailure &failure);
+  void end(const base::RequestId &id);
+  void cancel(const base::RequestId &id);
+  void armTimer();
+
+  base::DutyThread &Duty;
+  RequestFlowConfig Config;
+  RequestFlowHooks Hooks;
+  dispatch::Router Router;
+  settings::ViewPtr Settings;
+  boost::asio::steady_timer Timer;
+  std::unordered_map<base::RequestId, std::shared_ptr<Open>> Requests;
+  std::atomic<std::uint64_t> NextId{1};
+  std::atomic<std::size_t> OpenCount{0};
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/SettingsPart.h
@@ -0,0 +1,124 @@
+// The settings group on one VM: a replica of it, or a follower that pulls it.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "node/GroupFollower.h"
+#include "node/GroupRunner.h"
+#include "node/LeaderCaller.h"
+#include "node/StateTypes.h"
+#include "settings/HomeController.h"
+#include "settings/NodeSettings.h"
+#include "settings/StateMachine.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace magnoliamill::node {
+
+struct SettingsPartHooks {
+  std::function<void(const base::VmId &, std::vector<consensus::Message>)> Send;
+  std::function<void(const base::VmId &, protocol::FetchRequest,
+                     protocol::Reply<protocol::FetchReply>)>
+      Fetch;
+  std::function<void(const base::VmId &, protocol::ProposeRequest,
+                     protocol::Reply<protocol::ProposeReply>)>
+      ProposeAt;
+  std::function<bool(const base::VmId &)> IsAlive;
+  /// A new view is in force on this VM.
+  std::function<void(settings::ViewPtr)> OnView;
+};
+
+/// All methods on the state duty's thread.
+class SettingsPart {
+public:
+  SettingsPart(base::DutyThread &duty, base::DutyThread &storage,
+               const settings::NodeSettings &node, SettingsPartHooks hooks);
+
+  /// Opens the data folder when this VM is a replica. \p bootstrap: the first
+  /// start of a new installation; an empty folder otherwise means that the disk
+  /// was lost, and the replica joins again as a new member.
+  base::Result<void> open(bool bootstrap);
+
+  void receive(consensus::Message message);
+  /// Proposes here when this replica leads, otherwise NotLeader with a hint.
+  void proposeHere(std::string command,
+                   protocol::Reply<protocol::ProposeReply> reply);
+  /// Proposes wherever the leader is. Safe to call again with the same command:
+  /// all commands are idempotent.
+  void
+  propose(const settings::Command &command,
+          std::function<void(base::Result<settings::ChangeOutcome>)> reply);
+  void answerFetch(protocol::FetchRequest request,
+                   protocol::Reply<protocol::FetchReply> reply);
+  void onReport(const NodeReport &report);
+  /// A leader's commit index, learnt after this VM started.
+  void onLeaderCommit(consensus::LogIndex commit);
+  void tick();
+
+  const settings::StateMachine &machine() const { return Machine; }
+  settings::ViewPtr view() const { return View; }
+  /// True once this VM has, since its start, caught up with what was committed.
+  bool isReady() const { return Ready; }
+  bool isLeader() const { return Runner && Runner->isLeader(); }
+  std::uint64_t incarnation() const { return Incarnation; }
+  consensus::LogIndex inForce() const { return Machine.appliedIndex(); }
+  /// Per VM the index that it reported to have in force.
+  const std::map<base::VmId, consensus::LogIndex> &inForceByVm() const {
+    return InForceByVm;
+  }
+  std::optional<consensus::Membership> membership() const;
+  /// {"leader":bool,"commit":N}: tells others how far they have to catch up.
+  std::string renderCommit() const;
+  base::VmId leader() const;
+  /// Another VM that is a replica, the leader when it is known.
+  base::VmId chooseReplica();
+  void handOverLeadership();
+
+private:
+  struct WaitingFetch {
+    protocol::FetchRequest Request;
+    base::MonoTime Until;
+    protocol::Reply<protocol::FetchReply> Reply;
+  };
+
+  void startRunner(consensus::OpenedStorage opened);
+  void startFollower();
+  void afterApply();
+  void answerWaiting();
+  protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
+  std::vector<base::VmId> replicas() const;
+  void proposeTries(
+      std::string command, std::uint32_t triesLeft,
+      std::function<void(base::Result<settings::ChangeOutcome>)> reply);
+  void lead();
+  void keepMembership();
+
+  base::DutyThread &Duty;
+  base::DutyThread &StorageDuty;
+  settings::NodeSettings Node;
+  SettingsPartHooks Hooks;
+  settings::StateMachine Machine;
+  settings::ViewPtr View;
+  std::unique_ptr<GroupRunner> Runner;
+  std::unique_ptr<GroupFollower> Follower;
+  // Entries that this VM pulled, for those who pull from it.
+  consensus::LogWindow FollowerWindow;
+  std::uint64_t Incarnation = 0;
+  bool Ready = false;
+  LeaderCaller Caller;
+  std::optional<settings::HomeController> Homes;
+  std::map<base::VmId, consensus::LogIndex> InForceByVm;
+  struct SeenReport {
+    NodeReport Report;
+    base::MonoTime At;
+  };
+  std::map<base::VmId, SeenReport> Reports;
+  std::vector<WaitingFetch> Waiting;
+  bool BootstrapProposed = false;
+  base::MonoTime LastMembershipChange{};
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/ApiParameters.h
@@ -0,0 +1,25 @@
+// Reading the query part of a control API call.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnoliamill::node::internal {
+
+/// "a=1&b=x%2Fy" as a map, percent-decoded.
+std::map<std::string, std::string> parseQuery(std::string_view query);
+
+std::string decodePercent(std::string_view text);
+
+/// The number at \p name; \p fallback when absent; nothing when malformed.
+std::optional<std::uint64_t>
+readNumber(const std::map<std::string, std::string> &parameters,
+           const std::string &name, std::uint64_t fallback);
+
+std::string readText(const std::map<std::string, std::string> &parameters,
+                     const std::string &name);
+
+} // namespace magnoliamill::node::internal
--- /dev/null
+++ b/packages/node/internal/DataCentreLeader.cpp
@@ -0,0 +1,139 @@
+// The leader's part: leases, announcements, the controller's proposals.
+#include "node/DataCentrePart.h"
+
+#include "base/Log.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace magnoliamill::node {
+
+void DataCentrePart::stepController(const ownership::ControllerEvent &event) {
+  perform(Controller.step(event, base::readMonotonic()));
+}
+
+void DataCentrePart::perform(ownership::ControllerActions actions) {
+  for (const auto &command : actions.Propose)
+    if (Runner)
+      // What counts is the view: a lost proposal is decided again.
+      Runner->propose(ownership::encodeCommand(command), [](const auto &) {});
+  for (const auto &slot : actions.HomesReleased) {
+    auto homes = Settings->Homes.find(slot.Service);
+    if (homes == Settings->Homes.end() || slot.Slot >= homes->second.size())
+      continue;
+    settings::FinishHomeMove finish;
+    finish.WhenMs = base::readWallMs();
+    finish.Slot = slot;
+    finish.Epoch = homes->second[slot.Slot].Epoch;
+    finish.From = Node.DataCentre;
+    Hooks.ReleaseHome(std::move(finish));
+  }
+}
+
+void DataCentrePart::leaseHere(protocol::LeaseRequest request,
+                               protocol::Reply<protocol::LeaseReply> reply) {
+  if (!leadsSafely()) {
+    reply(base::fail(base::ResultCode::NotLeader, leader().Value));
+    return;
+  }
+  updateLeadership();
+  auto report = ownership::parseReport(request.Report);
+  if (!report) {
+    reply(base::fail(report.error()));
+    return;
+  }
+  ownership::LeaseRenewed renewed{request.Vm, request.Incarnation,
+                                  request.Leaving, std::move(report.value())};
+  auto actions = Controller.step(renewed, base::readMonotonic());
+  protocol::LeaseReply answer;
+  answer.SentAtUs = request.SentAtUs;
+  answer.Granted = actions.LeaseGranted.has_value();
+  if (actions.LeaseGranted)
+    answer.DurationMs =
+        static_cast<std::uint32_t>(base::toMs(*actions.LeaseGranted));
+  perform(std::move(actions));
+  reply(std::move(answer));
+}
+
+void DataCentrePart::renewLease(protocol::LeaseRequest request,
+                                protocol::Reply<protocol::LeaseReply> reply) {
+  if (isLeader()) {
+    leaseHere(std::move(request), std::move(reply));
+    return;
+  }
+  // A replica knows the leader from its rounds.
+  base::VmId vm = leader();
+  if (vm.empty())
+    vm = Caller.choose(replicas());
+  if (vm.empty()) {
+    reply(base::fail(base::ResultCode::PeerUnreachable, "no replica known"));
+    return;
+  }
+  Hooks.LeaseAt(vm, std::move(request),
+                [this, vm, reply](base::Result<protocol::LeaseReply> answer) {
+                  Duty.postReply([this, vm, reply, answer] {
+                    if (answer)
+                      Caller.onAnswer(vm);
+                    else
+                      Caller.onFailure(vm, answer.error());
+                    reply(answer);
+                  });
+                });
+}
+
+void DataCentrePart::announceHere(
+    protocol::AnnounceRequest request,
+    protocol::Reply<protocol::AnnounceReply> reply) {
+  if (!leadsSafely()) {
+    reply(base::fail(base::ResultCode::NotLeader, leader().Value));
+    return;
+  }
+  updateLeadership();
+  auto target = ownership::parseAnnouncement(request.Announcement);
+  if (!target) {
+    reply(base::fail(target.error()));
+    return;
+  }
+  auto actions = Controller.step(
+      ownership::Announced{std::move(target.value())}, base::readMonotonic());
+  auto refused = actions.AnnouncementRefused;
+  perform(std::move(actions));
+  if (refused)
+    reply(base::fail(*refused));
+  else
+    reply(protocol::AnnounceReply{"{\"accepted\":true}"});
+}
+
+void DataCentrePart::announce(protocol::AnnounceRequest request,
+                              std::uint32_t tries,
+                              protocol::Reply<protocol::AnnounceReply> reply) {
+  if (isLeader()) {
+    announceHere(std::move(request), std::move(reply));
+    return;
+  }
+  base::VmId vm = leader();
+  if (vm.empty())
+    vm = Caller.choose(replicas());
+  if (vm.empty()) {
+    reply(base::fail(base::ResultCode::NotRunNotReady,
+                     "the data-centre group has not started"));
+    return;
+  }
+  auto done = [this, vm, request, tries,
+               reply](base::Result<protocol::AnnounceReply> answer) {
+    Duty.postReply([this, vm, request, tries, reply, answer] {
+      if (answer)
+        Caller.onAnswer(vm);
+      else
+        Caller.onFailure(vm, answer.error());
+      bool again = !answer && tries > 1 &&
+                   answer.error().Code == base::ResultCode::NotLeader;
+      if (again)
+        announce(request, tries - 1, reply);
+      else
+        reply(answer);
+    });
+  };
+  Hooks.AnnounceAt(vm, request, done);
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/DataCentrePart.cpp
@@ -0,0 +1,277 @@
+// The group's life on this VM: epochs, replica or follower, feed, membership.
+#include "node/DataCentrePart.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "node/MembershipKeeper.h"
+
+#include <algorithm>
+
+namespace magnoliamill::node {
+namespace {
+
+constexpr std::size_t WindowBytes = 8u << 20;
+constexpr std::size_t FetchBytes = 1u << 20;
+constexpr base::Duration MembershipPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+DataCentrePart::DataCentrePart(base::DutyThread &duty,
+                               const settings::NodeSettings &node,
+                               std::uint64_t incarnation,
+                               DataCentrePartHooks hooks)
+    : Duty(duty), Node(node), Hooks(std::move(hooks)),
+      Settings(std::make_shared<settings::View>()), Incarnation(incarnation),
+      View(std::make_shared<ownership::View>()), FollowerWindow(WindowBytes),
+      Controller({.DataCentre = Node.DataCentre}) {}
+
+void DataCentrePart::setSettings(settings::ViewPtr view) {
+  Settings = std::move(view);
+  auto group = Settings->Groups.find(Node.DataCentre);
+  if (group != Settings->Groups.end() && group->second.Epoch > Epoch)
+    startGroup(group->second.Epoch, group->second.FirstMembers);
+  stepController(ownership::SettingsChanged{Settings});
+}
+
+void DataCentrePart::startGroup(std::uint64_t epoch,
+                                const consensus::Membership &first) {
+  base::logInfo("data-centre", "group starts", {{"epoch", epoch}});
+  bool heldOther = Epoch != 0;
+  Epoch = epoch;
+  Runner.reset();
+  Follower.reset();
+  if (LeadingTerm != 0) {
+    LeadingTerm = 0;
+    stepController(ownership::LostLeadership{});
+  }
+  // The state of the earlier group is given up, and with it the identity.
+  if (heldOther)
+    ++Incarnation;
+  Machine = ownership::StateMachine(epoch);
+  if (!Node.DataCentreReplica) {
+    startFollower();
+    return;
+  }
+  consensus::ReplicaId self{Node.Vm, Incarnation};
+  bool isFirstMember =
+      std::ranges::find(first.Voters, self) != first.Voters.end();
+  startRunner(isFirstMember ? first : consensus::Membership{});
+}
+
+void DataCentrePart::startRunner(const consensus::Membership &members) {
+  auto opened = consensus::openMemoryStorage(Incarnation);
+  opened.Restored.Members = members;
+  consensus::CoreConfig core;
+  core.Self = {Node.Vm, Incarnation};
+  core.Seed = base::hash64(Node.Vm.Value, Incarnation);
+  GroupRunnerHooks hooks;
+  hooks.Send = Hooks.Send;
+  hooks.Apply = [this](const consensus::Entry &entry) {
+    return applyEntry(entry);
+  };
+  hooks.Restore = [this](const consensus::RestoreSnapshot &snapshot) {
+    auto restored = Machine.restore(snapshot.Data);
+    if (!restored)
+      base::logError("data-centre", restored.error().Code,
+                     restored.error().Message);
+  };
+  hooks.TakeSnapshot = [this] { return Machine.snapshot(); };
+  hooks.AfterStep = [this] { afterApply(); };
+  Runner =
+      std::make_unique<GroupRunner>(Duty, nullptr, GroupRunnerConfig{}, core,
+                                    std::move(opened), std::move(hooks));
+  Runner->start();
+}
+
+void DataCentrePart::startFollower() {
+  FollowerWindow.restart(0);
+  GroupFollowerHooks hooks;
+  hooks.Fetch = Hooks.Fetch;
+  hooks.Sources = [this] { return replicas(); };
+  hooks.Restore = [this](consensus::LogIndex, const std::string &data) {
+    auto restored = Machine.restore(data);
+    if (!restored)
+      base::logError("data-centre", restored.error().Code,
+                     restored.error().Message);
+  };
+  hooks.Apply = [this](const consensus::Entry &entry) { applyEntry(entry); };
+  hooks.AfterFetch = [this](bool) { afterApply(); };
+  Follower = std::make_unique<GroupFollower>(
+      Duty, protocol::GroupKind::DataCentre, Node.Vm, std::move(hooks));
+  Follower->start();
+}
+
+std::string DataCentrePart::applyEntry(const consensus::Entry &entry) {
+  if (entry.Kind == consensus::EntryKind::Command)
+    return Machine.apply(entry.Index, entry.Command);
+  return {};
+}
+
+void DataCentrePart::afterApply() {
+  answerWaiting();
+  updateLeadership();
+  auto now = Machine.viewNow();
+  if (now == View)
+    return;
+  View = now;
+  stepController(ownership::ViewChanged{View});
+  Hooks.OnView(View);
+}
+
+bool DataCentrePart::leadsSafely() const {
+  return isLeader() && Runner->core().hasLeaderLease(base::readMonotonic());
+}
+
+void DataCentrePart::updateLeadership() {
+  if (!Runner)
+    return;
+  auto term = Runner->core().term();
+  if (LeadingTerm != 0 && (!isLeader() || term != LeadingTerm)) {
+    LeadingTerm = 0;
+    stepController(ownership::LostLeadership{});
+  }
+  if (LeadingTerm == 0 && leadsSafely()) {
+    LeadingTerm = term;
+    base::logInfo("data-centre", "this VM leads", {{"term", term}});
+    stepController(ownership::BecameLeader{term});
+    stepController(ownership::ViewChanged{Machine.viewNow()});
+    stepController(ownership::SettingsChanged{Settings});
+  }
+}
+
+void DataCentrePart::receive(consensus::Message message) {
+  if (Runner)
+    Runner->receive(std::move(message));
+}
+
+std::vector<base::VmId> DataCentrePart::replicas() const {
+  std::vector<base::VmId> found;
+  auto group = Settings->Groups.find(Node.DataCentre);
+  if (group == Settings->Groups.end())
+    return found;
+  // Any VM of the data centre may have become a replica since the start.
+  for (const auto &[id, vm] : Settings->Vms)
+    if (vm.DataCentre == Node.DataCentre && id != Node.Vm && Hooks.IsAlive(id))
+      found.push_back(id);
+  const auto &first = group->second.FirstMembers.Voters;
+  std::ranges::stable_partition(found, [&first](const base::VmId &vm) {
+    return std::ranges::find(first, vm, &consensus::ReplicaId::Vm) !=
+           first.end();
+  });
+  return found;
+}
+
+protocol::FetchReply
+DataCentrePart::readAfter(const protocol::FetchRequest &request) const {
+  auto part = Runner->window().readAfter(request.After, FetchBytes);
+  protocol::FetchReply reply;
+  reply.Commit = part.Commit;
+  reply.Entries = std::move(part.Entries);
+  if (part.NeedsSnapshot) {
+    reply.Snapshot = Machine.snapshot();
+    reply.SnapshotIndex = Runner->appliedIndex();
+  }
+  return reply;
+}
+
+void DataCentrePart::answerFetch(protocol::FetchRequest request,
+                                 protocol::Reply<protocol::FetchReply> reply) {
+  if (!Runner || Runner->appliedIndex() == 0) {
+    reply(base::fail(base::ResultCode::NotRunNotReady, "no replica here"));
+    return;
+  }
+  auto found = readAfter(request);
+  if (found.Snapshot || !found.Entries.empty() || request.WaitMs == 0) {
+    reply(std::move(found));
+    return;
+  }
+  auto until =
+      base::readMonotonic() + std::chrono::milliseconds(request.WaitMs);
+  Waiting.push_back({std::move(request), until, std::move(reply)});
+}
+
+void DataCentrePart::answerWaiting() {
+  auto now = base::readMonotonic();
+  std::vector<WaitingFetch> waiting;
+  waiting.swap(Waiting);
+  for (auto &fetch : waiting) {
+    if (!Runner) {
+      fetch.Reply(base::fail(base::ResultCode::NotRunNotReady, "group ended"));
+      continue;
+    }
+    auto found = readAfter(fetch.Request);
+    if (found.Snapshot || !found.Entries.empty() || now >= fetch.Until)
+      fetch.Reply(std::move(found));
+    else
+      Waiting.push_back(std::move(fetch));
+  }
+}
+
+void DataCentrePart::onReport(const NodeReport &report) {
+  Reports[report.Vm] = {report, base::readMonotonic()};
+}
+
+settings::ReplicaReport DataCentrePart::replicaReport() const {
+  settings::ReplicaReport report;
+  report.DataCentre = Node.DataCentre;
+  report.Replica = {Node.Vm, Incarnation};
+  report.Candidate = Node.DataCentreReplica;
+  // An empty replica that waits to be taken in holds nothing yet.
+  bool holds = Runner && !Runner->core().membership().Voters.empty();
+  report.HeldEpoch = holds ? Epoch : 0;
+  return report;
+}
+
+void DataCentrePart::keepMembership() {
+  auto now = base::readMonotonic();
+  if (!leadsSafely() || now - LastMembershipChange < MembershipPause)
+    return;
+  MembershipInputs inputs;
+  inputs.Present = Runner->core().membership();
+  for (const auto &[vm, seen] : Reports) {
+    const auto &replica = seen.Report.DataCentreReplica;
+    if (replica.Candidate && replica.DataCentre == Node.DataCentre &&
+        now - seen.At < ReportLifetime)
+      inputs.Candidates[vm] = replica.Replica.Incarnation;
+  }
+  for (const auto &[id, vm] : Settings->Vms)
+    if (vm.DataCentre == Node.DataCentre)
+      inputs.Registered.insert(id);
+  if (inputs.Registered.empty())
+    return;
+  inputs.IsCaughtUp = [this](const consensus::ReplicaId &replica) {
+    return Runner->core().isCaughtUp(replica);
+  };
+  if (auto next = decideMembership(inputs)) {
+    LastMembershipChange = now;
+    Runner->proposeMembership(*next);
+  }
+}
+
+void DataCentrePart::tick() {
+  answerWaiting();
+  updateLeadership();
+  keepMembership();
+  stepController(ownership::ControllerTick{base::readWallMs()});
+}
+
+bool DataCentrePart::isReady() const { return View->Index > 0; }
+
+base::VmId DataCentrePart::leader() const {
+  if (!Runner || !Runner->core().leader())
+    return {};
+  return Runner->core().leader()->Vm;
+}
+
+std::optional<consensus::Membership> DataCentrePart::membership() const {
+  if (!Runner)
+    return std::nullopt;
+  return Runner->core().membership();
+}
+
+void DataCentrePart::handOverLeadership() {
+  if (isLeader())
+    Runner->transferLeadership();
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -0,0 +1,228 @@
+// Requests at the dispatcher: admission, attempts, outcomes.
+#include "node/DispatchFlow.h"
+
+#include "base/Log.h"
+#include "base/Metrics.h"
+#include "node/RequestDescription.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+
+namespace magnoliamill::node {
+
+DispatchFlow::DispatchFlow(base::DutyThread &duty, DispatchFlowConfig config,
+                           DispatchFlowHooks hooks)
+    : Duty(duty), Config(std::move(config)), Hooks(std::move(hooks)),
+      Agent({.Vm = Config.Self, .Incarnation = Config.Incarnation},
+            base::readMonotonic()),
+      Dispatcher({.Self = Config.Self,
+                  .MayStart =
+                      [this](const auto &instance, const auto &slot, auto now) {
+                        return Agent.mayWrite(instance, slot, now);
+                      }}),
+      Targets(duty, Config.Targets),
+      Settings(std::make_shared<settings::View>()),
+      Ownership(std::make_shared<ownership::View>()), Timer(duty.context()) {
+  boost::asio::post(Duty.context(), [this] { armTimer(); });
+}
+
+void DispatchFlow::setSettings(settings::ViewPtr view) {
+  Duty.postReply([this, view = std::move(view)] {
+    Settings = view;
+    perform(Dispatcher.setSettings(view, base::readMonotonic()));
+  });
+}
+
+void DispatchFlow::setOwnership(ownership::ViewPtr view) {
+  Duty.postReply([this, view = std::move(view)] {
+    Ownership = view;
+    stepAgent(ownership::ViewChanged{view});
+    perform(Dispatcher.setOwnership(view, base::readMonotonic()));
+    checkStopped();
+  });
+}
+
+protocol::CancelHook DispatchFlow::submit(protocol::ForwardRequest request,
+                                          protocol::AnswerSink sink) {
+  auto open = std::make_shared<Open>();
+  open->Request = std::move(request);
+  open->Sink = std::move(sink);
+  base::RequestId id = open->Request.Id;
+  if (!Duty.tryPost([this, open] { admit(open); })) {
+    open->Sink.Fail({base::ResultCode::NotRunQueueFull,
+                     "the dispatcher is overloaded", 100});
+    return [] {};
+  }
+  return [this, id] { Duty.postReply([this, id] { cancel(id); }); };
+}
+
+void DispatchFlow::admit(const OpenPtr &open) {
+  base::MonoTime now = base::readMonotonic();
+  auto info = describeRequest(*Settings, open->Request, now);
+  if (!info) {
+    open->Sink.Fail({info.error().Code, info.error().Message, 0});
+    return;
+  }
+  if (!Requests.try_emplace(open->Request.Id, open).second) {
+    open->Sink.Fail({base::ResultCode::Internal, "request id in use", 0});
+    return;
+  }
+  open->Deadline = info.value().Deadline;
+  open->Idempotent = info.value().Idempotent;
+  if (info.value().Slot)
+    open->Slot = base::SlotId{open->Request.Service, *info.value().Slot};
+  perform(Dispatcher.submit(std::move(info.value()), now));
+}
+
+void DispatchFlow::perform(dispatch::DispatchActions actions) {
+  for (const auto &start : actions.Start)
+    startAttempt(start);
+  for (const auto &ended : actions.End)
+    endRequest(ended);
+  for (const auto &id : actions.Abandon)
+    abandon(id);
+  for (const auto &drained : actions.DrainedSlots)
+    stepAgent(ownership::SlotDrained{drained.Slot, drained.Token});
+  for (const auto &drained : actions.DrainedTargets)
+    stepAgent(
+        ownership::TargetDrained{drained.Instance, drained.DispatchToken});
+  for (const auto &instance : actions.Suspect)
+    stepAgent(ownership::TargetFailed{instance});
+}
+
+base::Token
+DispatchFlow::tokenOf(const std::optional<base::SlotId> &slot) const {
+  if (!slot)
+    return {};
+  auto it = Ownership->Slots.find(slot->Service);
+  if (it == Ownership->Slots.end() || slot->Slot >= it->second.size())
+    return {};
+  return it->second[slot->Slot].Token;
+}
+
+void DispatchFlow::startAttempt(const dispatch::StartAttempt &start) {
+  auto it = Requests.find(start.Request);
+  auto target = Ownership->Targets.find(start.Target);
+  if (it == Requests.end())
+    return;
+  OpenPtr open = it->second;
+  std::uint32_t attempt = ++open->Attempt;
+  open->Running = true;
+  open->Target = start.Target;
+  if (target == Ownership->Targets.end()) {
+    gateway::TargetOutcome gone;
+    gone.Code = base::ResultCode::NotRunNotOwner;
+    finishAttempt(open, attempt, gone);
+    return;
+  }
+  gateway::TargetCall call;
+  call.Address = {target->second.Host, target->second.Port};
+  call.Request = open->Request;
+  if (open->Slot) {
+    call.Token = tokenOf(open->Slot);
+    call.Slot = open->Slot->Slot;
+  }
+  call.Deadline = open->Deadline;
+  call.Idempotent = open->Idempotent;
+  // Checked once more at the last moment: connecting takes time.
+  call.MayWrite = [this, instance = start.Target, slot = open->Slot] {
+    return Agent.mayWrite(instance, slot, base::readMonotonic());
+  };
+  open->Cancel = Targets.call(
+      std::move(call), sinkFor(open),
+      [this, open, attempt](const gateway::TargetOutcome &outcome) {
+        finishAttempt(open, attempt, outcome);
+      });
+}
+
+protocol::AnswerSink DispatchFlow::sinkFor(const OpenPtr &open) {
+  protocol::AnswerSink sink;
+  sink.Head = [open](protocol::AnswerHead head) {
+    open->HeadSent = true;
+    head.ServedBy = open->Target.Value;
+    open->Sink.Head(std::move(head));
+  };
+  sink.Chunk = [this, open](std::string chunk, std::function<void()> more) {
+    // The receiver asks for more from its own thread.
+    open->Sink.Chunk(std::move(chunk),
+                     [this, more = std::move(more)] { Duty.postReply(more); });
+  };
+  sink.End = [open] { open->Sink.End(); };
+  sink.Fail = [](const protocol::RequestFailure &) {};
+  return sink;
+}
+
+void DispatchFlow::finishAttempt(const OpenPtr &open, std::uint32_t attempt,
+                                 const gateway::TargetOutcome &outcome) {
+  if (attempt != open->Attempt || !open->Running)
+    return;
+  open->Running = false;
+  dispatch::AttemptOutcome decided;
+  decided.MayHaveRun = outcome.MayHaveRun;
+  decided.Answered = outcome.Answered;
+  decided.AnswerStarted = open->HeadSent;
+  decided.Shed = !outcome.Answered && !outcome.MayHaveRun &&
+                 (outcome.Status == 503 || outcome.Status == 429);
+  decided.Code = outcome.Code;
+  decided.RetryAfterMs = outcome.RetryAfterMs;
+  decided.Latency = outcome.Latency;
+  base::RequestId id = open->Request.Id;
+  if (outcome.Answered) {
+    Requests.erase(id);
+    stepAgent(ownership::TargetAnswered{open->Target});
+  }
+  perform(Dispatcher.finish(id, decided, base::readMonotonic()));
+  checkStopped();
+}
+
+void DispatchFlow::endRequest(const dispatch::EndRequest &ended) {
+  auto node = Requests.extract(ended.Request);
+  if (node.empty())
+    return;
+  base::logInfo("dispatch", "request failed",
+                {{"request", ended.Request.Value},
+                 {"result", base::numberOf(ended.Failure.Code)},
+                 {"target", node.mapped()->Target.Value}});
+  node.mapped()->Sink.Fail(ended.Failure);
+}
+
+void DispatchFlow::abandon(const base::RequestId &id) {
+  auto it = Requests.find(id);
+  if (it == Requests.end())
+    return;
+  OpenPtr open = it->second;
+  std::uint32_t attempt = open->Attempt;
+  if (open->Cancel)
+    open->Cancel();
+  // The target may have had it; nobody waits for an answer any more.
+  gateway::TargetOutcome cut;
+  cut.MayHaveRun = true;
+  cut.Code = base::ResultCode::OutcomeUnknown;
+  finishAttempt(open, attempt, cut);
+  Requests.erase(id);
+}
+
+void DispatchFlow::abandonTarget(const base::TargetInstanceId &instance) {
+  std::vector<OpenPtr> cut;
+  for (const auto &[id, open] : Requests)
+    if (open->Target == instance && open->Running)
+      cut.push_back(open);
+  for (const auto &open : cut) {
+    std::uint32_t attempt = open->Attempt;
+    if (open->Cancel)
+      open->Cancel();
+    gateway::TargetOutcome lost;
+    lost.MayHaveRun = true;
+    lost.Code = base::ResultCode::OutcomeUnknownTargetLost;
+    finishAttempt(open, attempt, lost);
+  }
+}
+
+void DispatchFlow::cancel(const base::RequestId &id) {
+  perform(Dispatcher.cancel(id, base::readMonotonic()));
+  Requests.erase(id);
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/DispatchFlowAgent.cpp
@@ -0,0 +1,93 @@
+// The agent's part of the dispatch duty: lease, grants, handover, stopping.
+#include "node/DispatchFlow.h"
+
+#include <algorithm>
+
+namespace magnoliamill::node {
+
+void DispatchFlow::stepAgent(const ownership::AgentEvent &event) {
+  perform(Agent.step(event, base::readMonotonic()));
+}
+
+void DispatchFlow::perform(ownership::AgentActions actions) {
+  if (actions.Lease)
+    sendLease(std::move(*actions.Lease));
+  for (auto &grant : actions.Grants)
+    sendGrant(std::move(grant));
+  for (const auto &drain : actions.DrainSlots)
+    perform(Dispatcher.drainSlot(drain.Slot, drain.Token));
+  for (const auto &drain : actions.DrainTargets)
+    perform(Dispatcher.drainTarget(drain.Instance, drain.DispatchToken));
+  for (const auto &lost : actions.Abandon)
+    abandonTarget(lost.Instance);
+  // The agent may want to be woken sooner than the timer was set for.
+  if (Agent.nextWake() <
+      base::MonoTime(
+          std::chrono::time_point_cast<base::Duration>(Timer.expiry())))
+    armTimer();
+}
+
+void DispatchFlow::sendLease(ownership::SendLease lease) {
+  protocol::LeaseRequest request;
+  request.Vm = Config.Self;
+  request.Incarnation = Config.Incarnation;
+  request.SentAtUs = lease.SentAtUs;
+  request.Leaving = lease.Leaving;
+  request.Report = std::move(lease.Report);
+  Hooks.RenewLease(
+      std::move(request), [this](base::Result<protocol::LeaseReply> reply) {
+        if (!reply)
+          return;
+        ownership::LeaseReplied event;
+        event.SentAtUs = reply.value().SentAtUs;
+        event.Duration = std::chrono::milliseconds(reply.value().DurationMs);
+        event.Granted = reply.value().Granted;
+        Duty.postReply([this, event] {
+          stepAgent(event);
+          // A lease that came back lets waiting requests start.
+          perform(Dispatcher.tick(base::readMonotonic()));
+        });
+      });
+}
+
+void DispatchFlow::sendGrant(ownership::SendGrant grant) {
+  gateway::TargetAddress address{grant.Host, grant.Port};
+  Targets.exchange(
+      address, "PUT", "/.mill/grants", std::move(grant.Body),
+      ownership::GrantTimeout,
+      [this, instance = grant.Instance,
+       id = grant.GrantId](base::Result<std::string> body) {
+        stepAgent(ownership::GrantReplied{instance, id, std::move(body)});
+        perform(Dispatcher.tick(base::readMonotonic()));
+      });
+}
+
+void DispatchFlow::beginStopping(std::function<void()> done) {
+  Duty.postReply([this, done = std::move(done)] {
+    WhenStopped = done;
+    stepAgent(ownership::Stopping{});
+    checkStopped();
+  });
+}
+
+void DispatchFlow::checkStopped() {
+  if (!WhenStopped || !Agent.isRelieved() || !Dispatcher.isIdle())
+    return;
+  auto done = std::exchange(WhenStopped, nullptr);
+  done();
+}
+
+void DispatchFlow::armTimer() {
+  base::MonoTime now = base::readMonotonic();
+  Timer.expires_at(std::min(Dispatcher.nextWake(now), Agent.nextWake()));
+  Timer.async_wait([this](const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    stepAgent(ownership::AgentTick{});
+    perform(Dispatcher.tick(base::readMonotonic()));
+    checkStopped();
+    armTimer();
+  });
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/MembershipKeeper.cpp
@@ -0,0 +1,85 @@
+// One step of membership change at a time.
+#include "node/MembershipKeeper.h"
+
+#include <algorithm>
+
+namespace magnoliamill::node {
+namespace {
+
+using consensus::Membership;
+using consensus::ReplicaId;
+
+auto findVm(const std::vector<ReplicaId> &replicas, const base::VmId &vm) {
+  return std::ranges::find(replicas, vm, &ReplicaId::Vm);
+}
+
+std::optional<Membership> removeObsolete(const MembershipInputs &inputs) {
+  Membership next = inputs.Present;
+  // A learner of an earlier incarnation will never answer.
+  auto stale = std::ranges::find_if(next.Learners, [&](const auto &learner) {
+    auto it = inputs.Candidates.find(learner.Vm);
+    bool superseded =
+        it != inputs.Candidates.end() && it->second != learner.Incarnation;
+    return superseded || !inputs.Registered.contains(learner.Vm);
+  });
+  if (stale != next.Learners.end()) {
+    next.Learners.erase(stale);
+    return next;
+  }
+  auto removed = std::ranges::find_if(next.Voters, [&](const auto &voter) {
+    return !inputs.Registered.contains(voter.Vm);
+  });
+  if (removed == next.Voters.end() || next.Voters.size() == 1)
+    return std::nullopt;
+  next.Voters.erase(removed);
+  return next;
+}
+
+std::optional<Membership> promote(const MembershipInputs &inputs) {
+  for (const auto &learner : inputs.Present.Learners) {
+    if (!inputs.IsCaughtUp(learner))
+      continue;
+    Membership next = inputs.Present;
+    std::erase(next.Learners, learner);
+    auto old = std::ranges::find(next.Voters, learner.Vm, &ReplicaId::Vm);
+    if (old != next.Voters.end())
+      *old = learner;
+    else if (next.Voters.size() < inputs.MaxVoters)
+      next.Voters.push_back(learner);
+    else
+      continue;
+    return next;
+  }
+  return std::nullopt;
+}
+
+std::optional<Membership> addLearner(const MembershipInputs &inputs) {
+  const Membership &present = inputs.Present;
+  for (const auto &[vm, incarnation] : inputs.Candidates) {
+    if (!inputs.Registered.contains(vm) ||
+        findVm(present.Learners, vm) != present.Learners.end())
+      continue;
+    auto voter = findVm(present.Voters, vm);
+    bool replaces = voter != present.Voters.end();
+    if (replaces && voter->Incarnation >= incarnation)
+      continue;
+    if (!replaces && present.Voters.size() >= inputs.MaxVoters)
+      continue;
+    Membership next = present;
+    next.Learners.push_back({vm, incarnation});
+    return next;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<Membership> decideMembership(const MembershipInputs &inputs) {
+  if (auto next = removeObsolete(inputs))
+    return next;
+  if (auto next = promote(inputs))
+    return next;
+  return addLearner(inputs);
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/Node.cpp
@@ -0,0 +1,254 @@
+// Start, periodic work and stop of a node.
+#include "node/internal/NodeState.h"
+
+#include "base/Log.h"
+#include "base/Metrics.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <prometheus/gauge.h>
+
+namespace magnoliamill::node {
+namespace {
+
+constexpr base::Duration TickInterval = std::chrono::milliseconds(50);
+// Time in which the platform's balancer sees that the VM is not ready any more.
+constexpr base::Duration BalancerGrace = std::chrono::milliseconds(500);
+// A planned stop takes no longer than this, even if that cuts work off.
+constexpr base::Duration StopLimit = std::chrono::seconds(20);
+
+} // namespace
+
+Node::Node(settings::NodeSettings settings, bool bootstrap)
+    : Self(std::make_unique<State>(std::move(settings), bootstrap)) {}
+Node::~Node() = default;
+base::Result<void> Node::start() { return Self->start(); }
+void Node::beginStop(std::function<void()> done) {
+  Self->beginStop(std::move(done));
+}
+
+Node::State::State(settings::NodeSettings settings, bool bootstrap)
+    : Settings(std::move(settings)), Bootstrap(bootstrap),
+      Incarnation(static_cast<std::uint64_t>(base::readWallMs())),
+      FrontDuty("front", Settings.Limits.RingCapacity),
+      DispatchDuty("dispatch", Settings.Limits.RingCapacity),
+      StateDuty("state", Settings.Limits.RingCapacity),
+      StorageDuty("storage", Settings.Limits.RingCapacity),
+      StateTimer(StateDuty.context()) {
+  peer::PeerConfig peerConfig;
+  peerConfig.Self = {Settings.Vm, Settings.PeerListen.Host,
+                     Settings.PeerListen.Port};
+  Peers = std::make_unique<peer::PeerLinks>(peerConfig, makePeerHandlers());
+  SettingsGroup = std::make_unique<SettingsPart>(StateDuty, StorageDuty,
+                                                 Settings, makeSettingsHooks());
+  Centre = std::make_unique<DataCentrePart>(StateDuty, Settings, Incarnation,
+                                            makeCentreHooks());
+  Api = std::make_unique<OperatorApi>(
+      Settings, *SettingsGroup, *Centre,
+      [this](const base::VmId &to, protocol::QueryRequest request,
+             protocol::Reply<protocol::QueryReply> reply) {
+        Peers->query(to, std::move(request), ControlTimeout, std::move(reply));
+      });
+  Dispatch = std::make_unique<DispatchFlow>(
+      DispatchDuty,
+      DispatchFlowConfig{
+          .Self = Settings.Vm, .Incarnation = Incarnation, .Targets = {}},
+      makeDispatchHooks());
+  Requests = std::make_unique<RequestFlow>(
+      FrontDuty,
+      RequestFlowConfig{.Self = Settings.Vm,
+                        .DataCentre = Settings.DataCentre,
+                        .Incarnation = Incarnation,
+                        .MaxDeadlineMs = Settings.Limits.MaxDeadlineMs},
+      makeRequestHooks());
+  gateway::GatewayConfig gatewayConfig;
+  gatewayConfig.Host = Settings.HttpListen.Host;
+  gatewayConfig.Port = Settings.HttpListen.Port;
+  gatewayConfig.Limits.MaxBodyBytes = Settings.Limits.MaxBodyBytes;
+  gatewayConfig.Limits.MaxHeaderBytes = Settings.Limits.MaxHeaderBytes;
+  gatewayConfig.Limits.MaxConnections = Settings.Limits.MaxConnections;
+  Gateway = std::make_unique<gateway::HttpGateway>(FrontDuty, gatewayConfig,
+                                                   makeGatewayHandlers());
+}
+
+Node::State::~State() {
+  // Threads end before what they use.
+  if (Peers)
+    Peers->stop();
+  FrontDuty.stop();
+  DispatchDuty.stop();
+  StateDuty.stop();
+  StorageDuty.stop();
+}
+
+base::Result<void> Node::State::start() {
+  auto linked = Peers->start();
+  if (!linked)
+    return linked;
+  std::vector<peer::PeerAddress> seeds;
+  for (const auto &seed : Settings.Seeds)
+    if (seed.Id != Settings.Vm)
+      seeds.push_back({seed.Id, seed.Host, seed.PeerPort});
+  Peers->setPeers(std::move(seeds));
+  // The duties run only after this: opening needs no lock.
+  auto opened = SettingsGroup->open(Bootstrap);
+  if (!opened)
+    return opened;
+  auto listening = Gateway->start();
+  if (!listening)
+    return listening;
+  boost::asio::post(StateDuty.context(), [this] { tick(); });
+  StorageDuty.start();
+  StateDuty.start();
+  DispatchDuty.start();
+  FrontDuty.start();
+  base::logInfo("node", "started", {{"incarnation", Incarnation}});
+  return base::ok();
+}
+
+void Node::State::onSettingsView(const settings::ViewPtr &view) {
+  std::vector<peer::PeerAddress> peers;
+  for (const auto &[id, vm] : view->Vms)
+    if (id != Settings.Vm)
+      peers.push_back({id, vm.Host, vm.PeerPort});
+  if (!peers.empty())
+    Peers->setPeers(std::move(peers));
+  Centre->setSettings(view);
+  Requests->setSettings(view);
+  Dispatch->setSettings(view);
+}
+
+void Node::State::tick() {
+  SettingsGroup->tick();
+  Centre->tick();
+  Api->answerWatchers();
+  sendReports();
+  updateReadiness();
+  StateTimer.expires_after(TickInterval);
+  StateTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+void Node::State::sendReports() {
+  auto now = base::readMonotonic();
+  if (now - LastReport < ReportInterval)
+    return;
+  LastReport = now;
+  publishMetrics();
+  NodeReport report;
+  report.Vm = Settings.Vm;
+  report.DataCentre = Settings.DataCentre;
+  report.InForce = SettingsGroup->inForce();
+  report.SettingsIncarnation = SettingsGroup->incarnation();
+  report.DataCentreReplica = Centre->replicaReport();
+  SettingsGroup->onReport(report);
+  Centre->onReport(report);
+  std::string text = encodeNodeReport(report);
+  auto vms = SettingsGroup->view()->Vms;
+  if (vms.empty())
+    for (const auto &seed : Settings.Seeds)
+      vms[seed.Id] = seed;
+  for (const auto &[id, vm] : vms) {
+    bool wants = vm.HasDisk || vm.DataCentre == Settings.DataCentre;
+    if (id == Settings.Vm || !wants)
+      continue;
+    Peers->query(id, {"report", text}, ControlTimeout,
+                 [this](base::Result<protocol::QueryReply> answer) {
+                   StateDuty.postReply(
+                       [this, answer] { onReportAnswer(answer); });
+                 });
+  }
+}
+
+void Node::State::onReportAnswer(
+    const base::Result<protocol::QueryReply> &answer) {
+  if (!answer)
+    return;
+  boost::system::error_code ec;
+  auto parsed = boost::json::parse(answer.value().Document, ec);
+  if (ec || !parsed.is_object() || !parsed.at("leader").as_bool())
+    return;
+  SettingsGroup->onLeaderCommit(
+      parsed.at("commit").to_number<consensus::LogIndex>());
+}
+
+void Node::State::updateReadiness() {
+  SettingsReady = SettingsGroup->isReady();
+  CentreReady = Centre->isReady();
+}
+
+std::string Node::State::describeUnready() const {
+  if (IsStopping)
+    return "stopping";
+  if (!SettingsReady)
+    return "settings are not caught up yet";
+  if (!CentreReady)
+    return "the data-centre group has not started";
+  return {};
+}
+
+void Node::State::publishMetrics() {
+  static auto &InForce = base::gauge("mill_settings_in_force_index",
+                                     "Settings index in force on this VM.");
+  static auto &Leads = base::gauge("mill_leads_data_centre",
+                                   "1 while this VM leads its data centre.");
+  static auto &LeadsSettings = base::gauge(
+      "mill_leads_settings", "1 while this VM leads the settings group.");
+  static auto &Open =
+      base::gauge("mill_requests_open", "Callers' requests in this VM.");
+  static auto &Refused =
+      base::gauge("mill_ring_refused",
+                  "Tasks refused because a ring was full, all duties.");
+  InForce.Set(static_cast<double>(SettingsGroup->inForce()));
+  Leads.Set(Centre->isLeader() ? 1 : 0);
+  LeadsSettings.Set(SettingsGroup->isLeader() ? 1 : 0);
+  Open.Set(static_cast<double>(Requests->countOpen()));
+  Refused.Set(static_cast<double>(
+      FrontDuty.countRefused() + DispatchDuty.countRefused() +
+      StateDuty.countRefused() + StorageDuty.countRefused()));
+}
+
+void Node::State::beginStop(std::function<void()> done) {
+  base::logInfo("node", "planned stop");
+  IsStopping = true;
+  boost::asio::post(StateDuty.context(), [this, done = std::move(done)] {
+    WhenStopped = done;
+    auto limit = std::make_shared<boost::asio::steady_timer>(
+        StateDuty.context(), StopLimit);
+    limit->async_wait([this, limit](const boost::system::error_code &ec) {
+      if (!ec)
+        finishStop();
+    });
+    Dispatch->beginStopping([this] {
+      StateDuty.postReply([this] {
+        SettingsGroup->handOverLeadership();
+        Centre->handOverLeadership();
+        drainGateway();
+      });
+    });
+  });
+}
+
+void Node::State::drainGateway() {
+  if (Drained.exchange(true))
+    return;
+  auto grace = std::make_shared<boost::asio::steady_timer>(StateDuty.context(),
+                                                           BalancerGrace);
+  grace->async_wait([this, grace](const boost::system::error_code &) {
+    boost::asio::post(FrontDuty.context(), [this] {
+      Gateway->drain([this] { StateDuty.postReply([this] { finishStop(); }); });
+    });
+  });
+}
+
+void Node::State::finishStop() {
+  auto done = std::exchange(WhenStopped, nullptr);
+  if (!done)
+    return;
+  base::logInfo("node", "stopped");
+  done();
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/NodeState.h
@@ -0,0 +1,69 @@
+// The parts of a node and their wiring.
+#pragma once
+
+#include "node/DispatchFlow.h"
+#include "node/Node.h"
+#include "node/OperatorApi.h"
+#include "node/RequestFlow.h"
+
+#include <atomic>
+
+namespace magnoliamill::node {
+
+struct Node::State {
+  State(settings::NodeSettings settings, bool bootstrap);
+  ~State();
+
+  base::Result<void> start();
+  void beginStop(std::function<void()> done);
+
+private:
+  peer::PeerHandlers makePeerHandlers();
+  gateway::GatewayHandlers makeGatewayHandlers();
+  SettingsPartHooks makeSettingsHooks();
+  DataCentrePartHooks makeCentreHooks();
+  RequestFlowHooks makeRequestHooks();
+  DispatchFlowHooks makeDispatchHooks();
+  void onSettingsView(const settings::ViewPtr &view);
+  void answerQuery(const protocol::QueryRequest &request,
+                   const protocol::Reply<protocol::QueryReply> &reply);
+  void tick();
+  void sendReports();
+  void onReportAnswer(const base::Result<protocol::QueryReply> &answer);
+  void updateReadiness();
+  void publishMetrics();
+  std::string describeUnready() const;
+  void drainGateway();
+  void finishStop();
+  /// Posts to the state duty; \p reply gets RingFull when it is overloaded.
+  template <typename T>
+  void postToState(base::Task task, const protocol::Reply<T> &reply);
+
+  settings::NodeSettings Settings;
+  bool Bootstrap;
+  // Unique for each run of the process, rising: wall clock at start.
+  std::uint64_t Incarnation;
+
+  base::DutyThread FrontDuty;
+  base::DutyThread DispatchDuty;
+  base::DutyThread StateDuty;
+  base::DutyThread StorageDuty;
+
+  std::unique_ptr<peer::PeerLinks> Peers;
+  std::unique_ptr<SettingsPart> SettingsGroup;
+  std::unique_ptr<DataCentrePart> Centre;
+  std::unique_ptr<OperatorApi> Api;
+  std::unique_ptr<DispatchFlow> Dispatch;
+  std::unique_ptr<RequestFlow> Requests;
+  std::unique_ptr<gateway::HttpGateway> Gateway;
+
+  boost::asio::steady_timer StateTimer;
+  base::MonoTime LastReport{};
+  std::atomic<bool> SettingsReady{false};
+  std::atomic<bool> CentreReady{false};
+  std::atomic<bool> IsStopping{false};
+  std::atomic<bool> Drained{false};
+  std::function<void()> WhenStopped;
+};
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/NodeWiring.cpp
@@ -0,0 +1,219 @@
+// The hooks that join the parts: who calls whom, and on which thread.
+#include "node/internal/NodeState.h"
+
+#include "base/Log.h"
+
+namespace magnoliamill::node {
+
+template <typename T>
+void Node::State::postToState(base::Task task,
+                              const protocol::Reply<T> &reply) {
+  if (!StateDuty.tryPost(std::move(task)))
+    reply(
+        base::fail(base::ResultCode::RingFull, "the state duty is overloaded"));
+}
+
+peer::PeerHandlers Node::State::makePeerHandlers() {
+  using protocol::GroupKind;
+  peer::PeerHandlers handlers;
+  handlers.OnGroupMessages = [this](std::vector<protocol::GroupMessage> batch) {
+    // Lost messages are asked for again by the replicated log.
+    (void)StateDuty.tryPost([this, batch = std::move(batch)]() mutable {
+      for (auto &message : batch) {
+        if (message.Group == GroupKind::Settings)
+          SettingsGroup->receive(std::move(message.Message));
+        else
+          Centre->receive(std::move(message.Message));
+      }
+    });
+  };
+  handlers.OnPropose = [this](protocol::ProposeRequest request,
+                              protocol::Reply<protocol::ProposeReply> reply) {
+    postToState(
+        [this, request = std::move(request), reply] {
+          if (request.Group == GroupKind::Settings)
+            SettingsGroup->proposeHere(request.Command, reply);
+          else
+            reply(base::fail(base::ResultCode::PeerRefused,
+                             "only the leader proposes to this group"));
+        },
+        reply);
+  };
+  handlers.OnFetch = [this](protocol::FetchRequest request,
+                            protocol::Reply<protocol::FetchReply> reply) {
+    postToState(
+        [this, request = std::move(request), reply] {
+          if (request.Group == GroupKind::Settings)
+            SettingsGroup->answerFetch(request, reply);
+          else
+            Centre->answerFetch(request, reply);
+        },
+        reply);
+  };
+  handlers.OnLease = [this](protocol::LeaseRequest request,
+                            protocol::Reply<protocol::LeaseReply> reply) {
+    postToState([this, request = std::move(request),
+                 reply] { Centre->leaseHere(request, reply); },
+                reply);
+  };
+  handlers.OnAnnounce = [this](protocol::AnnounceRequest request,
+                               protocol::Reply<protocol::AnnounceReply> reply) {
+    postToState([this, request = std::move(request),
+                 reply] { Centre->announceHere(request, reply); },
+                reply);
+  };
+  handlers.OnQuery = [this](protocol::QueryRequest request,
+                            protocol::Reply<protocol::QueryReply> reply) {
+    postToState([this, request = std::move(request),
+                 reply] { answerQuery(request, reply); },
+                reply);
+  };
+  handlers.OnLedger = [](protocol::LedgerRequest,
+                         protocol::Reply<protocol::LedgerReply> reply) {
+    reply(base::fail(base::ResultCode::PeerRefused, "no ledger yet"));
+  };
+  handlers.OnForward = [this](protocol::ForwardRequest request,
+                              protocol::AnswerSink sink) {
+    return Requests->onForwarded(std::move(request), std::move(sink));
+  };
+  return handlers;
+}
+
+gateway::GatewayHandlers Node::State::makeGatewayHandlers() {
+  gateway::GatewayHandlers handlers;
+  handlers.OnRequest = [this](protocol::ForwardRequest request,
+                              protocol::AnswerSink sink) {
+    if (!SettingsReady) {
+      sink.Fail({base::ResultCode::NotRunNotReady, describeUnready(), 1000});
+      return protocol::CancelHook([] {});
+    }
+    return Requests->submit(std::move(request), std::move(sink));
+  };
+  handlers.OnApi = [this](gateway::ApiRequest request,
+                          OperatorApi::Respond respond) {
+    bool posted = StateDuty.tryPost([this, request, respond] {
+      if (!SettingsGroup->isReady()) {
+        respond(gateway::renderFailure(
+            {base::ResultCode::NotRunNotReady, describeUnready(), 1000}));
+        return;
+      }
+      Api->handle(request, respond);
+    });
+    if (!posted)
+      respond(gateway::renderFailure(
+          {base::ResultCode::RingFull, "the state duty is overloaded", 1000}));
+  };
+  handlers.DescribeUnready = [this] { return describeUnready(); };
+  return handlers;
+}
+
+SettingsPartHooks Node::State::makeSettingsHooks() {
+  SettingsPartHooks hooks;
+  hooks.Send = [this](const base::VmId &to,
+                      std::vector<consensus::Message> messages) {
+    std::vector<protocol::GroupMessage> batch;
+    for (auto &message : messages)
+      batch.push_back({protocol::GroupKind::Settings, std::move(message)});
+    Peers->sendGroupMessages(to, std::move(batch));
+  };
+  hooks.Fetch = [this](const base::VmId &to, protocol::FetchRequest request,
+                       protocol::Reply<protocol::FetchReply> reply) {
+    auto timeout = ControlTimeout + std::chrono::milliseconds(request.WaitMs);
+    Peers->fetch(to, std::move(request), timeout, std::move(reply));
+  };
+  hooks.ProposeAt = [this](const base::VmId &to,
+                           protocol::ProposeRequest request,
+                           protocol::Reply<protocol::ProposeReply> reply) {
+    constexpr base::Duration ProposeTimeout = std::chrono::seconds(1);
+    Peers->propose(to, std::move(request), ProposeTimeout, std::move(reply));
+  };
+  hooks.IsAlive = [this](const base::VmId &vm) { return Peers->isAlive(vm); };
+  hooks.OnView = [this](const settings::ViewPtr &view) {
+    onSettingsView(view);
+  };
+  return hooks;
+}
+
+DataCentrePartHooks Node::State::makeCentreHooks() {
+  DataCentrePartHooks hooks;
+  hooks.Send = [this](const base::VmId &to,
+                      std::vector<consensus::Message> messages) {
+    std::vector<protocol::GroupMessage> batch;
+    for (auto &message : messages)
+      batch.push_back({protocol::GroupKind::DataCentre, std::move(message)});
+    Peers->sendGroupMessages(to, std::move(batch));
+  };
+  hooks.Fetch = [this](const base::VmId &to, protocol::FetchRequest request,
+                       protocol::Reply<protocol::FetchReply> reply) {
+    auto timeout = ControlTimeout + std::chrono::milliseconds(request.WaitMs);
+    Peers->fetch(to, std::move(request), timeout, std::move(reply));
+  };
+  hooks.LeaseAt = [this](const base::VmId &to, protocol::LeaseRequest request,
+                         protocol::Reply<protocol::LeaseReply> reply) {
+    Peers->renewLease(to, std::move(request), ControlTimeout, std::move(reply));
+  };
+  hooks.AnnounceAt = [this](const base::VmId &to,
+                            protocol::AnnounceRequest request,
+                            protocol::Reply<protocol::AnnounceReply> reply) {
+    Peers->announce(to, std::move(request), ControlTimeout, std::move(reply));
+  };
+  hooks.IsAlive = [this](const base::VmId &vm) { return Peers->isAlive(vm); };
+  hooks.OnView = [this](const ownership::ViewPtr &view) {
+    Requests->setOwnership(view);
+    Dispatch->setOwnership(view);
+  };
+  hooks.ReleaseHome = [this](const settings::FinishHomeMove &finish) {
+    SettingsGroup->propose(finish, [](const auto &) {});
+  };
+  return hooks;
+}
+
+RequestFlowHooks Node::State::makeRequestHooks() {
+  RequestFlowHooks hooks;
+  hooks.DispatchHere = [this](protocol::ForwardRequest request,
+                              protocol::AnswerSink sink) {
+    return Dispatch->submit(std::move(request), std::move(sink));
+  };
+  hooks.ForwardTo = [this](const base::VmId &vm,
+                           protocol::ForwardRequest request,
+                           protocol::AnswerSink sink) {
+    return Peers->forward(vm, std::move(request), std::move(sink));
+  };
+  hooks.IsAlive = [this](const base::VmId &vm) { return Peers->isAlive(vm); };
+  return hooks;
+}
+
+DispatchFlowHooks Node::State::makeDispatchHooks() {
+  DispatchFlowHooks hooks;
+  hooks.RenewLease = [this](protocol::LeaseRequest request,
+                            protocol::Reply<protocol::LeaseReply> reply) {
+    postToState([this, request = std::move(request),
+                 reply] { Centre->renewLease(request, reply); },
+                reply);
+  };
+  return hooks;
+}
+
+void Node::State::answerQuery(
+    const protocol::QueryRequest &request,
+    const protocol::Reply<protocol::QueryReply> &reply) {
+  if (request.What == "report") {
+    auto report = decodeNodeReport(request.Argument);
+    if (!report) {
+      reply(base::fail(report.error()));
+      return;
+    }
+    SettingsGroup->onReport(report.value());
+    Centre->onReport(report.value());
+    reply(protocol::QueryReply{SettingsGroup->renderCommit()});
+    return;
+  }
+  if (request.What == "status") {
+    auto index = std::strtoull(request.Argument.c_str(), nullptr, 10);
+    reply(protocol::QueryReply{Api->renderStatus(index)});
+    return;
+  }
+  reply(base::fail(base::ResultCode::PeerProtocol, "unknown question"));
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/RequestFlow.cpp
@@ -0,0 +1,194 @@
+// Joins the router's decisions with the gateway, the dispatcher and the peers.
+#include "node/RequestFlow.h"
+
+#include "base/Metrics.h"
+#include "node/RequestDescription.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+
+namespace magnoliamill::node {
+namespace {
+
+void countRefusal(base::ResultCode code) {
+  base::counter("mill_requests_failed_total",
+                "Requests that ended without an answer, by result code.",
+                {{"code", std::to_string(base::numberOf(code))}})
+      .Increment();
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(base::DutyThread &duty, RequestFlowConfig config,
+                         RequestFlowHooks hooks)
+    : Duty(duty), Config(std::move(config)), Hooks(std::move(hooks)),
+      Router({.Self = Config.Self,
+              .DataCentre = Config.DataCentre,
+              .Seed = Config.Incarnation,
+              .IsAlive = Hooks.IsAlive}),
+      Settings(std::make_shared<settings::View>()), Timer(duty.context()) {
+  boost::asio::post(Duty.context(), [this] { armTimer(); });
+}
+
+void RequestFlow::setSettings(settings::ViewPtr view) {
+  Duty.postReply([this, view = std::move(view)] {
+    Settings = view;
+    perform(Router.setSettings(view, base::readMonotonic()));
+  });
+}
+
+void RequestFlow::setOwnership(ownership::ViewPtr view) {
+  Duty.postReply([this, view = std::move(view)] {
+    perform(Router.setOwnership(view, base::readMonotonic()));
+  });
+}
+
+protocol::CancelHook RequestFlow::submit(protocol::ForwardRequest request,
+                                         protocol::AnswerSink sink) {
+  request.Id = base::RequestId(fmt::format("{}-{:x}-{}", Config.Self.Value,
+                                           Config.Incarnation, NextId++));
+  request.Hops = HopFromCaller;
+  auto open = std::make_shared<Open>();
+  open->Request = std::move(request);
+  open->Sink = std::move(sink);
+  base::RequestId id = open->Request.Id;
+  if (!Duty.tryPost([this, open] { admit(open, true); })) {
+    open->Sink.Fail({base::ResultCode::RingFull, "too much work at once", 100});
+    return [] {};
+  }
+  return [this, id] { Duty.postReply([this, id] { cancel(id); }); };
+}
+
+protocol::CancelHook RequestFlow::onForwarded(protocol::ForwardRequest request,
+                                              protocol::AnswerSink sink) {
+  if (request.Hops >= HopFinal)
+    return Hooks.DispatchHere(std::move(request), std::move(sink));
+  auto open = std::make_shared<Open>();
+  open->Request = std::move(request);
+  open->Sink = std::move(sink);
+  base::RequestId id = open->Request.Id;
+  if (!Duty.tryPost([this, open] { admit(open, false); })) {
+    open->Sink.Fail(
+        {base::ResultCode::NotRunPeerUnreachable, "the VM is overloaded", 100});
+    return [] {};
+  }
+  return [this, id] { Duty.postReply([this, id] { cancel(id); }); };
+}
+
+void RequestFlow::admit(std::shared_ptr<Open> open, bool mayLeave) {
+  base::MonoTime now = base::readMonotonic();
+  auto info = describeRequest(*Settings, open->Request, now);
+  if (info && open->Request.DeadlineMs > Config.MaxDeadlineMs)
+    info = base::fail(base::ResultCode::BadDeadline,
+                      "the deadline is longer than this VM allows");
+  if (!info) {
+    countRefusal(info.error().Code);
+    open->Sink.Fail({info.error().Code, info.error().Message, 0});
+    return;
+  }
+  open->Deadline = info.value().Deadline;
+  Requests[open->Request.Id] = open;
+  OpenCount = Requests.size();
+  perform(Router.submit(std::move(info.value()), mayLeave, now));
+}
+
+void RequestFlow::perform(dispatch::RouteActions actions) {
+  for (const auto &route : actions.Go)
+    go(route.Request, route.Vm);
+  for (const auto &ended : actions.End) {
+    auto it = Requests.find(ended.Request);
+    if (it == Requests.end())
+      continue;
+    auto open = it->second;
+    Requests.erase(it);
+    countRefusal(ended.Failure.Code);
+    open->Sink.Fail(ended.Failure);
+  }
+  OpenCount = Requests.size();
+  // A held request wants its next look sooner than the timer was set for.
+  if (Router.countHeld() > 0)
+    armTimer();
+}
+
+void RequestFlow::go(const base::RequestId &id, const base::VmId &vm) {
+  auto it = Requests.find(id);
+  if (it == Requests.end())
+    return;
+  auto open = it->second;
+  auto left = base::toMs(open->Deadline - base::readMonotonic());
+  protocol::ForwardRequest request = open->Request;
+  request.DeadlineMs =
+      static_cast<std::uint32_t>(std::max<std::int64_t>(1, left));
+  // A VM of another data centre finds the dispatcher there.
+  auto vmview = Settings->Vms.find(vm);
+  bool sameDataCentre = vmview == Settings->Vms.end() ||
+                        vmview->second.DataCentre == Config.DataCentre;
+  request.Hops = sameDataCentre ? HopFinal : HopRoute;
+  auto sink = sinkFor(id, open);
+  open->Cancel = vm == Config.Self
+                     ? Hooks.DispatchHere(std::move(request), std::move(sink))
+                     : Hooks.ForwardTo(vm, std::move(request), std::move(sink));
+}
+
+protocol::AnswerSink RequestFlow::sinkFor(const base::RequestId &id,
+                                          const std::shared_ptr<Open> &open) {
+  protocol::AnswerSink sink;
+  // Head, Chunk and End belong to one answer, so they come from one thread in
+  // order; the caller's sink posts by itself.
+  sink.Head = [open](protocol::AnswerHead head) {
+    open->HeadSent = true;
+    open->Sink.Head(std::move(head));
+  };
+  sink.Chunk = [open](std::string chunk, std::function<void()> more) {
+    open->Sink.Chunk(std::move(chunk), std::move(more));
+  };
+  sink.End = [this, id, open] {
+    open->Sink.End();
+    Duty.postReply([this, id] { end(id); });
+  };
+  sink.Fail = [this, id, open](protocol::RequestFailure failure) {
+    if (open->HeadSent) {
+      open->Sink.Fail(std::move(failure));
+      Duty.postReply([this, id] { end(id); });
+      return;
+    }
+    Duty.postReply(
+        [this, id, failure = std::move(failure)] { onFailure(id, failure); });
+  };
+  return sink;
+}
+
+void RequestFlow::onFailure(const base::RequestId &id,
+                            const protocol::RequestFailure &failure) {
+  perform(Router.onFailure(id, failure, base::readMonotonic()));
+}
+
+void RequestFlow::end(const base::RequestId &id) {
+  Router.forget(id);
+  Requests.erase(id);
+  OpenCount = Requests.size();
+}
+
+void RequestFlow::cancel(const base::RequestId &id) {
+  auto it = Requests.find(id);
+  if (it == Requests.end())
+    return;
+  auto hook = it->second->Cancel;
+  end(id);
+  if (hook)
+    hook();
+}
+
+void RequestFlow::armTimer() {
+  Timer.expires_at(Router.nextWake(base::readMonotonic()));
+  Timer.async_wait([this](const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    perform(Router.tick(base::readMonotonic()));
+    armTimer();
+  });
+}
+
+} // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/SettingsPart.cpp
@@ -0,0 +1,338 @@
+// Settings on one VM: replica or follower, proposals, feed to others.
+#include "node/SettingsPart.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "node/MembershipKeeper.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fmt/format.h>
+
+namespace magnoliamill::node {
+namespace {
+
+constexpr std::size_t WindowBytes = 8u << 20;
+constexpr std::size_t FetchBytes = 1u << 20;
+constexpr std::uint32_t ProposeTries = 6;
+constexpr base::Duration ProposePause = std::chrono::milliseconds(150);
+// Incarnation of the members of a new installation; later ones are wall times.
+constexpr std::uint64_t FirstIncarnation = 1;
+constexpr std::size_t MaxSettingsVoters = 5;
+constexpr base::Duration MembershipPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+SettingsPart::SettingsPart(base::DutyThread &duty, base::DutyThread &storage,
+                           const settings::NodeSettings &node,
+                           SettingsPartHooks hooks)
+    : Duty(duty), StorageDuty(storage), Node(node), Hooks(std::move(hooks)),
+      View(std::make_shared<settings::View>()), FollowerWindow(WindowBytes) {}
+
+base::Result<void> SettingsPart::open(bool bootstrap) {
+  if (!Node.SettingsReplica) {
+    startFollower();
+    return base::ok();
+  }
+  auto fresh = bootstrap ? FirstIncarnation
+                         : static_cast<std::uint64_t>(base::readWallMs());
+  auto opened = consensus::openDiskStorage(
+      std::filesystem::path(Node.DataFolder) / "settings", fresh);
+  if (!opened)
+    return base::fail(opened.error());
+  startRunner(std::move(opened.value()));
+  return base::ok();
+}
+
+void SettingsPart::startRunner(consensus::OpenedStorage opened) {
+  Incarnation = opened.Incarnation;
+  if (opened.IsNew && Incarnation == FirstIncarnation)
+    for (const auto &seed : Node.Seeds)
+      if (seed.HasDisk)
+        opened.Restored.Members.Voters.push_back({seed.Id, FirstIncarnation});
+  consensus::CoreConfig core;
+  core.Self = {Node.Vm, Incarnation};
+  core.Seed = base::hash64(Node.Vm.Value, Incarnation);
+  GroupRunnerHooks hooks;
+  hooks.Send = Hooks.Send;
+  hooks.Apply = [this](const consensus::Entry &entry) {
+    if (entry.Kind == consensus::EntryKind::Command)
+      return Machine.apply(entry.Index, entry.Command);
+    Machine.skip(entry.Index);
+    return std::string();
+  };
+  hooks.Restore = [this](const consensus::RestoreSnapshot &snapshot) {
+    auto restored = Machine.restore(snapshot.Data);
+    if (!restored)
+      base::logError("settings", restored.error().Code,
+                     restored.error().Message);
+  };
+  hooks.TakeSnapshot = [this] { return Machine.snapshot(); };
+  hooks.AfterStep = [this] { afterApply(); };
+  Runner =
+      std::make_unique<GroupRunner>(Duty, &StorageDuty, GroupRunnerConfig{},
+                                    core, std::move(opened), std::move(hooks));
+  Runner->start();
+}
+
+void SettingsPart::startFollower() {
+  GroupFollowerHooks hooks;
+  hooks.Fetch = Hooks.Fetch;
+  hooks.Sources = [this] { return replicas(); };
+  hooks.Restore = [this](consensus::LogIndex index, const std::string &data) {
+    auto restored = Machine.restore(data);
+    if (!restored)
+      base::logError("settings", restored.error().Code,
+                     restored.error().Message);
+    FollowerWindow.restart(index);
+  };
+  hooks.Apply = [this](const consensus::Entry &entry) {
+    if (entry.Kind == consensus::EntryKind::Command)
+      Machine.apply(entry.Index, entry.Command);
+    else
+      Machine.skip(entry.Index);
+    FollowerWindow.add({&entry, 1});
+  };
+  hooks.AfterFetch = [this](bool caughtUp) {
+    // An empty tree is not a state to serve from: the group has no entry yet.
+    if (caughtUp && Machine.appliedIndex() > 0)
+      Ready = true;
+    afterApply();
+  };
+  Follower = std::make_unique<GroupFollower>(
+      Duty, protocol::GroupKind::Settings, Node.Vm, std::move(hooks));
+  Follower->start();
+}
+
+void SettingsPart::afterApply() {
+  if (isLeader() && Runner->core().hasLeaderLease(base::readMonotonic()))
+    onLeaderCommit(Runner->core().commitIndex());
+  answerWaiting();
+  auto now = Machine.viewNow();
+  if (now == View)
+    return;
+  View = now;
+  Hooks.OnView(View);
+}
+
+void SettingsPart::onLeaderCommit(consensus::LogIndex commit) {
+  // What was committed before this VM started has been applied: it may serve.
+  if (commit > 0 && Machine.appliedIndex() >= commit)
+    Ready = true;
+}
+
+std::vector<base::VmId> SettingsPart::replicas() const {
+  std::vector<base::VmId> found;
+  auto add = [&](const settings::VmView &vm) {
+    if (vm.HasDisk && vm.Id != Node.Vm &&
+        std::ranges::find(found, vm.Id) == found.end())
+      found.push_back(vm.Id);
+  };
+  for (const auto &[id, vm] : View->Vms)
+    add(vm);
+  if (View->Vms.empty())
+    std::ranges::for_each(Node.Seeds, add);
+  // Those of the own data centre first, then those that answer.
+  std::ranges::stable_partition(
+      found, [this](const base::VmId &vm) { return Hooks.IsAlive(vm); });
+  return found;
+}
+
+void SettingsPart::receive(consensus::Message message) {
+  if (Runner)
+    Runner->receive(std::move(message));
+}
+
+base::VmId SettingsPart::leader() const {
+  if (!Runner || !Runner->core().leader())
+    return {};
+  return Runner->core().leader()->Vm;
+}
+
+base::VmId SettingsPart::chooseReplica() {
+  base::VmId known = leader();
+  return known.empty() ? Caller.choose(replicas()) : known;
+}
+
+void SettingsPart::proposeHere(std::string command,
+                               protocol::Reply<protocol::ProposeReply> reply) {
+  if (!isLeader()) {
+    reply(base::fail(base::ResultCode::NotLeader, leader().Value));
+    return;
+  }
+  Runner->propose(std::move(command), std::move(reply));
+}
+
+void SettingsPart::propose(
+    const settings::Command &command,
+    std::function<void(base::Result<settings::ChangeOutcome>)> reply) {
+  proposeTries(settings::encodeCommand(command), ProposeTries,
+               std::move(reply));
+}
+
+void SettingsPart::proposeTries(
+    std::string command, std::uint32_t triesLeft,
+    std::function<void(base::Result<settings::ChangeOutcome>)> reply) {
+  base::VmId vm = isLeader() ? Node.Vm : Caller.choose(replicas());
+  auto done = [this, vm, command, triesLeft,
+               reply](base::Result<protocol::ProposeReply> answered) {
+    if (answered) {
+      Caller.onAnswer(vm);
+      reply(settings::decodeOutcome(answered.value().Outcome));
+      return;
+    }
+    Caller.onFailure(vm, answered.error());
+    if (triesLeft <= 1) {
+      using enum base::ResultCode;
+      auto code = answered.error().Code;
+      bool surely = code == NotLeader || code == PeerUnreachable ||
+                    code == ProposalDropped || code == PeerQueueFull;
+      reply(base::fail(surely ? NoQuorum : ChangeOutcomeUnknown,
+                       surely ? "the settings group has no leader now"
+                              : "resend with the same change id"));
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(Duty.context());
+    timer->expires_after(ProposePause);
+    timer->async_wait([this, timer, command, triesLeft,
+                       reply](const boost::system::error_code &ec) {
+      if (!ec)
+        proposeTries(command, triesLeft - 1, reply);
+    });
+  };
+  if (vm.empty()) {
+    done(base::fail(base::ResultCode::PeerUnreachable, "no replica known"));
+    return;
+  }
+  if (vm == Node.Vm) {
+    proposeHere(command, done);
+    return;
+  }
+  Hooks.ProposeAt(vm, {protocol::GroupKind::Settings, command},
+                  [this, done](base::Result<protocol::ProposeReply> answered) {
+                    Duty.postReply([done, answered] { done(answered); });
+                  });
+}
+
+protocol::FetchReply
+SettingsPart::readAfter(const protocol::FetchRequest &request) const {
+  const auto &window = Runner ? Runner->window() : FollowerWindow;
+  auto part = window.readAfter(request.After, FetchBytes);
+  protocol::FetchReply reply;
+  reply.Commit = part.Commit;
+  reply.Entries = std::move(part.Entries);
+  if (part.NeedsSnapshot) {
+    reply.Snapshot = Machine.snapshot();
+    reply.SnapshotIndex = Machine.appliedIndex();
+  }
+  return reply;
+}
+
+void SettingsPart::answerFetch(protocol::FetchRequest request,
+                               protocol::Reply<protocol::FetchReply> reply) {
+  InForceByVm[request.Vm] = request.InForce;
+  if (!Ready) {
+    reply(base::fail(base::ResultCode::NotRunNotReady, "not caught up yet"));
+    return;
+  }
+  auto found = readAfter(request);
+  if (found.Snapshot || !found.Entries.empty() || request.WaitMs == 0) {
+    reply(std::move(found));
+    return;
+  }
+  auto until =
+      base::readMonotonic() + std::chrono::milliseconds(request.WaitMs);
+  Waiting.push_back({std::move(request), until, std::move(reply)});
+}
+
+void SettingsPart::answerWaiting() {
+  auto now = base::readMonotonic();
+  std::vector<WaitingFetch> waiting;
+  waiting.swap(Waiting);
+  for (auto &fetch : waiting) {
+    auto found = readAfter(fetch.Request);
+    bool due = found.Snapshot || !found.Entries.empty() || now >= fetch.Until;
+    if (due)
+      fetch.Reply(std::move(found));
+    else
+      Waiting.push_back(std::move(fetch));
+  }
+}
+
+void SettingsPart::onReport(const NodeReport &report) {
+  InForceByVm[report.Vm] = report.InForce;
+  Reports[report.Vm] = {report, base::readMonotonic()};
+  if (Homes)
+    Homes->report(report.DataCentreReplica, base::readMonotonic());
+}
+
+void SettingsPart::tick() {
+  answerWaiting();
+  if (!isLeader()) {
+    Homes.reset();
+    return;
+  }
+  if (!Homes)
+    Homes.emplace();
+  lead();
+}
+
+void SettingsPart::lead() {
+  if (!Runner->core().hasLeaderLease(base::readMonotonic()))
+    return;
+  auto send = [this](settings::Command command) {
+    settings::setWhenMs(command, base::readWallMs());
+    Runner->propose(settings::encodeCommand(command), [](const auto &) {});
+  };
+  if (View->Vms.empty() && !BootstrapProposed) {
+    BootstrapProposed = true;
+    send(settings::BootstrapVms{0, Node.Seeds});
+  }
+  for (auto &command : Homes->step(*View, base::readMonotonic()))
+    send(std::move(command));
+  keepMembership();
+}
+
+void SettingsPart::keepMembership() {
+  auto now = base::readMonotonic();
+  if (now - LastMembershipChange < MembershipPause)
+    return;
+  MembershipInputs inputs;
+  inputs.Present = Runner->core().membership();
+  inputs.MaxVoters = MaxSettingsVoters;
+  for (const auto &[vm, seen] : Reports)
+    if (seen.Report.SettingsIncarnation > 0 && now - seen.At < ReportLifetime)
+      inputs.Candidates[vm] = seen.Report.SettingsIncarnation;
+  for (const auto &[id, vm] : View->Vms)
+    if (vm.HasDisk)
+      inputs.Registered.insert(id);
+  if (inputs.Registered.empty())
+    return;
+  inputs.IsCaughtUp = [this](const consensus::ReplicaId &replica) {
+    return Runner->core().isCaughtUp(replica);
+  };
+  if (auto next = decideMembership(inputs)) {
+    LastMembershipChange = now;
+    Runner->proposeMembership(*next);
+  }
+}
+
+std::string SettingsPart::renderCommit() const {
+  bool leads =
+      isLeader() && Runner->core().hasLeaderLease(base::readMonotonic());
+  return fmt::format("{{\"leader\":{},\"commit\":{}}}", leads,
+                     leads ? Runner->core().commitIndex() : 0);
+}
+
+std::optional<consensus::Membership> SettingsPart::membership() const {
+  if (!Runner)
+    return std::nullopt;
+  return Runner->core().membership();
+}
+
+void SettingsPart::handOverLeadership() {
+  if (isLeader())
+    Runner->transferLeadership();
+}
+
+} // namespace magnoliamill::node
