consensus: replicated log core, storage, window of committed entries

Cause: both groups of the system need one log that is the same everywhere. The core is a state machine without I/O, split by job under internal/. Ruled out: joint consensus (one voter at a time is enough, and a voter is exchanged only for its own next incarnation, whose learner entry was committed first); reads under the lease alone (a confirmed round needs no clock); truncating the log file in place (a record says it, so nothing synced is overwritten); scanning for intact records behind a bad one (one frame per synced write tells a torn tail from damage). ProposalOutcome and ReadOutcome got default members: GCC 12 reports a false maybe-uninitialized inside Outcome when such an aggregate is moved.

--- a/packages/consensus/ReplicaCore.h
+++ b/packages/consensus/ReplicaCore.h
@@ -105,11 +105,11 @@
   std::uint64_t ProposalId = 0;
   /// The index at which it was committed. ProposalDropped: it will never take
   /// effect. ChangeOutcomeUnknown: leadership was lost, it may still commit.
-  base::Result<LogIndex> Index;
+  base::Result<LogIndex> Index = LogIndex(0);
 };
 struct ReadOutcome {
   std::uint64_t ReadId = 0;
-  base::Result<LogIndex> Index;
+  base::Result<LogIndex> Index = LogIndex(0);
 };
 
 struct Actions {
--- /dev/null
+++ b/packages/consensus/internal/DiskStorage.cpp
@@ -0,0 +1,302 @@
+// Storage in a folder, and storage that keeps nothing.
+#include "consensus/internal/DiskStorage.h"
+
+#include "consensus/internal/LogRecords.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace magnoliamill::consensus::internal {
+
+namespace {
+
+constexpr std::string_view IncarnationFile = "incarnation";
+constexpr std::string_view SnapshotFile = "snapshot";
+constexpr std::string_view LogFile = "log";
+
+/// The first frame of each file tells what it is, and the form's version.
+std::string makeFileHead(std::string_view name) {
+  return makeFrame("magnoliamill " + std::string(name) + " 1", 0);
+}
+
+void addFrame(std::string &content, std::string_view payload) {
+  content += makeFrame(payload, content.size());
+}
+
+bool hasFileHead(const ScannedFile &file, std::string_view name) {
+  return !file.Payloads.empty() &&
+         file.Payloads[0] == "magnoliamill " + std::string(name) + " 1";
+}
+
+auto failDamaged(base::ResultCode code, const std::filesystem::path &path) {
+  return base::fail(code, path.string() +
+                              " is damaged; nothing was changed. Move the "
+                              "folder away to start as a new replica");
+}
+
+/// Drops what the snapshot covers. Entries behind it stay only when the log
+/// has the snapshot's own last entry or starts right behind it: otherwise they
+/// are left over from a crash between the two files.
+bool trimToSnapshot(DurableState &state) {
+  auto &entries = state.Entries;
+  if (entries.empty())
+    return true;
+  const LogIndex first = entries.front().Index;
+  if (first > state.SnapshotIndex)
+    return first == state.SnapshotIndex + 1;
+  const LogIndex offset = state.SnapshotIndex - first;
+  const bool same =
+      offset < entries.size() && entries[offset].Term == state.SnapshotTerm;
+  const auto end =
+      same ? entries.begin() + static_cast<std::ptrdiff_t>(offset) + 1
+           : entries.end();
+  entries.erase(entries.begin(), end);
+  return true;
+}
+
+} // namespace
+
+base::Result<OpenedStorage>
+DiskStorage::open(const std::filesystem::path &folder,
+                  std::uint64_t freshIncarnation) {
+  std::error_code ec;
+  std::filesystem::create_directories(folder, ec);
+  if (ec)
+    return base::fail(base::ResultCode::StorageFailed,
+                      "cannot create " + folder.string() + ": " + ec.message());
+  std::unique_ptr<DiskStorage> store(new DiskStorage(folder));
+  if (auto locked = store->lock(); !locked)
+    return base::fail(locked.error());
+  OpenedStorage out;
+  out.IsNew = !std::filesystem::exists(store->pathOf(IncarnationFile));
+  auto incarnation =
+      out.IsNew ? store->create(freshIncarnation) : store->readIncarnation();
+  if (!incarnation)
+    return base::fail(incarnation.error());
+  out.Incarnation = incarnation.value();
+  if (auto read = store->readSnapshot(out.Restored); !read)
+    return base::fail(read.error());
+  const auto loaded = store->readLog(out.Restored);
+  if (!loaded)
+    return base::fail(loaded.error());
+  // A crash between the snapshot and the cut of the log: cut it now, since new
+  // entries would not join on to the old ones.
+  auto opened = loaded.value().IsOutdated
+                    ? store->replaceLog(out.Restored)
+                    : store->openLog(loaded.value().IntactSize);
+  if (!opened)
+    return base::fail(opened.error());
+  store->Term = out.Restored.Term;
+  store->VotedFor = out.Restored.VotedFor;
+  out.Store = std::move(store);
+  return out;
+}
+
+base::Result<void> DiskStorage::lock() {
+  Lock = FileHandle(::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (!Lock.isOpen() || ::flock(Lock.get(), LOCK_EX | LOCK_NB) != 0)
+    return base::fail(describeErrno("cannot lock", Folder));
+  return base::ok();
+}
+
+base::Result<std::uint64_t> DiskStorage::create(std::uint64_t incarnation) {
+  // A crash while the folder was created leaves at most an empty log.
+  const auto log = pathOf(LogFile);
+  if (std::filesystem::exists(pathOf(SnapshotFile)))
+    return failDamaged(base::ResultCode::SnapshotDamaged,
+                       pathOf(IncarnationFile));
+  if (std::filesystem::exists(log)) {
+    const auto content = readWholeFile(log);
+    if (!content || content.value() != makeFileHead(LogFile))
+      return failDamaged(base::ResultCode::LogDamaged, pathOf(IncarnationFile));
+  }
+  if (auto made = replaceFile(log, makeFileHead(LogFile)); !made)
+    return base::fail(made.error());
+  std::string content = makeFileHead(IncarnationFile);
+  addFrame(content, std::to_string(incarnation));
+  if (auto made = replaceFile(pathOf(IncarnationFile), content); !made)
+    return base::fail(made.error());
+  if (auto synced =
+          syncFolder(Folder.parent_path().empty() ? std::filesystem::path(".")
+                                                  : Folder.parent_path());
+      !synced)
+    return base::fail(synced.error());
+  return incarnation;
+}
+
+base::Result<std::uint64_t> DiskStorage::readIncarnation() const {
+  const auto path = pathOf(IncarnationFile);
+  const auto content = readWholeFile(path);
+  if (!content)
+    return base::fail(content.error());
+  const ScannedFile file = scanFrames(content.value());
+  if (file.IsDamaged || file.HasTornTail || file.Payloads.size() != 2 ||
+      !hasFileHead(file, IncarnationFile))
+    return failDamaged(base::ResultCode::LogDamaged, path);
+  return std::stoull(file.Payloads[1]);
+}
+
+base::Result<void> DiskStorage::readSnapshot(DurableState &state) const {
+  const auto path = pathOf(SnapshotFile);
+  if (!std::filesystem::exists(path))
+    return base::ok();
+  const auto content = readWholeFile(path);
+  if (!content)
+    return base::fail(content.error());
+  ScannedFile file = scanFrames(content.value());
+  // The file was synced before it got its name, so a tail cannot be torn.
+  if (file.IsDamaged || file.HasTornTail || file.Payloads.size() != 3 ||
+      !hasFileHead(file, SnapshotFile) ||
+      !decodeSnapshotHead(file.Payloads[1], state))
+    return failDamaged(base::ResultCode::SnapshotDamaged, path);
+  state.SnapshotData = std::move(file.Payloads[2]);
+  return base::ok();
+}
+
+base::Result<DiskStorage::LoadedLog>
+DiskStorage::readLog(DurableState &state) const {
+  const auto path = pathOf(LogFile);
+  const auto content = readWholeFile(path);
+  if (!content)
+    return failDamaged(base::ResultCode::LogDamaged, path);
+  const ScannedFile file = scanFrames(content.value());
+  if (file.IsDamaged || !hasFileHead(file, LogFile))
+    return failDamaged(base::ResultCode::LogDamaged, path);
+  for (std::size_t n = 1; n < file.Payloads.size(); ++n)
+    if (!applyRecords(file.Payloads[n], state))
+      return failDamaged(base::ResultCode::LogDamaged, path);
+  const std::size_t count = state.Entries.size();
+  if (!trimToSnapshot(state))
+    return failDamaged(base::ResultCode::LogDamaged, path);
+  return LoadedLog{file.IntactSize, state.Entries.size() != count};
+}
+
+base::Result<void> DiskStorage::openLog(std::uint64_t intactSize) {
+  const auto path = pathOf(LogFile);
+  Log = FileHandle(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+  if (!Log.isOpen())
+    return base::fail(describeErrno("cannot open", path));
+  struct stat info = {};
+  if (::fstat(Log.get(), &info) != 0)
+    return base::fail(describeErrno("cannot stat", path));
+  LogSize = intactSize;
+  if (static_cast<std::uint64_t>(info.st_size) == intactSize)
+    return base::ok();
+  if (::ftruncate(Log.get(), static_cast<off_t>(intactSize)) != 0)
+    return base::fail(describeErrno("cannot cut", path));
+  return Log.sync();
+}
+
+base::Result<void> DiskStorage::write(const PersistRequest &request) {
+  if (auto usable = checkUsable(); !usable)
+    return usable;
+  const bool empty = request.Term == Term && request.VotedFor == VotedFor &&
+                     !request.TruncateAfter && request.Append.empty() &&
+                     !request.InstallSnapshot;
+  if (empty)
+    return base::ok();
+  auto done =
+      request.InstallSnapshot ? installSnapshot(request) : appendFrame(request);
+  HasFailed = !done;
+  Term = request.Term;
+  VotedFor = request.VotedFor;
+  return done;
+}
+
+base::Result<void>
+DiskStorage::writeSnapshot(const PersistRequest::Snapshot &snapshot) {
+  PersistRequest request;
+  request.Term = Term;
+  request.VotedFor = VotedFor;
+  request.InstallSnapshot = snapshot;
+  return write(request);
+}
+
+base::Result<void> DiskStorage::appendFrame(const PersistRequest &request) {
+  std::string records;
+  encodeRecords(request, records);
+  const std::string frame = makeFrame(records, LogSize);
+  if (auto written = Log.writeAll(frame); !written)
+    return written;
+  LogSize += frame.size();
+  return Log.sync();
+}
+
+base::Result<void> DiskStorage::installSnapshot(const PersistRequest &request) {
+  const auto &snapshot = *request.InstallSnapshot;
+  std::string content = makeFileHead(SnapshotFile);
+  addFrame(content, encodeSnapshotHead(snapshot));
+  addFrame(content, snapshot.Data);
+  // First the snapshot, then the log: after a crash in between, readLog drops
+  // what the snapshot covers or contradicts.
+  if (auto made = replaceFile(pathOf(SnapshotFile), content); !made)
+    return made;
+  DurableState state;
+  state.SnapshotIndex = snapshot.Index;
+  state.SnapshotTerm = snapshot.Term;
+  if (auto read = readLog(state); !read)
+    return base::fail(read.error());
+  std::string records;
+  encodeRecords(request, records);
+  if (!applyRecords(records, state) || !trimToSnapshot(state))
+    return base::fail(base::ResultCode::StorageFailed,
+                      "a request does not fit to the log");
+  return replaceLog(state);
+}
+
+base::Result<void> DiskStorage::replaceLog(const DurableState &state) {
+  PersistRequest whole;
+  whole.Term = state.Term;
+  whole.VotedFor = state.VotedFor;
+  whole.Append = state.Entries;
+  std::string records;
+  encodeRecords(whole, records);
+  std::string content = makeFileHead(LogFile);
+  addFrame(content, records);
+  if (auto made = replaceFile(pathOf(LogFile), content); !made)
+    return made;
+  return openLog(content.size());
+}
+
+base::Result<void> DiskStorage::checkUsable() const {
+  if (HasFailed)
+    return base::fail(base::ResultCode::StorageFailed,
+                      "an earlier write failed; restart the process");
+  return base::ok();
+}
+
+} // namespace magnoliamill::consensus::internal
+
+namespace magnoliamill::consensus {
+
+namespace {
+
+class MemoryStorage : public Storage {
+public:
+  base::Result<void> write(const PersistRequest &) override {
+    return base::ok();
+  }
+  base::Result<void> writeSnapshot(const PersistRequest::Snapshot &) override {
+    return base::ok();
+  }
+};
+
+} // namespace
+
+base::Result<OpenedStorage> openDiskStorage(const std::filesystem::path &folder,
+                                            std::uint64_t freshIncarnation) {
+  return internal::DiskStorage::open(folder, freshIncarnation);
+}
+
+OpenedStorage openMemoryStorage(std::uint64_t freshIncarnation) {
+  OpenedStorage out;
+  out.Store = std::make_unique<MemoryStorage>();
+  out.IsNew = true;
+  out.Incarnation = freshIncarnation;
+  return out;
+}
+
+} // namespace magnoliamill::consensus
--- /dev/null
+++ b/packages/consensus/internal/LogRecords.h
@@ -0,0 +1,21 @@
+// What stands in the frames of the log and of the snapshot file.
+#pragma once
+
+#include "consensus/ReplicaCore.h"
+
+#include <string>
+#include <string_view>
+
+namespace magnoliamill::consensus::internal {
+
+/// Appends the records of \p request (without its snapshot) to \p out.
+void encodeRecords(const PersistRequest &request, std::string &out);
+
+/// Applies the records of one frame to \p state. False when the frame makes no
+/// sense.
+bool applyRecords(std::string_view frame, DurableState &state);
+
+std::string encodeSnapshotHead(const PersistRequest::Snapshot &snapshot);
+bool decodeSnapshotHead(std::string_view text, DurableState &state);
+
+} // namespace magnoliamill::consensus::internal
--- /dev/null
+++ b/packages/consensus/internal/LogWindow.cpp
@@ -0,0 +1,45 @@
+// The most recent committed entries.
+#include "consensus/LogWindow.h"
+
+namespace magnoliamill::consensus {
+
+void LogWindow::restart(LogIndex index) {
+  Kept.clear();
+  Bytes = 0;
+  Last = index;
+}
+
+void LogWindow::add(std::span<const Entry> committed) {
+  for (const Entry &entry : committed) {
+    if (entry.Index <= Last)
+      continue;
+    if (entry.Index != Last + 1)
+      restart(entry.Index - 1);
+    Bytes += entry.Command.size();
+    Kept.push_back(entry);
+    Last = entry.Index;
+  }
+  while (Kept.size() > 1 && Bytes > MaxBytes) {
+    Bytes -= Kept.front().Command.size();
+    Kept.pop_front();
+  }
+}
+
+LogWindow::Part LogWindow::readAfter(LogIndex after,
+                                     std::size_t maxBytes) const {
+  Part out;
+  out.Commit = Last;
+  out.NeedsSnapshot = after < startIndex();
+  if (out.NeedsSnapshot || after >= Last)
+    return out;
+  std::size_t bytes = 0;
+  for (std::size_t n = after - startIndex(); n < Kept.size(); ++n) {
+    bytes += Kept[n].Command.size();
+    if (!out.Entries.empty() && bytes > maxBytes)
+      break;
+    out.Entries.push_back(Kept[n]);
+  }
+  return out;
+}
+
+} // namespace magnoliamill::consensus
--- /dev/null
+++ b/packages/consensus/internal/MembershipChange.cpp
@@ -0,0 +1,90 @@
+// One change of the membership at a time.
+#include "consensus/MembershipCodec.h"
+#include "consensus/internal/Quorum.h"
+#include "consensus/internal/Replica.h"
+
+namespace magnoliamill::consensus::internal {
+
+namespace {
+
+std::vector<ReplicaId> findMissing(const std::vector<ReplicaId> &from,
+                                   const std::vector<ReplicaId> &in) {
+  std::vector<ReplicaId> out;
+  for (const ReplicaId &id : from)
+    if (!contains(in, id))
+      out.push_back(id);
+  return out;
+}
+
+bool hasRepeated(const Membership &members) {
+  std::set<ReplicaId> seen;
+  for (const auto *list : {&members.Voters, &members.Learners})
+    for (const ReplicaId &id : *list)
+      if (!seen.insert(id).second)
+        return true;
+  return false;
+}
+
+} // namespace
+
+void Replica::handle(const ProposeMembership &event) {
+  base::Result<void> checked = base::ok();
+  if (CurrentRole != Role::Leader)
+    checked = base::fail(base::ResultCode::ProposalDropped, "not the leader");
+  else
+    checked = checkMembershipChange(event.Next);
+  if (!checked) {
+    failProposal(event.ProposalId, checked.error());
+    return;
+  }
+  const LogIndex index =
+      appendOwn(EntryKind::Membership, encodeMembership(event.Next));
+  Proposals.push_back({index, event.ProposalId});
+  refreshPeers();
+  replicateToAll(true);
+}
+
+base::Result<void>
+Replica::checkMembershipChange(const Membership &next) const {
+  if (Handover || Proposals.size() >= Config.MaxPendingProposals)
+    return base::fail(base::ResultCode::ProposalDropped,
+                      "handover under way or too many pending proposals");
+  if (CommitIndex < FirstOwnIndex)
+    return base::fail(base::ResultCode::MembershipBusy,
+                      "the leader has not yet committed an entry of its term");
+  if (Log.membershipIndex() > CommitIndex)
+    return base::fail(base::ResultCode::MembershipBusy,
+                      "an earlier change is not yet committed");
+  if (next.Voters.empty() || hasRepeated(next))
+    return base::fail(base::ResultCode::ValueInvalid,
+                      "no voters, or a replica stands twice");
+  const Membership &present = Log.membership();
+  const auto added = findMissing(next.Voters, present.Voters);
+  const auto removed = findMissing(present.Voters, next.Voters);
+  if (added.size() > 1 || removed.size() > 1)
+    return base::fail(base::ResultCode::ValueInvalid,
+                      "more than one voter would change");
+  // Two majorities that differ by an exchanged voter need not overlap, unless
+  // the one that leaves can never vote again.
+  const bool exchanged = !added.empty() && !removed.empty();
+  if (exchanged && (added[0].Vm != removed[0].Vm ||
+                    added[0].Incarnation <= removed[0].Incarnation))
+    return base::fail(base::ResultCode::ValueInvalid,
+                      "a voter is replaced only by its own next incarnation");
+  return added.empty() ? base::Result<void>(base::ok())
+                       : checkNewVoter(added[0]);
+}
+
+base::Result<void> Replica::checkNewVoter(const ReplicaId &voter) const {
+  // The committed learner proves that a majority without the earlier
+  // incarnation has followed this leader since that incarnation ended.
+  if (!contains(Log.membership().Learners, voter))
+    return base::fail(base::ResultCode::MemberUnknown,
+                      "a new voter must first be a learner");
+  if (!isCaughtUp(voter))
+    return base::fail(base::ResultCode::MemberNotCaughtUp,
+                      "the learner has not reached the commit index");
+  return base::ok();
+}
+
+} // namespace magnoliamill::consensus::internal
--- /dev/null
+++ b/packages/consensus/internal/Replica.cpp
@@ -0,0 +1,256 @@
+// Events, roles, timers and the collection of a step's actions.
+#include "consensus/internal/Replica.h"
+
+#include "consensus/internal/Quorum.h"
+
+namespace magnoliamill::consensus::internal {
+
+namespace {
+
+/// How much of the log below a snapshot is kept for replicas that lag.
+constexpr std::size_t TrailBytes = 1024 * 1024;
+
+} // namespace
+
+Replica::Replica(CoreConfig config, DurableState &restored, base::MonoTime now)
+    : Config(std::move(config)), Log(restored), Persists(Log.lastIndex()),
+      Random(Config.Seed), Term(restored.Term), VotedFor(restored.VotedFor),
+      PersistedTerm(restored.Term), PersistedVote(restored.VotedFor),
+      CommitIndex(restored.SnapshotIndex), Now(now), HoldVotesUntil(now) {
+  // Before the restart this replica may just have answered a leader, which
+  // counts on that answer for its lease.
+  if (Term > 0)
+    HoldVotesUntil = now + Config.ElectionTimeoutMin;
+  armElectionTimer();
+  if (mayStartAtOnce())
+    ElectionDeadline = now;
+}
+
+Actions Replica::step(const Event &event, base::MonoTime now) {
+  Now = std::max(Now, now);
+  Out = Actions();
+  // First of all: after a pause nothing may be done under an expired
+  // leadership.
+  stepDownIfUnconfirmed();
+  std::visit([this](const auto &it) { handle(it); }, event);
+  finishStep();
+  return std::move(Out);
+}
+
+void Replica::handle(const Tick &) {
+  if (CurrentRole != Role::Leader) {
+    if (Now < ElectionDeadline)
+      return;
+    armElectionTimer();
+    if (isVoter())
+      startPreVote();
+    return;
+  }
+  if (Handover && Now >= Handover->Deadline) {
+    // Once TimeoutNow has left, its receiver may win at any later moment, so
+    // the lease must never come back in this term.
+    if (Handover->TimeoutSent)
+      return becomeFollower(Term, std::nullopt);
+    Handover.reset();
+  }
+  if (Now >= NextHeartbeat) {
+    startRound();
+    replicateToAll(true);
+  }
+}
+
+void Replica::handle(const Receive &event) {
+  const Message &message = event.Received;
+  // Messages to an earlier incarnation are not for this replica.
+  if (message.To != Config.Self || message.From == Config.Self)
+    return;
+  std::visit([&](const auto &body) { receive(message, body); }, message.Body);
+}
+
+void Replica::handle(const Propose &event) {
+  if (CurrentRole != Role::Leader) {
+    failProposal(event.ProposalId,
+                 {base::ResultCode::ProposalDropped, "not the leader"});
+    return;
+  }
+  if (Handover || Proposals.size() >= Config.MaxPendingProposals) {
+    failProposal(event.ProposalId,
+                 {base::ResultCode::ProposalDropped,
+                  Handover ? "leadership is being handed over"
+                           : "too many proposals are pending"});
+    return;
+  }
+  const LogIndex index = appendOwn(EntryKind::Command, event.Command);
+  Proposals.push_back({index, event.ProposalId});
+  replicateToAll(false);
+}
+
+void Replica::handle(const RequestRead &event) {
+  if (CurrentRole != Role::Leader) {
+    Out.Reads.push_back({event.ReadId, base::fail(base::ResultCode::NotLeader,
+                                                  "not the leader")});
+    return;
+  }
+  if (Reads.size() >= Config.MaxPendingProposals) {
+    Out.Reads.push_back(
+        {event.ReadId, base::fail(base::ResultCode::RateLimited,
+                                  "too many reads are pending")});
+    return;
+  }
+  Reads.push_back({event.ReadId, 0});
+  startReadRound();
+  resolveReads();
+}
+
+void Replica::handle(const Persisted &event) {
+  Persists.noteDone(event.PersistId);
+  if (CurrentRole == Role::Candidate && SelfVoteNumber &&
+      event.PersistId >= *SelfVoteNumber) {
+    SelfVoteNumber.reset();
+    recordVote(Config.Self);
+  }
+  commitByQuorum();
+}
+
+void Replica::handle(const SnapshotTaken &event) {
+  if (event.Index > CommitIndex || event.Index <= Log.snapshot()->Index)
+    return;
+  const auto term = Log.termAt(event.Index);
+  if (!term)
+    return;
+  SnapshotImage image{event.Index, *term, Log.membershipAt(event.Index),
+                      event.Data};
+  persist().InstallSnapshot = image;
+  Log.compact(std::move(image), TrailBytes);
+}
+
+void Replica::becomeFollower(TermNumber term, std::optional<ReplicaId> leader) {
+  if (CurrentRole == Role::Leader)
+    abandonLeadership();
+  if (term > Term) {
+    Term = term;
+    VotedFor.reset();
+  }
+  CurrentRole = Role::Follower;
+  LeaderId = std::move(leader);
+  Votes.clear();
+  SelfVoteNumber.reset();
+  SelfVotePending = false;
+  armElectionTimer();
+}
+
+void Replica::becomeLeader() {
+  CurrentRole = Role::Leader;
+  LeaderId = Config.Self;
+  LeaderSince = Now;
+  Incoming.reset();
+  Peers.clear();
+  refreshPeers();
+  // An entry of the own term: only its commitment commits what earlier leaders
+  // left behind.
+  FirstOwnIndex = appendOwn(EntryKind::NoOp, {});
+  startRound();
+  replicateToAll(true);
+}
+
+void Replica::abandonLeadership() {
+  for (const PendingProposal &it : Proposals)
+    failProposal(it.Id, {base::ResultCode::ChangeOutcomeUnknown,
+                         "leadership was lost before it was committed"});
+  for (const PendingRead &it : Reads)
+    Out.Reads.push_back({it.Id, base::fail(base::ResultCode::NotLeader,
+                                           "leadership was lost")});
+  Proposals.clear();
+  Reads.clear();
+  Peers.clear();
+  Handover.reset();
+}
+
+void Replica::failProposal(std::uint64_t id, const base::Error &error) {
+  ProposalOutcome &outcome = Out.Proposals.emplace_back();
+  outcome.ProposalId = id;
+  outcome.Index = base::fail(error.Code, error.Message);
+}
+
+void Replica::stepDownIfUnconfirmed() {
+  if (CurrentRole != Role::Leader)
+    return;
+  const base::MonoTime contact = std::max(quorumContact(), LeaderSince);
+  if (contact + leaseDuration() <= Now)
+    becomeFollower(Term, std::nullopt);
+}
+
+void Replica::armElectionTimer() {
+  const auto spread =
+      (Config.ElectionTimeoutMax - Config.ElectionTimeoutMin).count();
+  std::uniform_int_distribution<base::Duration::rep> pick(0, spread);
+  ElectionDeadline =
+      Now + Config.ElectionTimeoutMin + base::Duration(pick(Random));
+}
+
+base::Duration Replica::leaseDuration() const {
+  const auto whole = Config.ElectionTimeoutMin;
+  return whole - whole * Config.ClockDriftPerMille / 1000;
+}
+
+bool Replica::isVoter() const {
+  return contains(Log.membership().Voters, Config.Self);
+}
+
+bool Replica::mayStartAtOnce() const {
+  const auto &voters = Log.membership().Voters;
+  if (voters.size() != 1 || voters.front() != Config.Self)
+    return false;
+  // A membership that may not be committed says nothing about other leaders.
+  return Term == 0 || Log.membershipIndex() <= Log.snapshot()->Index;
+}
+
+base::MonoTime Replica::nextWake() const {
+  if (CurrentRole != Role::Leader)
+    return ElectionDeadline;
+  base::MonoTime at = NextHeartbeat;
+  at = std::min(at, std::max(quorumContact(), LeaderSince) + leaseDuration());
+  if (Handover)
+    at = std::min(at, Handover->Deadline);
+  return at;
+}
+
+void Replica::finishStep() {
+  const bool changed = Term != PersistedTerm || VotedFor != PersistedVote;
+  // What waits may repeat a promise of a request that is still under way.
+  const bool behind = !Out.SendAfterPersist.empty() && !Persists.isIdle();
+  if (!Out.Persist && !changed && !behind) {
+    for (Message &it : Out.SendAfterPersist)
+      Out.Send.push_back(std::move(it));
+    Out.SendAfterPersist.clear();
+    return;
+  }
+  PersistRequest &request = persist();
+  request.PersistId = Persists.start(Log.lastIndex());
+  request.Term = PersistedTerm = Term;
+  request.VotedFor = PersistedVote = VotedFor;
+  if (SelfVotePending) {
+    SelfVotePending = false;
+    SelfVoteNumber = request.PersistId;
+  }
+}
+
+PersistRequest &Replica::persist() {
+  if (!Out.Persist)
+    Out.Persist.emplace();
+  return *Out.Persist;
+}
+
+Message Replica::makeMessage(const ReplicaId &to, MessageBody body) const {
+  return {Config.Self, to, Term, std::move(body)};
+}
+
+void Replica::send(const ReplicaId &to, MessageBody body) {
+  Out.Send.push_back(makeMessage(to, std::move(body)));
+}
+
+void Replica::sendAfterPersist(const ReplicaId &to, MessageBody body) {
+  Out.SendAfterPersist.push_back(makeMessage(to, std::move(body)));
+}
+
+} // namespace magnoliamill::consensus::internal
--- /dev/null
+++ b/packages/consensus/tests/Cluster.h
@@ -0,0 +1,170 @@
+// A group of replicas in one thread with a network, disks and clocks that
+// misbehave by a seed. Every step is judged: see Cluster::faults().
+#pragma once
+
+#include "Linearizability.h"
+#include "consensus/ReplicaCore.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace magnoliamill::consensus::tests {
+
+using base::Duration;
+using base::MonoTime;
+
+struct ClusterOptions {
+  std::uint64_t Seed = 1;
+  std::size_t Vms = 5;
+  /// The first so many are voters at the start.
+  std::size_t Voters = 3;
+  /// The first so many have a disk, the others lose all in a crash.
+  std::size_t Disks = 2;
+  double DropRate = 0.02;
+  double DuplicateRate = 0.02;
+  Duration MaxDelay = std::chrono::milliseconds(20);
+  Duration MaxSync = std::chrono::milliseconds(10);
+  /// Rates of the clocks lie within 1 -/+ this.
+  double Drift = 0.01;
+  std::size_t MaxAppendBytes = 200;
+  /// A replica takes a snapshot after so many entries.
+  LogIndex SnapshotEvery = 25;
+};
+
+class Cluster {
+public:
+  explicit Cluster(const ClusterOptions &options);
+
+  // Faults.
+  /// Loses what is not synced; a VM without a disk loses all.
+  void crash(std::size_t vm);
+  void restart(std::size_t vm);
+  /// The disk is lost too: the VM comes back as its next incarnation.
+  void wipe(std::size_t vm);
+  void pause(std::size_t vm, Duration duration);
+  /// Cuts all links between the two sides; an empty set heals.
+  void partition(std::set<std::size_t> side) { Side = std::move(side); }
+  /// True while the loss of this VM's memory is one the group tolerates.
+  bool canLose(std::size_t vm) const;
+
+  // Work.
+  void propose(Operation operation);
+  void read();
+  void readUnderLease();
+  /// Does what an operator's program does: new incarnations become learners,
+  /// then voters in place of the old ones.
+  void repairMembership();
+  void changeMembership(std::size_t vm, bool add);
+  void transferLeadership();
+
+  void run(Duration duration);
+  /// Runs until the condition holds. False when it does not within \p limit.
+  bool runUntil(const std::function<bool()> &condition, Duration limit);
+  /// Ends all faults and runs until everything proposed is known everywhere.
+  bool settle();
+
+  // Sight.
+  std::optional<std::size_t> findLeader() const;
+  ReplicaCore &core(std::size_t vm) { return *Vms[vm].Core; }
+  bool isUp(std::size_t vm) const { return Vms[vm].Core != nullptr; }
+  std::size_t size() const { return Vms.size(); }
+  ReplicaId idOf(std::size_t vm) const { return Vms[vm].Id; }
+  MonoTime clockOf(std::size_t vm) const;
+  const std::map<LogIndex, Entry> &committed() const { return Ledger; }
+  const std::vector<Operation> &history() const { return History; }
+  std::size_t countConfirmed() const { return Confirmed; }
+  /// What went wrong, empty when nothing did.
+  const std::vector<std::string> &faults() const { return Faults; }
+  /// Also says whether the history is linearizable.
+  std::vector<std::string> judge() const;
+  std::mt19937_64 &random() { return Random; }
+  double chance() { return std::uniform_real_distribution<>(0, 1)(Random); }
+  std::size_t pick(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(Random);
+  }
+  Duration pickDuration(Duration max);
+
+private:
+  struct Write {
+    PersistRequest Request;
+    std::vector<Message> Held;
+  };
+  struct Vm {
+    ReplicaId Id;
+    bool HasDisk = false;
+    std::unique_ptr<ReplicaCore> Core;
+    DurableState Disk;
+    std::deque<Write> Writes;
+    double Rate = 1;
+    Duration Offset{0};
+    std::int64_t PausedUntil = 0;
+    // Counts restarts, so that what was meant for an earlier run is dropped.
+    std::uint64_t Run = 0;
+    std::int64_t WakeAt = -1;
+    // The state machine: one register.
+    LogIndex Applied = 0;
+    LogIndex SnapshotAt = 0;
+    int Register = 0;
+    int LastCasOutcome = 0;
+    std::map<LogIndex, int> CasOutcomes;
+    std::set<std::uint64_t> OpenProposals;
+  };
+  struct Happening {
+    std::int64_t At = 0;
+    std::uint64_t Number = 0;
+    std::size_t Vm = 0;
+    std::uint64_t Run = 0;
+    std::function<void()> Do;
+    bool operator>(const Happening &other) const {
+      return std::tie(At, Number) > std::tie(other.At, other.Number);
+    }
+  };
+
+  void start(std::size_t vm);
+  void at(std::int64_t time, std::size_t vm, std::function<void()> work);
+  void step(std::size_t vm, const Event &event);
+  void perform(std::size_t vm, Actions &actions);
+  void transmit(const Message &message);
+  void finishWrite(std::size_t vm);
+  void apply(std::size_t vm, const Entry &entry);
+  void takeSnapshot(std::size_t vm);
+  void conclude(std::size_t vm, const ProposalOutcome &outcome);
+  void scheduleWake(std::size_t vm);
+  void judgeLeaders();
+  void forgetRun(std::size_t vm);
+  std::int64_t toTrueTime(std::size_t vm, MonoTime local) const;
+  std::size_t vmOf(const ReplicaId &id) const;
+  std::size_t pickProposer();
+  void fault(const std::string &text);
+
+  ClusterOptions Options;
+  std::mt19937_64 Random;
+  std::vector<Vm> Vms;
+  Membership First;
+  std::priority_queue<Happening, std::vector<Happening>, std::greater<>> Queue;
+  std::uint64_t LastNumber = 0;
+  std::int64_t TrueTime = 0;
+  std::set<std::size_t> Side;
+  bool Quiet = false;
+
+  // The judge's memory.
+  std::map<LogIndex, Entry> Ledger;
+  std::map<LogIndex, int> RegisterAt{{0, 0}};
+  std::vector<Membership> CommittedMembers;
+  std::map<TermNumber, ReplicaId> Leaders;
+  std::vector<Operation> History;
+  std::map<std::uint64_t, std::string> Proposed;
+  std::set<std::string> NeverApplied;
+  std::uint64_t LastProposal = 0;
+  std::uint64_t LastMembershipProposal = 1'000'000'000;
+  std::size_t Confirmed = 0;
+  std::vector<std::string> Faults;
+};
+
+/// Makes \p request part of \p disk as the storage does.
+void applyToDisk(const PersistRequest &request, DurableState &disk);
+
+} // namespace magnoliamill::consensus::tests
--- /dev/null
+++ b/packages/consensus/tests/Linearizability.h
@@ -0,0 +1,97 @@
+// Judges histories of one register with read, write and compare-and-set: is
+// there an order of the operations, within their real times, that explains
+// every answer? (The search of Wing and Gong with remembered states.)
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace magnoliamill::consensus::tests {
+
+enum class OperationKind { Read, Write, CompareAndSet };
+
+struct Operation {
+  OperationKind Kind = OperationKind::Read;
+  /// Written value, or the new value of a compare-and-set.
+  int Value = 0;
+  /// What a compare-and-set expects.
+  int Expected = 0;
+  /// A read's answer; 1 or 0 for a compare-and-set that did or did not apply.
+  std::optional<int> Answer;
+  std::int64_t Start = 0;
+  /// Never for an operation without an answer: it may take effect at any later
+  /// moment, or not at all.
+  std::int64_t End = Never;
+
+  static constexpr std::int64_t Never =
+      std::numeric_limits<std::int64_t>::max();
+};
+
+class LinearizabilityChecker {
+public:
+  explicit LinearizabilityChecker(std::vector<Operation> history)
+      : History(std::move(history)) {
+    // A read without an answer says nothing.
+    std::erase_if(History, [](const Operation &it) {
+      return it.Kind == OperationKind::Read && !it.Answer;
+    });
+    std::sort(History.begin(), History.end(),
+              [](const auto &a, const auto &b) { return a.Start < b.Start; });
+  }
+
+  /// True when some order explains the history, from value 0 on.
+  bool isLinearizable() {
+    Done.assign(History.size(), false);
+    Seen.clear();
+    return search(0);
+  }
+
+private:
+  bool search(int value) {
+    std::int64_t firstEnd = Operation::Never;
+    for (std::size_t n = 0; n < History.size(); ++n)
+      if (!Done[n])
+        firstEnd = std::min(firstEnd, History[n].End);
+    if (firstEnd == Operation::Never)
+      return true;
+    if (!Seen.emplace(Done, value).second)
+      return false;
+    for (std::size_t n = 0; n < History.size(); ++n) {
+      if (History[n].Start > firstEnd)
+        break;
+      if (Done[n])
+        continue;
+      const auto next = apply(History[n], value);
+      if (!next)
+        continue;
+      Done[n] = true;
+      if (search(*next))
+        return true;
+      Done[n] = false;
+    }
+    return false;
+  }
+
+  /// The value afterwards, nothing when the answer does not fit.
+  static std::optional<int> apply(const Operation &op, int value) {
+    if (op.Kind == OperationKind::Write)
+      return op.Value;
+    if (op.Kind == OperationKind::Read)
+      return *op.Answer == value ? std::optional(value) : std::nullopt;
+    const bool fits = value == op.Expected;
+    if (op.Answer && *op.Answer != (fits ? 1 : 0))
+      return std::nullopt;
+    return fits ? op.Value : value;
+  }
+
+  std::vector<Operation> History;
+  std::vector<bool> Done;
+  std::set<std::pair<std::vector<bool>, int>> Seen;
+};
+
+} // namespace magnoliamill::consensus::tests
--- /dev/null
+++ b/packages/consensus/tests/StorageTest.cpp
@@ -0,0 +1,194 @@
+// What the storage gives back after crashes and damage.
+#include "consensus/Storage.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace magnoliamill;
+using namespace magnoliamill::consensus;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// A folder that is removed at the end of the test.
+class TestFolder {
+public:
+  TestFolder() {
+    static std::atomic<int> Count{0};
+    Path = fs::temp_directory_path() /
+           ("mill-storage-" + std::to_string(::getpid()) + "-" +
+            std::to_string(++Count));
+    fs::remove_all(Path);
+  }
+  ~TestFolder() { fs::remove_all(Path); }
+  TestFolder(const TestFolder &) = delete;
+  TestFolder &operator=(const TestFolder &) = delete;
+
+  fs::path Path;
+};
+
+std::string readFile(const fs::path &path) {
+  std::ifstream in(path, std::ios::binary);
+  std::stringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+void writeFile(const fs::path &path, const std::string &content) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << content;
+}
+
+PersistRequest makeRequest(TermNumber term, LogIndex first, LogIndex last) {
+  PersistRequest request;
+  request.Term = term;
+  request.VotedFor = ReplicaId{base::VmId("a"), 4};
+  for (LogIndex n = first; n <= last; ++n)
+    request.Append.push_back(
+        {n, term, EntryKind::Command, "command " + std::to_string(n)});
+  return request;
+}
+
+base::ResultCode codeOf(const fs::path &folder) {
+  const auto opened = openDiskStorage(folder, 9);
+  return opened ? base::ResultCode::Ok : opened.error().Code;
+}
+
+} // namespace
+
+TEST_CASE("Storage on disk", "[consensus]") {
+  TestFolder folder;
+  const fs::path log = folder.Path / "log";
+  const auto reopen = [&] { return openDiskStorage(folder.Path, 9).value(); };
+
+  SECTION("is new once, and keeps its incarnation") {
+    REQUIRE(reopen().IsNew);
+    const OpenedStorage again = openDiskStorage(folder.Path, 33).value();
+    REQUIRE_FALSE(again.IsNew);
+    REQUIRE(again.Incarnation == 9);
+    REQUIRE(codeOf(folder.Path) == base::ResultCode::StorageFailed);
+  }
+
+  std::vector<std::uint64_t> ends;
+  {
+    OpenedStorage store = reopen();
+    for (LogIndex n = 1; n <= 5; ++n) {
+      ends.push_back(fs::file_size(log));
+      REQUIRE(store.Store->write(makeRequest(n, 2 * n - 1, 2 * n)));
+    }
+    ends.push_back(fs::file_size(log));
+  }
+
+  SECTION("gives back term, vote and entries") {
+    const DurableState state = reopen().Restored;
+    REQUIRE(state.Term == 5);
+    REQUIRE(state.VotedFor == ReplicaId{base::VmId("a"), 4});
+    REQUIRE(state.Entries.size() == 10);
+    REQUIRE(state.Entries.back() == makeRequest(5, 10, 10).Append[0]);
+  }
+  SECTION("cuts a torn tail at every byte and can be written on") {
+    const std::string whole = readFile(log);
+    for (std::size_t size = ends[0]; size < whole.size(); ++size) {
+      writeFile(log, whole.substr(0, size));
+      const auto frames = static_cast<std::size_t>(
+          std::upper_bound(ends.begin(), ends.end(), size) - ends.begin() - 1);
+      {
+        OpenedStorage store = reopen();
+        REQUIRE(store.Restored.Entries.size() == 2 * frames);
+        const LogIndex next = 2 * frames + 1;
+        REQUIRE(store.Store->write(makeRequest(7, next, next)));
+      }
+      REQUIRE(reopen().Restored.Entries.size() == 2 * frames + 1);
+    }
+  }
+  SECTION("cuts a tail that the disk never got") {
+    std::string content = readFile(log);
+    content.replace(ends[4], content.size() - ends[4], content.size() - ends[4],
+                    '\0');
+    writeFile(log, content);
+    REQUIRE(reopen().Restored.Entries.size() == 8);
+  }
+  SECTION("refuses a flipped byte anywhere and changes nothing") {
+    const std::string whole = readFile(log);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+      std::string content = whole;
+      content[at] = static_cast<char>(content[at] ^ 0x10);
+      writeFile(log, content);
+      REQUIRE(codeOf(folder.Path) == base::ResultCode::LogDamaged);
+      REQUIRE(readFile(log) == content);
+    }
+  }
+  SECTION("refuses a log that is gone") {
+    fs::remove(log);
+    REQUIRE(codeOf(folder.Path) == base::ResultCode::LogDamaged);
+    REQUIRE_FALSE(fs::exists(log));
+  }
+  SECTION("truncates by a record") {
+    PersistRequest request = makeRequest(6, 8, 8);
+    request.TruncateAfter = 7;
+    REQUIRE(reopen().Store->write(request));
+    const auto entries = reopen().Restored.Entries;
+    REQUIRE(entries.size() == 8);
+    REQUIRE(entries.back().Term == 6);
+  }
+  SECTION("takes a snapshot and cuts the log below it") {
+    const std::string old = readFile(log);
+    const Membership members{{{base::VmId("a"), 4}}, {}};
+    REQUIRE(reopen().Store->writeSnapshot({6, 3, members, "state"}));
+    {
+      OpenedStorage store = reopen();
+      REQUIRE(store.Restored.SnapshotIndex == 6);
+      REQUIRE(store.Restored.SnapshotData == "state");
+      REQUIRE(store.Restored.Members == members);
+      REQUIRE(store.Restored.Term == 5);
+      REQUIRE(store.Restored.Entries.size() == 4);
+      REQUIRE(store.Store->write(makeRequest(8, 11, 11)));
+    }
+    REQUIRE(reopen().Restored.Entries.size() == 5);
+
+    SECTION("also when a crash left the uncut log behind") {
+      writeFile(log, old);
+      REQUIRE(reopen().Restored.Entries.size() == 4);
+      REQUIRE(fs::file_size(log) < old.size());
+    }
+    SECTION("and refuses a damaged snapshot") {
+      const fs::path path = folder.Path / "snapshot";
+      const std::string whole = readFile(path);
+      for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string content = whole;
+        content[at] = static_cast<char>(content[at] ^ 0x10);
+        writeFile(path, content);
+        REQUIRE(codeOf(folder.Path) == base::ResultCode::SnapshotDamaged);
+      }
+      writeFile(path, whole.substr(0, whole.size() - 1));
+      REQUIRE(codeOf(folder.Path) == base::ResultCode::SnapshotDamaged);
+    }
+  }
+  SECTION("lets a leader's snapshot replace a log that contradicts it") {
+    const std::string old = readFile(log);
+    PersistRequest request = makeRequest(9, 21, 21);
+    request.TruncateAfter = 20;
+    request.InstallSnapshot = PersistRequest::Snapshot{20, 8, {}, "other"};
+    REQUIRE(reopen().Store->write(request));
+    REQUIRE(reopen().Restored.Entries.size() == 1);
+
+    SECTION("and a crash between the two files leaves only the snapshot") {
+      writeFile(log, old);
+      {
+        OpenedStorage store = reopen();
+        REQUIRE(store.Restored.Entries.empty());
+        REQUIRE(store.Store->write(makeRequest(9, 21, 22)));
+      }
+      REQUIRE(reopen().Restored.Entries.size() == 2);
+    }
+  }
+}
+
+TEST_CASE("Storage in memory keeps nothing", "[consensus]") {
+  const OpenedStorage store = openMemoryStorage(12);
+  REQUIRE(store.IsNew);
+  REQUIRE(store.Incarnation == 12);
+  REQUIRE(store.Store->write(makeRequest(1, 1, 1)));
+}
