--- /dev/null
+++ b/packages/ownership/Announcement.h
@@ -0,0 +1,40 @@
+// What a target says of itself: POST /v1/targets/announce. See docs/TARGETS.md.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnoliamill::ownership {
+
+struct Announcement {
+  base::TargetInstanceId Instance;
+  std::string Name;
+  base::ServiceId Service;
+  base::DataCentreId DataCentre;
+  /// Numeric IP.
+  std::string Host;
+  std::uint16_t Port = 0;
+  /// Requests it runs at once.
+  std::uint32_t Slots = 1;
+  bool ChecksTokens = false;
+  bool CanCancel = false;
+  bool HonoursDeadlines = false;
+  /// The target's monotonic clock, in milliseconds.
+  std::int64_t ClockMs = 0;
+  bool Leaving = false;
+};
+
+/// Reads and checks an announcement. Errors: JsonMalformed, MissingField,
+/// WrongType, OutOfRange, AnnouncementInvalid (a name or address of wrong
+/// form); the message names the field. Unknown fields are ignored, so that
+/// targets may be newer than the system.
+base::Result<Announcement> parseAnnouncement(std::string_view text);
+
+/// JSON in the form that parseAnnouncement reads.
+std::string encodeAnnouncement(const Announcement &announcement);
+
+} // namespace magnoliamill::ownership
--- /dev/null
+++ b/packages/ownership/DispatchReport.h
@@ -0,0 +1,40 @@
+// What a VM tells the data-centre group's leader with each lease renewal.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "base/Token.h"
+#include "consensus/Types.h"
+#include "ownership/Commands.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliamill::ownership {
+
+/// A dispatcher's word that it never again writes or grants anything to the
+/// target under this dispatch token.
+struct RelievedTarget {
+  base::TargetInstanceId Instance;
+  base::Token Token;
+  bool operator==(const RelievedTarget &) const = default;
+};
+
+struct DispatchReport {
+  /// The index of the ownership view that the VM acts by.
+  consensus::LogIndex InForce = 0;
+  /// Targets that took their last grant.
+  std::vector<base::TargetInstanceId> Ready;
+  /// Targets that do not answer and whose grants have run out.
+  std::vector<base::TargetInstanceId> Lost;
+  /// Slots that are at no target of this VM any more: it never again grants
+  /// them or writes for them under the token named.
+  std::vector<SlotExpectation> Released;
+  std::vector<RelievedTarget> Relieved;
+};
+
+std::string encodeReport(const DispatchReport &report);
+base::Result<DispatchReport> parseReport(std::string_view text);
+
+} // namespace magnoliamill::ownership
--- a/packages/ownership/View.h
+++ b/packages/ownership/View.h
@@ -40,6 +40,16 @@
   base::VmId Dispatcher;
   /// Raised at every change of dispatcher.
   base::Token DispatchToken;
+  /// The run of the dispatcher's process: a restarted VM does not dispatch what
+  /// its earlier run was given.
+  std::uint64_t DispatcherIncarnation = 0;
+  /// Set while the dispatcher is asked to hand the target over: it starts
+  /// nothing new.
+  bool DispatcherReleasing = false;
+  /// The target's clock in its announcement, in milliseconds. Serves only the
+  /// first contact.
+  std::int64_t AnnouncedClockMs = 0;
+  bool HonoursDeadlines = false;
 };
 
 struct SlotView {
@@ -61,6 +71,9 @@
 struct View {
   consensus::LogIndex Index = 0;
   std::uint64_t Epoch = 0;
+  /// Term of the leader whose decisions are in force; decisions of lower terms
+  /// have no effect.
+  std::uint64_t ControllerTerm = 0;
   std::map<base::TargetInstanceId, TargetView> Targets;
   std::map<base::ServiceId, std::vector<SlotView>> Slots;
   std::vector<HotKeyView> HotKeys;
