--- a/packages/ownership/Announcement.h
+++ b/packages/ownership/Announcement.h
@@ -5,6 +5,7 @@
 #include "base/Result.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,11 @@
 /// targets may be newer than the system.
 base::Result<Announcement> parseAnnouncement(std::string_view text);
 
+/// True when \p host is in one of \p allowed: numeric IPs or IPv4 prefixes
+/// ("127.0.0.0/8"). An empty list allows every host.
+bool isHostAllowed(const std::string &host,
+                   std::span<const std::string> allowed);
+
 /// JSON in the form that parseAnnouncement reads.
 std::string encodeAnnouncement(const Announcement &announcement);
 
--- a/packages/ownership/Commands.h
+++ b/packages/ownership/Commands.h
@@ -55,6 +55,7 @@
 struct SlotExpectation {
   base::SlotId Slot;
   base::Token ExpectedToken;
+  auto operator<=>(const SlotExpectation &) const = default;
 };
 
 /// Starts the planned handover of slots.
--- a/packages/ownership/Controller.h
+++ b/packages/ownership/Controller.h
@@ -70,6 +70,8 @@
   /// Slots of one service that may be without a settled owner at a time because
   /// of planned moves.
   std::uint32_t MaxPlannedMoves = 8;
+  /// The same for slots of targets that have to be empty within seconds.
+  std::uint32_t MaxLeavingMoves = 64;
   /// Targets whose dispatcher may be changing at a time because of planned
   /// moves.
   std::uint32_t MaxPlannedDispatcherMoves = 4;
--- a/packages/ownership/DispatchReport.h
+++ b/packages/ownership/DispatchReport.h
@@ -18,7 +18,7 @@
 struct RelievedTarget {
   base::TargetInstanceId Instance;
   base::Token Token;
-  bool operator==(const RelievedTarget &) const = default;
+  auto operator<=>(const RelievedTarget &) const = default;
 };
 
 struct DispatchReport {
@@ -32,6 +32,7 @@
   /// them or writes for them under the token named.
   std::vector<SlotExpectation> Released;
   std::vector<RelievedTarget> Relieved;
+  bool operator==(const DispatchReport &) const = default;
 };
 
 std::string encodeReport(const DispatchReport &report);
--- a/packages/ownership/StateMachine.h
+++ b/packages/ownership/StateMachine.h
@@ -22,22 +22,17 @@
   /// Applies the command at \p index; entries come in order, each once. The
   /// outcome is in the form of encodeOutcome. Codes: Ok; GrantStale when what
   /// the command was decided from has changed; TargetNotAllowed when its target
-  /// is unknown or may not take part; BadRequest when it can't be read.
+  /// is unknown or may not take part; BadRequest when it can't be read. The
+  /// view's index is that of the last command that changed something.
   std::string apply(consensus::LogIndex index, std::string_view command);
-  /// Tells of an entry without command (no-op, membership), so that the view's
-  /// index keeps up with the log.
-  void skip(consensus::LogIndex index);
-
   std::string snapshot() const;
   /// Replaces the state. SnapshotDamaged leaves it as it was.
-  base::Result<void> restore(consensus::LogIndex index, std::string_view data);
+  base::Result<void> restore(std::string_view data);
 
   /// The present state, shared; built anew only after a change.
   ViewPtr viewNow() const;
 
 private:
-  CommandOutcome applyBody(consensus::LogIndex index, const Command &command);
-
   View Present;
   mutable ViewPtr Shared;
 };
--- a/packages/ownership/View.h
+++ b/packages/ownership/View.h
@@ -69,6 +69,7 @@
 };
 
 struct View {
+  /// Index of the last entry that changed the view.
   consensus::LogIndex Index = 0;
   std::uint64_t Epoch = 0;
   /// Term of the leader whose decisions are in force; decisions of lower terms
--- /dev/null
+++ b/packages/ownership/internal/DispatcherPlanner.h
@@ -0,0 +1,34 @@
+// Decides which VM dispatches to which target.
+#pragma once
+
+#include "ownership/internal/PlanContext.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace magnoliamill::ownership::internal {
+
+class DispatcherPlanner {
+public:
+  explicit DispatcherPlanner(PlanContext &context) : Context(context) {}
+  void plan();
+
+private:
+  void countLoads();
+  /// Gives a target that nobody may dispatch to any more to a new VM.
+  void planTarget(const TargetView &target);
+  /// Evens the number of targets per VM out, few at a time.
+  void planBalance();
+  bool isFree(const TargetView &target) const;
+  bool isHandingOver(const TargetView &target) const;
+  bool isRelieved(const TargetView &target) const;
+  std::optional<LeaseHolderId> pickLeastLoaded() const;
+
+  PlanContext &Context;
+  /// Number of targets per VM that may be given more.
+  std::map<LeaseHolderId, std::uint32_t> Loads;
+  std::uint32_t Moving = 0;
+};
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/JsonReader.cpp
@@ -0,0 +1,129 @@
+// Typed fields out of JSON, with numbered errors.
+#include "ownership/internal/JsonReader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <fmt/format.h>
+
+namespace magnoliamill::ownership::internal {
+
+using base::ResultCode;
+
+JsonReader::JsonReader(const boost::json::value &value)
+    : Object(value.if_object()) {
+  if (Object == nullptr)
+    First = base::Error{ResultCode::WrongType, "an object is expected"};
+}
+
+void JsonReader::refuse(ResultCode code, std::string_view name,
+                        std::string_view text) {
+  if (!First)
+    First = base::Error{code, fmt::format("field \"{}\" {}", name, text)};
+}
+
+void JsonReader::adopt(const std::optional<base::Error> &error) {
+  if (!First && error)
+    First = error;
+}
+
+bool JsonReader::has(std::string_view name) const {
+  return Object != nullptr && Object->if_contains(name) != nullptr;
+}
+
+const boost::json::value *JsonReader::find(std::string_view name) {
+  if (First)
+    return nullptr;
+  const auto *found = Object->if_contains(name);
+  if (found == nullptr)
+    refuse(ResultCode::MissingField, name, "is missing");
+  return found;
+}
+
+std::string JsonReader::text(std::string_view name) {
+  const auto *found = find(name);
+  if (found == nullptr)
+    return {};
+  const auto *text = found->if_string();
+  if (text == nullptr) {
+    refuse(ResultCode::WrongType, name, "must be a string");
+    return {};
+  }
+  return {text->data(), text->size()};
+}
+
+std::uint64_t JsonReader::number(std::string_view name, std::uint64_t most) {
+  const auto *found = find(name);
+  if (found == nullptr)
+    return 0;
+  if (!found->is_int64() && !found->is_uint64()) {
+    refuse(ResultCode::WrongType, name, "must be a whole number");
+    return 0;
+  }
+  boost::json::error_code ec;
+  auto number = found->to_number<std::uint64_t>(ec);
+  if (ec || number > most) {
+    refuse(ResultCode::OutOfRange, name,
+           fmt::format("must be between 0 and {}", most));
+    return 0;
+  }
+  return number;
+}
+
+std::int64_t JsonReader::clock(std::string_view name) {
+  return static_cast<std::int64_t>(
+      number(name, std::numeric_limits<std::int64_t>::max()));
+}
+
+bool JsonReader::flag(std::string_view name, bool preset) {
+  if (!has(name))
+    return preset;
+  const auto *found = find(name);
+  if (found == nullptr)
+    return preset;
+  if (!found->is_bool()) {
+    refuse(ResultCode::WrongType, name, "must be true or false");
+    return preset;
+  }
+  return found->as_bool();
+}
+
+base::Token JsonReader::token(std::string_view name) {
+  auto written = text(name);
+  if (First)
+    return {};
+  auto token = base::parseToken(written);
+  if (!token) {
+    refuse(ResultCode::OutOfRange, name, "must be a token \"epoch.index\"");
+    return {};
+  }
+  return token.value();
+}
+
+const boost::json::array &JsonReader::list(std::string_view name) {
+  static const boost::json::array None;
+  const auto *found = find(name);
+  if (found == nullptr)
+    return None;
+  const auto *list = found->if_array();
+  if (list == nullptr) {
+    refuse(ResultCode::WrongType, name, "must be an array");
+    return None;
+  }
+  return *list;
+}
+
+const boost::json::value &JsonReader::value(std::string_view name) {
+  static const boost::json::value None;
+  const auto *found = find(name);
+  return found == nullptr ? None : *found;
+}
+
+base::Result<boost::json::value> parseJson(std::string_view text) {
+  boost::json::error_code ec;
+  auto value = boost::json::parse({text.data(), text.size()}, ec);
+  if (ec)
+    return base::fail(ResultCode::JsonMalformed, ec.message());
+  return value;
+}
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/JsonReader.h
@@ -0,0 +1,52 @@
+// Reads typed fields out of a JSON object and remembers the first error.
+#pragma once
+
+#include "base/Result.h"
+#include "base/Token.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnoliamill::ownership::internal {
+
+/// Getters return an empty value after an error; the caller asks error() once
+/// at the end.
+class JsonReader {
+public:
+  explicit JsonReader(const boost::json::value &value);
+
+  std::string text(std::string_view name);
+  std::uint64_t
+  number(std::string_view name,
+         std::uint64_t most = std::numeric_limits<std::uint64_t>::max());
+  /// A clock value in milliseconds.
+  std::int64_t clock(std::string_view name);
+  bool flag(std::string_view name, bool preset);
+  base::Token token(std::string_view name);
+  bool has(std::string_view name) const;
+  /// The elements of an array.
+  const boost::json::array &list(std::string_view name);
+  /// An object or other value as it stands.
+  const boost::json::value &value(std::string_view name);
+
+  /// Takes over the error of a part that was read by itself.
+  void adopt(const std::optional<base::Error> &error);
+  const std::optional<base::Error> &error() const { return First; }
+
+private:
+  const boost::json::value *find(std::string_view name);
+  void refuse(base::ResultCode code, std::string_view name,
+              std::string_view text);
+
+  const boost::json::object *Object = nullptr;
+  std::optional<base::Error> First;
+};
+
+base::Result<boost::json::value> parseJson(std::string_view text);
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/LeaseHolder.cpp
@@ -0,0 +1,40 @@
+// A VM's own side of its dispatcher lease.
+#include "ownership/internal/LeaseHolder.h"
+
+#include <algorithm>
+
+namespace magnoliamill::ownership::internal {
+
+base::Duration LeaseHolder::intervalAfter(base::MonoTime sent) const {
+  // No more than two renewals left: the last one was lost or refused.
+  const bool hurry = Until < sent + 2 * LeaseRenewInterval;
+  return hurry ? LeaseRetryInterval : LeaseRenewInterval;
+}
+
+bool LeaseHolder::isDue(const DispatchReport &report,
+                        base::MonoTime now) const {
+  if (!LastSent || now >= *LastSent + intervalAfter(*LastSent))
+    return true;
+  return now >= *LastSent + MinReportInterval && report != LastReport;
+}
+
+SendLease LeaseHolder::send(DispatchReport report, bool leaving,
+                            base::MonoTime now) {
+  LastSent = now;
+  LastReport = std::move(report);
+  return {now.time_since_epoch().count(), leaving, encodeReport(LastReport)};
+}
+
+void LeaseHolder::onReply(const LeaseReplied &reply, base::MonoTime now) {
+  const auto sent = base::MonoTime(base::Duration(reply.SentAtUs));
+  if (!reply.Granted || sent < StartedAt || sent > now)
+    return;
+  const auto granted = std::min(reply.Duration, LeaseDuration);
+  Until = std::max(Until, sent + boundBelow(granted));
+}
+
+base::MonoTime LeaseHolder::nextWake() const {
+  return LastSent ? *LastSent + intervalAfter(*LastSent) : StartedAt;
+}
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/OwnedSlots.h
@@ -0,0 +1,27 @@
+// The slots of one target as the view names them.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Token.h"
+#include "ownership/View.h"
+
+#include <map>
+#include <vector>
+
+namespace magnoliamill::ownership::internal {
+
+struct OwnedSlot {
+  base::SlotNumber Slot = 0;
+  base::Token Token;
+  bool Releasing = false;
+};
+
+using OwnedSlots = std::map<base::TargetInstanceId, std::vector<OwnedSlot>>;
+
+/// Sorts all slots of the view by their owner.
+OwnedSlots sortByOwner(const View &view);
+
+/// The slot in the view; empty when the view does not know it.
+const SlotView *findSlot(const View &view, const base::SlotId &slot);
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/SlotPlanner.cpp
@@ -0,0 +1,203 @@
+// Decides which target owns which slot of one service.
+#include "ownership/internal/SlotPlanner.h"
+
+#include "ownership/internal/OwnedSlots.h"
+#include "ownership/internal/TargetPlanner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace magnoliamill::ownership::internal {
+
+SlotPlanner::SlotPlanner(PlanContext &context,
+                         const settings::ServiceView &service)
+    : Context(context), Service(service) {}
+
+void SlotPlanner::plan() {
+  findReceivers();
+  for (base::SlotNumber n = 0; n < Service.Slots; ++n)
+    sortSlot(n);
+  assignFree();
+  // Moves that are under way end at the targets with the fewest slots.
+  for (std::uint32_t n = 0; n < Moving && !Receivers.empty(); ++n)
+    ++pickLeast({})->second.Count;
+  releaseLeaving();
+  releaseByDate();
+  releaseForBalance();
+}
+
+void SlotPlanner::findReceivers() {
+  for (const auto &[instance, target] : Context.Ownership.Targets) {
+    const bool isReceiver =
+        target.Service == Service.Id && target.State == TargetState::Active &&
+        Context.isReady(target) && !mustLeaveNow(Context, target) &&
+        Context.ruleFor(target).LeaveByMs == 0;
+    if (isReceiver)
+      Receivers[instance] = {};
+  }
+}
+
+void SlotPlanner::sortSlot(base::SlotNumber n) {
+  static const SlotView Unknown;
+  const base::SlotId number{Service.Id, n};
+  const auto *known = findSlot(Context.Ownership, number);
+  const auto &slot = known == nullptr ? Unknown : *known;
+  const SlotExpectation id{number, slot.Token};
+  if (const auto owner = Context.Out.findAssigned(id)) {
+    if (auto it = Receivers.find(*owner); it != Receivers.end())
+      ++it->second.Count;
+    return;
+  }
+  auto homes = Context.Settings.Homes.find(Service.Id);
+  if (homes == Context.Settings.Homes.end() || n >= homes->second.size())
+    return;
+  const auto &home = homes->second[n];
+  const bool isHere = home.Home == Context.Config.DataCentre;
+  if (isHere && !home.MovingTo)
+    sortLocalSlot(id, slot, home.Epoch);
+  else
+    sortForeignSlot(id, slot, isHere);
+}
+
+void SlotPlanner::sortLocalSlot(const SlotExpectation &id, const SlotView &slot,
+                                std::uint64_t homeEpoch) {
+  if (isFree(id, slot))
+    Free.push_back({id.Slot, id.ExpectedToken, slot.Owner, homeEpoch});
+  else if (slot.Releasing || Context.Out.isReleasing(id))
+    ++Moving;
+  else if (!slot.Owner.empty())
+    sortOwnedSlot(id, slot);
+}
+
+void SlotPlanner::sortOwnedSlot(const SlotExpectation &id,
+                                const SlotView &slot) {
+  if (auto it = Receivers.find(slot.Owner); it != Receivers.end()) {
+    ++it->second.Count;
+    it->second.Movable.push_back(id);
+    return;
+  }
+  const auto *owner = findTarget(slot.Owner);
+  if (owner == nullptr || owner->State == TargetState::Lost)
+    return; // Its dispatcher releases the slot when that is safe.
+  if (owner->State == TargetState::Leaving || mustLeaveNow(Context, *owner))
+    Leaving.push_back(id);
+  else if (Context.ruleFor(*owner).LeaveByMs > 0)
+    ByDate[slot.Owner].push_back(id);
+}
+
+void SlotPlanner::sortForeignSlot(const SlotExpectation &id,
+                                  const SlotView &slot, bool isMovingAway) {
+  if (!slot.Owner.empty()) {
+    if (isFree(id, slot))
+      Context.Out.assign({id.Slot, id.ExpectedToken, {}, 0});
+    else if (!slot.Releasing)
+      Context.Out.release(id);
+  } else if (isMovingAway && isFree(id, slot)) {
+    HomesReleased.push_back(id.Slot);
+  }
+}
+
+bool SlotPlanner::isFree(const SlotExpectation &id,
+                         const SlotView &slot) const {
+  if (!slot.Owner.empty()) {
+    const auto *owner = findTarget(slot.Owner);
+    return owner != nullptr && isReleased(id, *owner);
+  }
+  if (slot.Token.Index != 0)
+    return true;
+  // A group that lost all its memory doesn't know whom it had granted the slot.
+  return Context.Now > Context.Leases.termStart() + boundAbove(LeaseDuration) +
+                           boundAbove(GrantTtl);
+}
+
+bool SlotPlanner::isReleased(const SlotExpectation &id,
+                             const TargetView &owner) const {
+  const auto *report = Context.reportOn(owner);
+  return report != nullptr &&
+         std::ranges::find(report->Released, id) != report->Released.end();
+}
+
+const TargetView *
+SlotPlanner::findTarget(const base::TargetInstanceId &instance) const {
+  auto it = Context.Ownership.Targets.find(instance);
+  return it == Context.Ownership.Targets.end() ? nullptr : &it->second;
+}
+
+SlotPlanner::Shares::iterator
+SlotPlanner::pickLeast(const base::TargetInstanceId &preferred) {
+  const auto *former = findTarget(preferred);
+  auto rank = [&](const auto &entry) {
+    const auto *target = findTarget(entry.first);
+    // On equal numbers a slot goes back to its owner, then to the owner's
+    // restarted process.
+    const bool isSame = entry.first == preferred;
+    const bool isRestart =
+        former != nullptr && target != nullptr && former->Name == target->Name;
+    return std::tuple(entry.second.Count, !isSame, !isRestart);
+  };
+  return std::ranges::min_element(Receivers, {}, rank);
+}
+
+SlotPlanner::Shares::iterator SlotPlanner::pickMost() {
+  return std::ranges::max_element(Receivers, {}, [](const auto &entry) {
+    return entry.second.Movable.empty() ? 0 : entry.second.Count;
+  });
+}
+
+void SlotPlanner::assignFree() {
+  if (Receivers.empty())
+    return;
+  for (auto &assignment : Free) {
+    auto receiver = pickLeast(assignment.NewOwner);
+    ++receiver->second.Count;
+    assignment.NewOwner = receiver->first;
+    Context.Out.assign(assignment);
+  }
+}
+
+void SlotPlanner::release(const SlotExpectation &id) {
+  ++Moving;
+  Context.Out.release(id);
+  if (!Receivers.empty())
+    ++pickLeast({})->second.Count;
+}
+
+void SlotPlanner::releaseLeaving() {
+  // Also when nobody can take the slots over: a leaving target gets no work.
+  for (const auto &id : Leaving)
+    if (Moving < Context.Config.MaxLeavingMoves)
+      release(id);
+}
+
+void SlotPlanner::releaseByDate() {
+  for (const auto &[instance, slots] : ByDate) {
+    const auto *target = findTarget(instance);
+    if (Receivers.empty() || target == nullptr)
+      return;
+    const auto left = Context.ruleFor(*target).LeaveByMs - Context.WallMs;
+    const auto share = left / (static_cast<std::int64_t>(slots.size()) + 1);
+    auto &last =
+        Context.LastEvacuation.try_emplace(instance, Context.Now).first->second;
+    if (Moving >= Context.Config.MaxPlannedMoves ||
+        Context.Now < last + std::chrono::milliseconds(share))
+      continue;
+    last = Context.Now;
+    release(slots.front());
+  }
+}
+
+void SlotPlanner::releaseForBalance() {
+  while (!Receivers.empty() && Moving < Context.Config.MaxPlannedMoves) {
+    auto most = pickMost();
+    const auto least = pickLeast({});
+    if (most->second.Movable.empty() ||
+        most->second.Count < least->second.Count + 2)
+      return;
+    const auto id = most->second.Movable.back();
+    most->second.Movable.pop_back();
+    --most->second.Count;
+    release(id);
+  }
+}
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/SlotPlanner.h
@@ -0,0 +1,65 @@
+// Decides which target owns which slot of one service.
+#pragma once
+
+#include "ownership/internal/PlanContext.h"
+
+#include <map>
+#include <vector>
+
+namespace magnoliamill::ownership::internal {
+
+/// Balances by number of slots with as few moves as possible: a slot moves only
+/// when its owner is lost or leaving, when its home moves, or when two targets
+/// differ by more than one slot.
+class SlotPlanner {
+public:
+  SlotPlanner(PlanContext &context, const settings::ServiceView &service);
+
+  void plan();
+  /// Slots that have another home to go to and are free here.
+  const std::vector<base::SlotId> &homesReleased() const {
+    return HomesReleased;
+  }
+
+private:
+  /// What a target that may be given slots has.
+  struct Share {
+    std::uint32_t Count = 0;
+    /// Slots that may be taken from it.
+    std::vector<SlotExpectation> Movable;
+  };
+  using Shares = std::map<base::TargetInstanceId, Share>;
+
+  void findReceivers();
+  void sortSlot(base::SlotNumber n);
+  void sortLocalSlot(const SlotExpectation &id, const SlotView &slot,
+                     std::uint64_t homeEpoch);
+  void sortForeignSlot(const SlotExpectation &id, const SlotView &slot,
+                       bool isMovingAway);
+  void sortOwnedSlot(const SlotExpectation &id, const SlotView &slot);
+  void assignFree();
+  void releaseLeaving();
+  void releaseByDate();
+  void releaseForBalance();
+
+  /// True when no target here can hold the slot.
+  bool isFree(const SlotExpectation &id, const SlotView &slot) const;
+  bool isReleased(const SlotExpectation &id, const TargetView &owner) const;
+  const TargetView *findTarget(const base::TargetInstanceId &instance) const;
+  Shares::iterator pickLeast(const base::TargetInstanceId &preferred);
+  Shares::iterator pickMost();
+  /// Starts a planned move and counts the slot at its likely next owner.
+  void release(const SlotExpectation &id);
+
+  PlanContext &Context;
+  const settings::ServiceView &Service;
+  Shares Receivers;
+  std::vector<SlotAssignment> Free;
+  std::vector<SlotExpectation> Leaving;
+  std::map<base::TargetInstanceId, std::vector<SlotExpectation>> ByDate;
+  std::vector<base::SlotId> HomesReleased;
+  /// Slots on their way by planned moves.
+  std::uint32_t Moving = 0;
+};
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/TargetLink.cpp
@@ -0,0 +1,190 @@
+// What a dispatcher knows of one target.
+#include "ownership/internal/TargetLink.h"
+
+#include <algorithm>
+
+namespace magnoliamill::ownership::internal {
+
+namespace {
+
+/// One lost exchange is no proof that a target is gone.
+constexpr int FailuresUntilLost = 2;
+/// How long a target that knows no grants is left alone after it was lost.
+constexpr base::Duration UncheckedLostTime = std::chrono::seconds(2);
+constexpr base::Duration LostProbeInterval = std::chrono::milliseconds(200);
+
+void raise(std::map<base::SlotNumber, base::MonoTime> &times,
+           base::SlotNumber slot, base::MonoTime until) {
+  auto &time = times[slot];
+  time = std::max(time, until);
+}
+
+bool isOver(const std::map<base::SlotNumber, base::MonoTime> &times,
+            base::SlotNumber slot, base::MonoTime now) {
+  auto it = times.find(slot);
+  return it == times.end() || now > it->second;
+}
+
+} // namespace
+
+TargetLink::TargetLink(const TargetView &target, base::MonoTime now)
+    : Target(target), NextSend(now),
+      PredecessorUntil(now + boundAbove(GrantTtl)) {}
+
+void TargetLink::setTarget(const TargetView &target, base::MonoTime now) {
+  const bool turnsLost =
+      target.State == TargetState::Lost && Target.State != TargetState::Lost;
+  Target = target;
+  if (turnsLost && !Target.ChecksTokens) {
+    Failures = FailuresUntilLost;
+    FirstFailure = now;
+  }
+}
+
+std::optional<SendGrant> TargetLink::sendIfDue(const base::VmId &vm,
+                                               const SlotTokens &wanted,
+                                               base::MonoTime now) {
+  if (!Target.ChecksTokens || Pending)
+    return std::nullopt;
+  const bool hasNews =
+      Clock && !Lost && Failures == 0 && wanted != Acknowledged;
+  if (now < NextSend && !hasNews)
+    return std::nullopt;
+  return send(vm, wanted, now);
+}
+
+SendGrant TargetLink::send(const base::VmId &vm, const SlotTokens &wanted,
+                           base::MonoTime now) {
+  Outstanding grant{++LastGrantId, now, {}, {}, {}};
+  // Without a clock value that this VM got itself, nothing is granted: the
+  // first exchange only asks for the clock.
+  if (Clock) {
+    grant.Slots = wanted;
+    grant.ValidUntil = Clock->SentAt + boundBelow(GrantTtl);
+    grant.Until = Clock->ReceivedAt + boundAbove(GrantTtl);
+  }
+  for (const auto &[slot, token] : grant.Slots)
+    raise(HeldUntil, slot, grant.Until);
+  GrantRequest request{vm,
+                       Target.Instance,
+                       Target.DispatchToken,
+                       Clock ? Clock->ClockMs : Target.AnnouncedClockMs,
+                       base::toMs(GrantTtl),
+                       {}};
+  for (const auto &[slot, token] : grant.Slots)
+    request.Slots.push_back({slot, token});
+  Pending = std::move(grant);
+  return {Target.Instance, LastGrantId, Target.Host, Target.Port,
+          encodeGrant(request)};
+}
+
+void TargetLink::onReply(std::uint64_t grant,
+                         const base::Result<std::string> &body,
+                         base::MonoTime now) {
+  if (!Pending || Pending->Id != grant)
+    return;
+  if (!body)
+    return onFailed(now);
+  auto reply = parseGrantReply(body.value());
+  if (!reply || !reply.value().Accepted || !reply.value().ClockMs)
+    return onFailed(now);
+  onAccepted(*reply.value().ClockMs, now);
+}
+
+void TargetLink::onAccepted(std::int64_t clock, base::MonoTime now) {
+  PredecessorUntil = {};
+  // The list replaced every earlier one, but for those still on their way.
+  std::erase_if(HeldUntil, [&](const auto &it) {
+    return !Pending->Slots.contains(it.first);
+  });
+  std::erase_if(DoubtfulUntil, [&](const auto &it) { return now > it.second; });
+  NextSend = Clock ? Pending->SentAt + GrantRenewInterval : now;
+  Acknowledged = std::move(Pending->Slots);
+  AcknowledgedUntil = Pending->ValidUntil;
+  Clock = Reading{clock, Pending->SentAt, now};
+  Pending.reset();
+  Failures = 0;
+  Lost = false;
+}
+
+void TargetLink::onFailed(base::MonoTime now) {
+  for (const auto &[slot, token] : Pending->Slots)
+    raise(DoubtfulUntil, slot, Pending->Until);
+  Pending.reset();
+  if (Failures++ == 0)
+    FirstFailure = now;
+  NextSend = now + (Lost ? LostProbeInterval : GrantRetryInterval);
+}
+
+void TargetLink::expireOutstanding(base::MonoTime now) {
+  if (Pending && now > Pending->SentAt + 2 * GrantTimeout)
+    onFailed(now);
+}
+
+void TargetLink::onRequestFailed(base::MonoTime now) {
+  NextSend = std::min(NextSend, now);
+  if (!Target.ChecksTokens && Failures++ == 0)
+    FirstFailure = now;
+}
+
+void TargetLink::onRequestAnswered() {
+  if (Target.ChecksTokens)
+    return;
+  Failures = 0;
+  Lost = false;
+}
+
+void TargetLink::reviveUnchecked(base::MonoTime now) {
+  if (!Target.ChecksTokens && Lost && now > LostSince + UncheckedLostTime)
+    onRequestAnswered();
+}
+
+base::MonoTime TargetLink::boundOfAll() const {
+  auto bound = PredecessorUntil;
+  for (const auto *times : {&HeldUntil, &DoubtfulUntil})
+    for (const auto &[slot, until] : *times)
+      bound = std::max(bound, until);
+  if (!Target.ChecksTokens)
+    bound = std::max(bound, FirstFailure + boundAbove(GrantTtl));
+  return bound;
+}
+
+bool TargetLink::becomesLost(base::MonoTime now) {
+  if (Lost || Failures < FailuresUntilLost || now <= boundOfAll())
+    return false;
+  Lost = true;
+  LostSince = now;
+  Acknowledged.clear();
+  return true;
+}
+
+bool TargetLink::isReady(base::MonoTime now) const {
+  if (Lost)
+    return false;
+  return !Target.ChecksTokens || now < AcknowledgedUntil;
+}
+
+bool TargetLink::holds(base::SlotNumber slot, base::Token token,
+                       base::MonoTime now) const {
+  if (!isReady(now))
+    return false;
+  if (!Target.ChecksTokens)
+    return true;
+  auto it = Acknowledged.find(slot);
+  return it != Acknowledged.end() && it->second == token;
+}
+
+bool TargetLink::isFreeOf(base::SlotNumber slot, base::MonoTime now) const {
+  if (!Target.ChecksTokens)
+    return true;
+  if (Pending && Pending->Slots.contains(slot))
+    return false;
+  return now > PredecessorUntil && isOver(HeldUntil, slot, now) &&
+         isOver(DoubtfulUntil, slot, now);
+}
+
+base::MonoTime TargetLink::nextWake() const {
+  return Pending ? Pending->SentAt + 2 * GrantTimeout : NextSend;
+}
+
+} // namespace magnoliamill::ownership::internal
--- /dev/null
+++ b/packages/ownership/internal/TargetPlanner.cpp
@@ -0,0 +1,122 @@
+// Decides on the state of each target.
+#include "ownership/internal/TargetPlanner.h"
+
+#include <algorithm>
+
+namespace magnoliamill::ownership::internal {
+
+namespace {
+
+/// A target that leaves by a date gets no more work this long before it.
+constexpr std::int64_t LeaveMarginMs = 10000;
+/// A target counts as present when it has announced itself within this time.
+constexpr base::Duration PresentWithin = std::chrono::milliseconds(1500);
+
+bool isKnownAs(const TargetView &target, const Announcement &it) {
+  return target.Host == it.Host && target.Port == it.Port &&
+         target.Slots == it.Slots && target.ChecksTokens == it.ChecksTokens &&
+         target.CanCancel == it.CanCancel &&
+         target.HonoursDeadlines == it.HonoursDeadlines &&
+         (!it.Leaving || target.State != TargetState::Active);
+}
+
+bool ownsSlots(const View &view, const TargetView &target) {
+  auto it = view.Slots.find(target.Service);
+  return it != view.Slots.end() &&
+         std::ranges::any_of(it->second, [&](const SlotView &slot) {
+           return slot.Owner == target.Instance;
+         });
+}
+
+} // namespace
+
+bool mustLeaveNow(const PlanContext &context, const TargetView &target) {
+  const auto rule = context.ruleFor(target);
+  const bool isDue =
+      rule.LeaveByMs > 0 && context.WallMs >= rule.LeaveByMs - LeaveMarginMs;
+  return rule.Leaving || isDue ||
+         !context.isAllowed(target.Service, target.Host);
+}
+
+void TargetPlanner::plan() {
+  for (const auto &[instance, heard] : Context.Announcements)
+    planAnnounced(heard);
+  for (const auto &[instance, target] : Context.Ownership.Targets)
+    planTarget(target);
+}
+
+void TargetPlanner::planAnnounced(const Heard &heard) {
+  const auto &targets = Context.Ownership.Targets;
+  auto it = targets.find(heard.Target.Instance);
+  if (it != targets.end() && isKnownAs(it->second, heard.Target))
+    return;
+  // An announcement that has grown old does not bring a forgotten target back.
+  if (Context.Now > heard.At + PresentWithin)
+    return;
+  if (Context.isAllowed(heard.Target.Service, heard.Target.Host))
+    Context.Out.propose(heard.Target.Instance.Value, {},
+                        TargetUp{heard.Target});
+}
+
+void TargetPlanner::planTarget(const TargetView &target) {
+  if (isForgettable(target)) {
+    Context.Out.propose(target.Instance.Value, target.DispatchToken,
+                        TargetGone{target.Instance, target.DispatchToken});
+    return;
+  }
+  const auto wanted = wantedState(target);
+  if (wanted != target.State)
+    Context.Out.propose(target.Instance.Value, {},
+                        SetTargetState{target.Instance, target.State, wanted});
+}
+
+TargetState TargetPlanner::wantedState(const TargetView &target) const {
+  if (Context.isLost(target) || isSilentUnchecked(target))
+    return TargetState::Lost;
+  const bool staysLost =
+      target.State == TargetState::Lost &&
+      (!Context.isReady(target) || hasSuccessor(Context.Ownership, target) ||
+       Context.Now > Context.lastHeard(target.Instance) + PresentWithin);
+  if (staysLost)
+    return TargetState::Lost;
+  return mustLeave(target) ? TargetState::Leaving : TargetState::Active;
+}
+
+bool TargetPlanner::mustLeave(const TargetView &target) const {
+  if (mustLeaveNow(Context, target))
+    return true;
+  auto it = Context.Announcements.find(target.Instance);
+  // A new leader keeps to the state until the target speaks again.
+  if (it == Context.Announcements.end())
+    return target.State == TargetState::Leaving;
+  return it->second.Target.Leaving;
+}
+
+bool TargetPlanner::isSilentUnchecked(const TargetView &target) const {
+  auto isSilent = [&](const TargetView &it) {
+    return Context.Now >
+           Context.lastHeard(it.Instance) + Context.Config.SilentUncheckedLost;
+  };
+  if (target.ChecksTokens || !isSilent(target))
+    return false;
+  // Many silent at once: rather the way of the announcements is broken.
+  std::size_t silent = 0;
+  std::size_t all = 0;
+  for (const auto &[instance, other] : Context.Ownership.Targets) {
+    if (other.ChecksTokens || other.Service != target.Service)
+      continue;
+    ++all;
+    silent += isSilent(other) ? 1 : 0;
+  }
+  return silent == 1 || 2 * silent <= all;
+}
+
+bool TargetPlanner::isForgettable(const TargetView &target) const {
+  if (target.State != TargetState::Lost ||
+      ownsSlots(Context.Ownership, target) || Context.isReady(target))
+    return false;
+  return Context.Now >
+         Context.lastHeard(target.Instance) + Context.Config.ForgetLostAfter;
+}
+
+} // namespace magnoliamill::ownership::internal
