--- /dev/null
+++ b/packages/ownership/tests/World.cpp
@@ -0,0 +1,469 @@
+// A data centre in one thread, with faults.
+#include "World.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliamill::ownership::tests {
+
+namespace {
+
+const base::ServiceId Service("barnstock");
+const base::DataCentreId Centre("dc1");
+constexpr TrueTime ElectionDelay = 400 * Ms;
+
+settings::View makeSettings(std::uint32_t slots) {
+  settings::View view;
+  view.Index = 1;
+  auto &service = view.Services[Service];
+  service.Id = Service;
+  service.Keyed = true;
+  service.Slots = slots;
+  service.DataCentres = {Centre};
+  view.Homes[Service].assign(slots, {Centre, 1, {}});
+  return view;
+}
+
+} // namespace
+
+World::World(WorldConfig config)
+    : Config(config), Vms(config.Vms), Settings(makeSettings(config.Slots)),
+      Random(config.Seed) {
+  for (std::size_t n = 0; n < Vms.size(); ++n) {
+    Vms[n].Id = base::VmId("vm" + std::to_string(n));
+    startVm(Vms[n]);
+  }
+  for (std::size_t n = 0; n < Config.Targets; ++n)
+    addTarget();
+  elect(0);
+  after(100 * Ms, [this] { injectCrash(); });
+  after(20 * Ms, [this] { watchLeader(); });
+  after(10 * Ms, [this] { tryWrites(); });
+}
+
+void World::after(TrueTime delay, std::function<void()> act) {
+  Events.push({Now + delay, NextOrder++, std::move(act)});
+}
+
+void World::reach(Process &process, TrueTime delay, std::function<void()> act) {
+  const auto run = process.Run;
+  after(delay, [this, &process, run, act = std::move(act)] {
+    if (process.Dead || process.Run != run)
+      return;
+    if (Now < process.FrozenUntil)
+      return reach(process, process.FrozenUntil - Now, act);
+    act();
+  });
+}
+
+TrueTime World::drawDelay() {
+  if (Faults && chance(Config.LatePercent))
+    return static_cast<TrueTime>(draw(2500)) * Ms;
+  return 200 + static_cast<TrueTime>(draw(3 * Ms));
+}
+
+void World::send(Process &from, Process &to, std::function<void()> act) {
+  // A process that froze just before sending sends when it goes on.
+  const auto hold = std::max<TrueTime>(0, from.FrozenUntil - Now);
+  if (Faults && chance(Config.LossPercent))
+    return;
+  if (Faults && chance(Config.LatePercent))
+    reach(to, hold + drawDelay(), act);
+  reach(to, hold + drawDelay(), std::move(act));
+}
+
+void World::maybeFreeze(Process &process) {
+  if (Faults && static_cast<int>(draw(10000)) < Config.FreezePer10000)
+    process.FrozenUntil = Now + static_cast<TrueTime>(draw(3000)) * Ms;
+}
+
+void World::run(TrueTime duration) {
+  runUntil([] { return false; }, duration);
+}
+
+bool World::runUntil(const std::function<bool()> &done, TrueTime limit) {
+  const auto end = Now + limit;
+  while (Now < end) {
+    if (done())
+      return true;
+    const auto next = std::min(Now + Ms, end);
+    while (!Events.empty() && Events.top().At <= next) {
+      auto event = Events.top();
+      Events.pop();
+      Now = event.At;
+      event.Act();
+    }
+    Now = next;
+  }
+  return done();
+}
+
+void World::startVm(Vm &vm) {
+  ++vm.Run;
+  vm.Dead = false;
+  vm.FrozenUntil = 0;
+  vm.Clock = {static_cast<TrueTime>(draw(1000000)) * Ms,
+              static_cast<std::int64_t>(draw(20001)) - 10000};
+  vm.Replica = std::make_unique<StateMachine>(1);
+  vm.Applied = 0;
+  ControllerConfig config;
+  config.DataCentre = Centre;
+  vm.Leader = std::make_unique<Controller>(config);
+  vm.Agent = std::make_unique<DispatchAgent>(AgentConfig{vm.Id, vm.Run},
+                                             vm.Clock.read(Now));
+  stepLeader(vm, SettingsChanged{std::make_shared<settings::View>(Settings)});
+  reach(vm, 0, [this, &vm] { tickVm(vm); });
+}
+
+std::size_t World::addTarget() {
+  auto &target = Targets.emplace_back();
+  target.Self.Name = "barn" + std::to_string(Targets.size());
+  target.Self.Service = Service;
+  target.Self.DataCentre = Centre;
+  target.Self.Host = "127.0.0.1";
+  target.Self.Port = static_cast<std::uint16_t>(9000 + Targets.size());
+  target.Self.ChecksTokens = true;
+  startTarget(target);
+  return Targets.size() - 1;
+}
+
+void World::startTarget(FakeTarget &target) {
+  ++target.Run;
+  target.Dead = false;
+  target.FrozenUntil = 0;
+  target.HighestDispatch = {};
+  target.Granted.clear();
+  target.HighestSlot.clear();
+  target.ExpiresAtMs = 0;
+  target.Clock = {static_cast<TrueTime>(draw(1000000)) * Ms,
+                  static_cast<std::int64_t>(draw(20001)) - 10000};
+  target.Self.Instance =
+      base::TargetInstanceId(fmt::format("i{}", NextInstance++));
+  reach(target, 0, [this, &target] { announce(target); });
+}
+
+void World::announce(FakeTarget &target) {
+  auto it = target.Self;
+  it.ClockMs = base::toMs(target.Clock.read(Now).time_since_epoch());
+  auto &leader = Vms[LeaderVm];
+  send(target, leader,
+       [this, &leader, it] { stepLeader(leader, Announced{it}); });
+  maybeFreeze(target);
+  reach(target, 500 * Ms, [this, &target] { announce(target); });
+}
+
+void World::tickVm(Vm &vm) {
+  pull(vm);
+  stepAgent(vm, AgentTick{});
+  stepLeader(vm, ControllerTick{Now / Ms});
+  reach(vm, 25 * Ms, [this, &vm] { tickVm(vm); });
+}
+
+void World::pull(Vm &vm) {
+  if (vm.Applied == Log.size())
+    return;
+  while (vm.Applied < Log.size()) {
+    vm.Replica->apply(vm.Applied + 1, Log[vm.Applied]);
+    ++vm.Applied;
+  }
+  stepAgent(vm, ViewChanged{vm.Replica->viewNow()});
+  stepLeader(vm, ViewChanged{vm.Replica->viewNow()});
+}
+
+void World::stepAgent(Vm &vm, const AgentEvent &event) {
+  auto actions = vm.Agent->step(event, vm.Clock.read(Now));
+  judgeWriters(vm);
+  maybeFreeze(vm);
+  if (actions.Lease)
+    sendLease(vm, *actions.Lease);
+  for (const auto &grant : actions.Grants)
+    sendGrant(vm, grant);
+  for (const auto &it : actions.DrainSlots)
+    reach(vm, 5 * Ms, [this, &vm, it] {
+      stepAgent(vm, SlotDrained{it.Slot, it.Token});
+    });
+  for (const auto &it : actions.DrainTargets)
+    reach(vm, 5 * Ms, [this, &vm, it] {
+      stepAgent(vm, TargetDrained{it.Instance, it.DispatchToken});
+    });
+}
+
+void World::stepLeader(Vm &vm, const ControllerEvent &event) {
+  const auto actions = vm.Leader->step(event, vm.Clock.read(Now));
+  for (const auto &command : actions.Propose) {
+    auto text = encodeCommand(command);
+    // A proposal may take effect long after its leader was deposed.
+    const auto hold = std::max<TrueTime>(0, vm.FrozenUntil - Now);
+    if (!(Faults && chance(Config.LossPercent)))
+      after(hold + drawDelay(), [this, text] { append(text); });
+    if (Faults && chance(Config.LatePercent))
+      after(hold + drawDelay(), [this, text] { append(text); });
+  }
+}
+
+void World::append(const std::string &command) {
+  const auto before = Reference.viewNow();
+  Log.push_back(command);
+  Reference.apply(Log.size(), command);
+  judgeView(*before, *Reference.viewNow());
+  for (auto &vm : Vms)
+    send(vm, vm, [this, &vm] { pull(vm); });
+}
+
+void World::sendLease(Vm &vm, const SendLease &lease) {
+  auto &leader = Vms[LeaderVm];
+  const auto incarnation = vm.Run;
+  send(vm, leader, [this, &leader, &vm, lease, incarnation] {
+    onLease(leader, vm, lease, incarnation);
+  });
+}
+
+void World::onLease(Vm &leader, Vm &from, const SendLease &lease,
+                    std::uint64_t incarnation) {
+  // Stands for ReplicaCore::hasLeaderLease.
+  if (&leader != &Vms[LeaderVm] || ElectionAt != 0)
+    return;
+  const auto report = parseReport(lease.Report);
+  const LeaseRenewed event{from.Id, incarnation, lease.Leaving, report.value()};
+  const auto actions = leader.Leader->step(event, leader.Clock.read(Now));
+  for (const auto &command : actions.Propose)
+    after(drawDelay(), [this, text = encodeCommand(command)] { append(text); });
+  const LeaseReplied reply{lease.SentAtUs,
+                           actions.LeaseGranted.value_or(Duration(0)),
+                           actions.LeaseGranted.has_value()};
+  maybeFreeze(leader);
+  send(leader, from, [this, &from, reply] { stepAgent(from, reply); });
+}
+
+void World::sendGrant(Vm &vm, const SendGrant &grant) {
+  auto answered = std::make_shared<bool>(false);
+  auto finish = [this, &vm, grant, answered](base::Result<std::string> body) {
+    if (std::exchange(*answered, true))
+      return;
+    stepAgent(vm, GrantReplied{grant.Instance, grant.GrantId, std::move(body)});
+  };
+  reach(vm, 250 * Ms, [finish] {
+    finish(base::fail(base::ResultCode::TargetTimeout, "no reply"));
+  });
+  auto it = std::ranges::find(Targets, grant.Port,
+                              [](const auto &t) { return t.Self.Port; });
+  auto &target = *it;
+  send(vm, target, [this, &vm, &target, grant, finish] {
+    auto body = onGrant(target, grant.Body);
+    maybeFreeze(target);
+    send(target, vm, [finish, body] { finish(body); });
+  });
+}
+
+std::string World::onGrant(FakeTarget &target, const std::string &body) {
+  const auto grant = parseGrant(body).value();
+  const auto clock = base::toMs(target.Clock.read(Now).time_since_epoch());
+  if (grant.DispatchToken < target.HighestDispatch ||
+      grant.Instance != target.Self.Instance)
+    return encodeGrantReply({false, {}, target.HighestDispatch});
+  target.HighestDispatch = grant.DispatchToken;
+  target.ExpiresAtMs = grant.AsOfMs + grant.TtlMs;
+  target.Granted.clear();
+  for (const auto &it : grant.Slots) {
+    target.Granted[it.Slot] = it.Token;
+    target.HighestSlot[it.Slot] =
+        std::max(target.HighestSlot[it.Slot], it.Token);
+  }
+  judgeGrant(target);
+  return encodeGrantReply({true, clock, {}});
+}
+
+void World::elect(std::size_t n) {
+  LeaderVm = n;
+  ++Term;
+  ElectionAt = 0;
+  auto &vm = Vms[n];
+  reach(vm, 0, [this, &vm, term = Term] {
+    pull(vm);
+    stepLeader(vm, BecameLeader{term});
+  });
+}
+
+void World::watchLeader() {
+  auto isUp = [&](const Vm &vm) { return !vm.Dead && Now >= vm.FrozenUntil; };
+  const bool isSpontaneous =
+      Faults && Config.CrashPercent > 0 && draw(200) == 0;
+  if (ElectionAt == 0 && (!isUp(Vms[LeaderVm]) || isSpontaneous))
+    ElectionAt = Now + ElectionDelay;
+  if (ElectionAt != 0 && Now >= ElectionAt) {
+    const auto start = draw(Vms.size());
+    for (std::size_t k = 0; k < Vms.size(); ++k) {
+      const auto n = (start + k) % Vms.size();
+      if (isUp(Vms[n])) {
+        auto &old = Vms[LeaderVm];
+        if (n != LeaderVm)
+          reach(old, 0, [this, &old] { stepLeader(old, LostLeadership{}); });
+        elect(n);
+        break;
+      }
+    }
+  }
+  after(20 * Ms, [this] { watchLeader(); });
+}
+
+void World::injectCrash() {
+  if (Faults && chance(Config.CrashPercent)) {
+    auto &target = Targets[draw(Targets.size())];
+    switch (draw(3)) {
+    case 0:
+      killVm(draw(Vms.size()));
+      break;
+    case 1:
+      target.Dead = true;
+      break;
+    default:
+      startTarget(target);
+    }
+    for (auto &vm : Vms)
+      if (vm.Dead && chance(30))
+        startVm(vm);
+  }
+  after(100 * Ms, [this] { injectCrash(); });
+}
+
+void World::killTarget(std::size_t n) { Targets[n].Dead = true; }
+void World::killVm(std::size_t n) { Vms[n].Dead = true; }
+
+void World::heal() {
+  Faults = false;
+  for (auto &vm : Vms) {
+    vm.FrozenUntil = 0;
+    if (vm.Dead)
+      startVm(vm);
+  }
+  for (auto &target : Targets) {
+    target.FrozenUntil = 0;
+    if (target.Dead)
+      startTarget(target);
+  }
+}
+
+void World::tryWrites() {
+  const auto &vm = Vms[draw(Vms.size())];
+  const auto slot = static_cast<base::SlotNumber>(draw(Config.Slots));
+  const auto &view = *vm.Replica->viewNow();
+  auto slots = view.Slots.find(Service);
+  if (!vm.Dead && Now >= vm.FrozenUntil && slots != view.Slots.end() &&
+      slot < slots->second.size()) {
+    const auto seen = slots->second[slot];
+    auto it = std::ranges::find_if(
+        Targets, [&](const auto &t) { return t.Self.Instance == seen.Owner; });
+    if (it != Targets.end() &&
+        vm.Agent->mayWrite(seen.Owner, base::SlotId{Service, slot},
+                           vm.Clock.read(Now)))
+      after(drawDelay(), [this, &target = *it, slot, seen] {
+        const bool isTaken = target.holds(slot, Now) &&
+                             Now >= target.FrozenUntil &&
+                             target.Self.Instance == seen.Owner &&
+                             seen.Token >= target.HighestSlot[slot];
+        if (!isTaken)
+          return;
+        ++Writes;
+        if (seen.Token < RanUnder[slot])
+          accuse(fmt::format("slot {} ran under an older token", slot));
+        RanUnder[slot] = seen.Token;
+      });
+  }
+  after(10 * Ms, [this] { tryWrites(); });
+}
+
+void World::judgeGrant(const FakeTarget &target) {
+  for (const auto &[slot, token] : target.Granted)
+    for (const auto &other : Targets)
+      if (&other != &target && target.holds(slot, Now) &&
+          other.holds(slot, Now))
+        accuse(fmt::format("slot {} is granted to {} and {}", slot,
+                           target.Self.Instance.Value,
+                           other.Self.Instance.Value));
+}
+
+void World::judgeWriters(const Vm &vm) {
+  const auto &view = *vm.Replica->viewNow();
+  auto mayWrite = [&](const Vm &it, const base::TargetInstanceId &target) {
+    const auto &seen = *it.Replica->viewNow();
+    auto slots = seen.Slots.find(Service);
+    if (it.Dead || slots == seen.Slots.end())
+      return false;
+    for (base::SlotNumber n = 0; n < slots->second.size(); ++n)
+      if (it.Agent->mayWrite(target, base::SlotId{Service, n},
+                             it.Clock.read(Now)))
+        return true;
+    return it.Agent->mayWrite(target, std::nullopt, it.Clock.read(Now));
+  };
+  for (const auto &[instance, target] : view.Targets) {
+    if (!mayWrite(vm, instance))
+      continue;
+    for (const auto &other : Vms)
+      if (&other != &vm && mayWrite(other, instance))
+        accuse(fmt::format("{} and {} may write to {}", vm.Id.Value,
+                           other.Id.Value, instance.Value));
+  }
+}
+
+void World::judgeView(const View &before, const View &after) {
+  auto old = before.Slots.find(Service);
+  auto now = after.Slots.find(Service);
+  if (old == before.Slots.end() || now == after.Slots.end())
+    return;
+  for (std::size_t n = 0; n < old->second.size(); ++n) {
+    const auto &was = old->second[n];
+    const auto &is = now->second[n];
+    const bool isMoved = was.Owner != is.Owner;
+    if (is.Token < was.Token || (isMoved && is.Token == was.Token))
+      accuse(fmt::format("token of slot {} did not rise", n));
+    Moves += isMoved && !was.Owner.empty() ? 1 : 0;
+  }
+  for (const auto &[instance, target] : before.Targets) {
+    auto it = after.Targets.find(instance);
+    if (it != after.Targets.end() &&
+        it->second.DispatchToken < target.DispatchToken)
+      accuse("a dispatch token fell");
+  }
+}
+
+void World::accuse(const std::string &text) {
+  Violations.push_back(fmt::format("{} ms: {}", Now / Ms, text));
+}
+
+bool World::isAllServed() const {
+  const auto shared = Reference.viewNow();
+  const auto &view = *shared;
+  auto slots = view.Slots.find(Service);
+  if (slots == view.Slots.end() || slots->second.size() < Config.Slots)
+    return false;
+  for (base::SlotNumber n = 0; n < Config.Slots; ++n) {
+    const auto &owner = slots->second[n].Owner;
+    const bool isServed = std::ranges::any_of(Vms, [&](const Vm &vm) {
+      return !vm.Dead && vm.Agent->mayWrite(owner, base::SlotId{Service, n},
+                                            vm.Clock.read(Now));
+    });
+    if (!isServed)
+      return false;
+  }
+  return true;
+}
+
+std::map<base::TargetInstanceId, std::vector<base::SlotNumber>>
+World::countOwned() const {
+  std::map<base::TargetInstanceId, std::vector<base::SlotNumber>> owned;
+  const auto view = Reference.viewNow();
+  auto slots = view->Slots.find(Service);
+  if (slots == view->Slots.end())
+    return owned;
+  for (base::SlotNumber n = 0; n < slots->second.size(); ++n)
+    owned[slots->second[n].Owner].push_back(n);
+  return owned;
+}
+
+void World::setSettings(settings::View view) {
+  Settings = std::move(view);
+  for (auto &vm : Vms)
+    stepLeader(vm, SettingsChanged{std::make_shared<settings::View>(Settings)});
+}
+
+} // namespace magnoliamill::ownership::tests
--- /dev/null
+++ b/packages/ownership/tests/World.h
@@ -0,0 +1,173 @@
+// A data centre in one thread: VMs with clocks that drift, targets that check
+// grants, a linear log in place of the consensus, and a network that loses,
+// delays and repeats. Everything follows from one seed.
+#pragma once
+
+#include "ownership/Controller.h"
+#include "ownership/DispatchAgent.h"
+#include "ownership/GrantCodec.h"
+#include "ownership/StateMachine.h"
+#include "ownership/Timing.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliamill::ownership::tests {
+
+using base::Duration;
+using base::MonoTime;
+/// Microseconds of true time.
+using TrueTime = std::int64_t;
+
+constexpr TrueTime Ms = 1000;
+
+struct DriftingClock {
+  TrueTime Offset = 0;
+  /// Parts per million off the true rate.
+  std::int64_t Ppm = 0;
+  MonoTime read(TrueTime at) const {
+    return MonoTime(Duration(Offset + at + at * Ppm / 1000000));
+  }
+};
+
+/// A process that can be frozen; what reaches it meanwhile waits.
+struct Process {
+  DriftingClock Clock;
+  TrueTime FrozenUntil = 0;
+  bool Dead = false;
+  /// Counts restarts: what was meant for an earlier run is dropped.
+  std::uint64_t Run = 0;
+};
+
+struct Vm : Process {
+  base::VmId Id;
+  std::unique_ptr<StateMachine> Replica;
+  std::unique_ptr<Controller> Leader;
+  std::unique_ptr<DispatchAgent> Agent;
+  std::size_t Applied = 0;
+};
+
+struct FakeTarget : Process {
+  Announcement Self;
+  base::Token HighestDispatch;
+  std::map<base::SlotNumber, base::Token> Granted;
+  std::map<base::SlotNumber, base::Token> HighestSlot;
+  std::int64_t ExpiresAtMs = 0;
+  bool holds(base::SlotNumber slot, TrueTime at) const {
+    return !Dead &&
+           base::toMs(Clock.read(at).time_since_epoch()) < ExpiresAtMs &&
+           Granted.contains(slot);
+  }
+};
+
+struct WorldConfig {
+  std::uint64_t Seed = 1;
+  std::size_t Vms = 3;
+  std::size_t Targets = 4;
+  std::uint32_t Slots = 8;
+  /// Chance of a message being lost, late or doubled, in percent.
+  int LossPercent = 0;
+  int LatePercent = 0;
+  /// Chance of a freeze right after a step, in 1/10000.
+  int FreezePer10000 = 0;
+  /// Chance of a crash or restart per 100 ms, in percent.
+  int CrashPercent = 0;
+};
+
+class World {
+public:
+  explicit World(WorldConfig config);
+
+  void run(TrueTime duration);
+  /// Ends all faults: what is frozen goes on, what was dead restarts.
+  void heal();
+  /// Runs until \p done or for \p limit; true when done. \p done is asked
+  /// every millisecond of true time.
+  bool runUntil(const std::function<bool()> &done, TrueTime limit);
+
+  std::size_t addTarget();
+  void killTarget(std::size_t n);
+  void killVm(std::size_t n);
+  void elect(std::size_t n);
+  void setSettings(settings::View view);
+
+  /// True when some VM may write to the owner of every slot.
+  bool isAllServed() const;
+  std::map<base::TargetInstanceId, std::vector<base::SlotNumber>>
+  countOwned() const;
+
+  TrueTime Now = 1000 * Ms;
+  WorldConfig Config;
+  std::vector<Vm> Vms;
+  std::deque<FakeTarget> Targets;
+  std::vector<std::string> Log;
+  settings::View Settings;
+  std::size_t LeaderVm = 0;
+  std::uint64_t Term = 0;
+  /// What went against the promises, with the true time in milliseconds.
+  std::vector<std::string> Violations;
+  /// Slots that changed owner from one target to another.
+  std::size_t Moves = 0;
+  std::uint64_t Writes = 0;
+
+private:
+  struct Event {
+    TrueTime At = 0;
+    std::uint64_t Order = 0;
+    std::function<void()> Act;
+    bool operator<(const Event &other) const {
+      return std::tie(other.At, other.Order) < std::tie(At, Order);
+    }
+  };
+
+  std::uint64_t draw(std::uint64_t below) { return Random() % below; }
+  bool chance(int percent) { return static_cast<int>(draw(100)) < percent; }
+  void after(TrueTime delay, std::function<void()> act);
+  /// Runs \p act at the process once it is not frozen, unless it has restarted.
+  void reach(Process &process, TrueTime delay, std::function<void()> act);
+  /// Sends over the network, with its faults.
+  void send(Process &from, Process &to, std::function<void()> act);
+  TrueTime drawDelay();
+  void maybeFreeze(Process &process);
+
+  void startVm(Vm &vm);
+  void startTarget(FakeTarget &target);
+  void tickVm(Vm &vm);
+  void pull(Vm &vm);
+  void stepAgent(Vm &vm, const AgentEvent &event);
+  void stepLeader(Vm &vm, const ControllerEvent &event);
+  void sendLease(Vm &vm, const SendLease &lease);
+  void onLease(Vm &leader, Vm &from, const SendLease &lease,
+               std::uint64_t incarnation);
+  void sendGrant(Vm &vm, const SendGrant &grant);
+  std::string onGrant(FakeTarget &target, const std::string &body);
+  void announce(FakeTarget &target);
+  void append(const std::string &command);
+  void injectCrash();
+  void watchLeader();
+  void tryWrites();
+
+  void judgeGrant(const FakeTarget &target);
+  void judgeWriters(const Vm &vm);
+  void judgeView(const View &before, const View &after);
+  void accuse(const std::string &text);
+
+  std::mt19937_64 Random;
+  std::priority_queue<Event> Events;
+  std::uint64_t NextOrder = 0;
+  std::uint64_t NextInstance = 0;
+  StateMachine Reference{1};
+  TrueTime ElectionAt = 0;
+  bool Faults = true;
+  /// Tokens under which requests ran, per slot.
+  std::map<base::SlotNumber, base::Token> RanUnder;
+};
+
+} // namespace magnoliamill::ownership::tests
