--- /dev/null
+++ b/fakes/target/FakeTarget.h
@@ -0,0 +1,95 @@
+// A target: serves requests under grants, reports health and load, announces
+// itself and leaves in order.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "fakes/target/Announcer.h"
+#include "fakes/target/Behaviour.h"
+#include "fakes/target/GrantTable.h"
+#include "fakes/target/LoadHistory.h"
+#include "fakes/target/RunRecord.h"
+#include "gateway/TargetClient.h"
+#include "gateway/internal/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace magnoliamill::fakes {
+
+struct FakeTargetConfig {
+  std::string Name = "target";
+  std::string Service = "service";
+  std::string DataCentre = "dc";
+  std::string Host = "127.0.0.1";
+  /// 0 for any free port.
+  std::uint16_t Port = 0;
+  std::vector<gateway::TargetAddress> Entries;
+  std::int64_t Slots = 3;
+  std::string RecordPath;
+  Behaviour Conduct;
+};
+
+/// Everything but start() and the getters runs on the duty's thread.
+class FakeTarget : public std::enable_shared_from_this<FakeTarget> {
+public:
+  FakeTarget(base::DutyThread &duty, FakeTargetConfig config);
+
+  base::Result<void> start();
+  std::uint16_t port() const { return Server->port(); }
+  const std::string &instance() const { return Instance; }
+  /// Leaves the system: announces it, serves until nothing is left to serve,
+  /// then calls \p done. Any thread.
+  void leave(std::function<void()> done);
+  /// Closes everything at once. Any thread.
+  void close();
+
+private:
+  using HttpCall = gateway::internal::HttpCall;
+  using AnswerSink = protocol::AnswerSink;
+  /// A request that is being run.
+  struct Work;
+
+  protocol::CancelHook handle(HttpCall call, const AnswerSink &sink);
+  void handleControl(const HttpCall &call, const AnswerSink &sink);
+  void answerLoad(const AnswerSink &sink);
+  void answerHealth(const AnswerSink &sink);
+  protocol::CancelHook serve(const HttpCall &call, const AnswerSink &sink);
+  bool refuses(const HttpCall &call, base::Duration time,
+               const AnswerSink &sink);
+  base::Duration chooseServiceTime();
+  void startWork(const std::shared_ptr<Work> &work, base::Duration time);
+  void cancelWork(const std::shared_ptr<Work> &work);
+  void endWork(const std::shared_ptr<Work> &work);
+  void answerWork(const Work &work);
+  void changeRunning(std::int64_t by);
+  std::string composeAnnouncement() const;
+  void watchLeaving();
+
+  base::DutyThread &Duty;
+  FakeTargetConfig Config;
+  Behaviour Conduct;
+  std::string Instance;
+  std::shared_ptr<gateway::internal::HttpServer> Server;
+  gateway::TargetClient Client;
+  std::shared_ptr<Announcer> Announcing;
+  RunRecord Record;
+  GrantTable Grants;
+  LoadHistory History;
+  std::mt19937_64 Random;
+  base::MonoTime StartedAt;
+  base::MonoTime LastRequestAt;
+  std::int64_t Running = 0;
+  std::int64_t MostRunning = 0;
+  std::uint64_t Runs = 0;
+  std::uint64_t Refusals = 0;
+  std::uint64_t SlotViolations = 0;
+  bool IsLeaving = false;
+  base::MonoTime LeavingAt;
+  boost::asio::steady_timer LeaveTimer;
+  std::function<void()> OnLeft;
+};
+
+} // namespace magnoliamill::fakes
--- /dev/null
+++ b/fakes/target/LoadHistory.cpp
@@ -0,0 +1,27 @@
+// A bounded list of samples.
+#include "fakes/target/LoadHistory.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace magnoliamill::fakes {
+namespace {
+
+constexpr std::size_t MaxSamples = 20'000;
+
+} // namespace
+
+void LoadHistory::put(base::MonoTime now, std::int64_t running) {
+  Samples.push_back({now, running});
+  if (Samples.size() > MaxSamples)
+    Samples.pop_front();
+}
+
+std::int64_t LoadHistory::at(base::MonoTime time) const {
+  const auto reversed = std::views::reverse(Samples);
+  const auto it = std::ranges::find_if(
+      reversed, [&](const Sample &sample) { return sample.Time <= time; });
+  return it == reversed.end() ? 0 : it->Running;
+}
+
+} // namespace magnoliamill::fakes
--- /dev/null
+++ b/fakes/target/LoadHistory.h
@@ -0,0 +1,25 @@
+// How many requests ran when, for endpoints that lag behind.
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace magnoliamill::fakes {
+
+class LoadHistory {
+public:
+  void put(base::MonoTime now, std::int64_t running);
+  /// What was running at \p time.
+  std::int64_t at(base::MonoTime time) const;
+
+private:
+  struct Sample {
+    base::MonoTime Time;
+    std::int64_t Running = 0;
+  };
+  std::deque<Sample> Samples;
+};
+
+} // namespace magnoliamill::fakes
--- a/packages/gateway/HttpGateway.h
+++ b/packages/gateway/HttpGateway.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace magnoliamill::gateway {
 
@@ -72,11 +73,14 @@
               GatewayHandlers handlers);
   ~HttpGateway();
 
+  /// Opens the listener. Error: ListenFailed.
   base::Result<void> start();
   /// Stops accepting (the listener closes), answers what is in flight with
   /// "Connection: close", and calls \p done when the last connection has ended.
   void drain(std::function<void()> done);
   std::size_t countConnections() const;
+  /// The port listened on, for a config with port 0; 0 before start.
+  std::uint16_t port() const;
 
 private:
   struct State;
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace magnoliamill::gateway {
@@ -42,10 +43,13 @@
   /// True when the whole answer came.
   bool Answered = false;
   std::uint16_t Status = 0;
+  /// Ok, NotRunLeaseLost, NotRunTargetRefused, NotRunCancelled (look at
+  /// MayHaveRun), AnswerTruncated (a head was passed on), or 8xxx.
   base::ResultCode Code = base::ResultCode::Ok;
   std::string Message;
   /// The target asked to come back later (503/429 with Mill-Not-Run).
   std::uint32_t RetryAfterMs = 0;
+  /// From the start of the call to the head of the answer or the loss.
   base::Duration Latency{};
 };
 
@@ -64,10 +68,15 @@
   TargetClient(base::DutyThread &duty, TargetClientConfig config);
   ~TargetClient();
 
-  /// Sends the request. The sink gets Head/Chunk/End only for a request that
-  /// the target answered; \p done is always called once, before End, and
-  /// decides with the caller what a failure becomes: the sink's Fail is not
-  /// called here.
+  /// Sends the request. The sink gets Head and Chunk only for a request that
+  /// the target answered; End follows only when the whole body was delivered.
+  /// \p done comes exactly once, when the answer is complete (then before End,
+  /// which follows at once) or lost. After a loss the caller decides what it
+  /// becomes: the sink's Fail is not called here. An answer that comes with
+  /// neither Content-Length nor chunked coding fails with TargetProtocol,
+  /// because nobody can tell whether it is whole. \p done may be called before
+  /// this returns. The hook cancels: the connection is closed and \p done gets
+  /// NotRunCancelled; it may be called from any thread.
   protocol::CancelHook call(TargetCall call, protocol::AnswerSink sink,
                             std::function<void(TargetOutcome)> done);
 
--- /dev/null
+++ b/packages/gateway/internal/AnswerInbox.cpp
@@ -0,0 +1,58 @@
+// Hands answers over between threads.
+#include "gateway/internal/AnswerInbox.h"
+
+#include <boost/asio/post.hpp>
+
+namespace magnoliamill::gateway::internal {
+
+void runOnDuty(base::DutyThread &duty, base::Task task) {
+  if (duty.context().get_executor().running_in_this_thread())
+    return task();
+  // The ring takes its argument by value, so a refused task is lost: the copy
+  // goes to the event loop.
+  if (!duty.tryPost(task))
+    boost::asio::post(duty.context(), std::move(task));
+}
+
+protocol::AnswerSink AnswerInbox::makeSink() {
+  auto self = shared_from_this();
+  protocol::AnswerSink sink;
+  sink.Head = [self](protocol::AnswerHead head) { self->put(std::move(head)); };
+  sink.Chunk = [self](std::string data, std::function<void()> more) {
+    self->put(ChunkEvent{std::move(data), std::move(more)});
+  };
+  sink.End = [self] { self->put(EndEvent{}); };
+  sink.Fail = [self](protocol::RequestFailure failure) {
+    self->put(std::move(failure));
+  };
+  return sink;
+}
+
+void AnswerInbox::put(AnswerEvent event) {
+  {
+    std::lock_guard lock(Mutex);
+    Events.push_back(std::move(event));
+    if (DeliveryPending)
+      return;
+    DeliveryPending = true;
+  }
+  auto task = [self = shared_from_this()] { self->deliver(); };
+  // Always by the queue: a head, its first chunk and the end are mostly given
+  // in one go and are then written in one go.
+  if (Duty.context().get_executor().running_in_this_thread())
+    return boost::asio::post(Duty.context(), std::move(task));
+  runOnDuty(Duty, std::move(task));
+}
+
+void AnswerInbox::deliver() {
+  std::vector<AnswerEvent> events;
+  {
+    std::lock_guard lock(Mutex);
+    events.swap(Events);
+    DeliveryPending = false;
+  }
+  if (Receive)
+    Receive(std::move(events));
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/AnswerWriter.cpp
@@ -0,0 +1,153 @@
+// Streams an answer with at most one part in memory.
+#include "gateway/internal/AnswerWriter.h"
+
+#include "gateway/HttpGateway.h"
+
+#include <boost/beast/http/write.hpp>
+
+namespace magnoliamill::gateway::internal {
+
+namespace http = boost::beast::http;
+
+AnswerWriter::AnswerWriter(boost::asio::ip::tcp::socket &socket,
+                           std::weak_ptr<void> owner, AnswerForm form,
+                           AnswerWriterHooks hooks)
+    : Socket(socket), Owner(std::move(owner)), Form(form),
+      Hooks(std::move(hooks)) {}
+
+void AnswerWriter::put(std::vector<AnswerEvent> events) {
+  for (auto &event : events)
+    take(std::move(event));
+  pump();
+}
+
+void AnswerWriter::take(AnswerEvent event) {
+  if (IsEnded || Failure)
+    return;
+  if (auto *head = std::get_if<protocol::AnswerHead>(&event)) {
+    Head = std::move(*head);
+    IsBodyless = Form.HeadOnly || Head->Status == 204 || Head->Status == 304;
+  } else if (auto *chunk = std::get_if<ChunkEvent>(&event)) {
+    if (!IsBodyless)
+      Pending.append(chunk->Data);
+    More = std::move(chunk->More);
+  } else if (auto *failure = std::get_if<protocol::RequestFailure>(&event)) {
+    Failure = std::move(*failure);
+  } else {
+    IsEnded = true;
+  }
+}
+
+void AnswerWriter::pump() {
+  if (IsWriting || IsOver)
+    return;
+  if (Failure && Serializer)
+    return breakOff();
+  if (Failure)
+    replaceByFailure(*Failure);
+  if (!Head)
+    return;
+  if (!checkLength())
+    return pump();
+  if (!Serializer)
+    buildHead();
+  else if (Serializer->is_done())
+    return IsEnded ? finish() : acknowledge();
+  else if (Pending.empty() && !IsEnded)
+    return acknowledge();
+  write();
+}
+
+void AnswerWriter::replaceByFailure(const protocol::RequestFailure &failure) {
+  ApiReply reply = renderFailure(failure);
+  Head = protocol::AnswerHead{
+      reply.Status, std::move(reply.Headers), reply.Body.size(), {}};
+  Head->Headers.push_back({"Content-Type", reply.ContentType});
+  IsBodyless = Form.HeadOnly;
+  Pending = IsBodyless ? std::string() : std::move(reply.Body);
+  More = nullptr;
+  Failure.reset();
+  IsEnded = true;
+}
+
+/// False when the body does not match its length; the failure is set then.
+bool AnswerWriter::checkLength() {
+  if (IsBodyless || !Head->Length)
+    return true;
+  const std::uint64_t total = Sent + Pending.size();
+  if (total <= *Head->Length && !(IsEnded && total < *Head->Length))
+    return true;
+  Failure = protocol::RequestFailure{base::ResultCode::AnswerTruncated,
+                                     "the answer does not have its length", 0};
+  return false;
+}
+
+void AnswerWriter::buildHead() {
+  Message.result(Head->Status);
+  Message.version(Form.Version);
+  for (const auto &header : Head->Headers)
+    Message.insert(header.Name, header.Value);
+  if (!Head->Length && IsEnded && !Form.HeadOnly)
+    Head->Length = Pending.size();
+  const bool mayHaveLength = Head->Status != 204 && Head->Status != 304;
+  if (Head->Length && mayHaveLength)
+    Message.content_length(*Head->Length);
+  else if (!IsBodyless && Form.Version >= 11)
+    Message.chunked(true);
+  else if (!IsBodyless)
+    Form.KeepAlive = false; // HTTP/1.0: only the close can end the body.
+  Message.keep_alive(Form.KeepAlive);
+  Serializer.emplace(Message);
+}
+
+void AnswerWriter::write() {
+  Writing = std::move(Pending);
+  Pending.clear();
+  Sent += Writing.size();
+  auto &body = Message.body();
+  body.data = Writing.empty() ? nullptr : Writing.data();
+  body.size = Writing.size();
+  // A body of known length is complete with its last byte; without a length
+  // it is complete with the end event.
+  const bool complete = Head->Length ? Sent == *Head->Length : IsEnded;
+  body.more = !(IsBodyless || complete);
+  IsWriting = true;
+  Hooks.OnWriting(true);
+  http::async_write(
+      Socket, *Serializer,
+      [this, owner = Owner.lock()](boost::system::error_code ec, std::size_t) {
+        onWritten(ec);
+      });
+}
+
+void AnswerWriter::onWritten(boost::system::error_code ec) {
+  IsWriting = false;
+  Hooks.OnWriting(false);
+  if (ec && ec != http::error::need_buffer)
+    return breakOff();
+  acknowledge();
+  pump();
+}
+
+/// Asks for the next part, when the giver waits for it.
+void AnswerWriter::acknowledge() {
+  if (auto more = std::exchange(More, nullptr))
+    more();
+}
+
+void AnswerWriter::finish() {
+  if (std::exchange(IsOver, true))
+    return;
+  // The hook may replace this writer: nothing of it is touched afterwards.
+  auto done = Hooks.OnDone;
+  done(Form.KeepAlive);
+}
+
+void AnswerWriter::breakOff() {
+  if (std::exchange(IsOver, true))
+    return;
+  auto broken = Hooks.OnBroken;
+  broken();
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/ConnectionPool.cpp
@@ -0,0 +1,91 @@
+// Reuse of connections, most recent first.
+#include "gateway/internal/ConnectionPool.h"
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace magnoliamill::gateway::internal {
+namespace {
+
+/// False when the target has closed the connection, or sent something that
+/// nobody asked for.
+bool isQuiet(boost::asio::ip::tcp::socket &socket) {
+  char byte = 0;
+  const auto n =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+ConnectionPtr ConnectionPool::takeIdle(const TargetAddress &address,
+                                       bool idempotent, base::MonoTime now) {
+  auto &entry = Entries[address];
+  const auto limit = idempotent ? Config.MaxIdle : Config.MaxIdleForUnsafe;
+  while (!entry.Idle.empty()) {
+    // The last is the most recent one: when it is too old, all are.
+    if (now - entry.Idle.back()->IdleSince > limit)
+      return nullptr;
+    ConnectionPtr connection = std::move(entry.Idle.back());
+    entry.Idle.pop_back();
+    if (!isQuiet(connection->Socket))
+      continue;
+    ++entry.InUse;
+    connection->IsReused = true;
+    return connection;
+  }
+  return nullptr;
+}
+
+ConnectionPtr ConnectionPool::open(const TargetAddress &address) {
+  auto &entry = Entries[address];
+  if (entry.InUse + entry.Idle.size() >= Config.MaxConnectionsPerTarget) {
+    if (entry.Idle.empty())
+      return nullptr;
+    entry.Idle.erase(entry.Idle.begin());
+  }
+  ++entry.InUse;
+  auto connection = std::make_unique<TargetConnection>(Context);
+  connection->Generation = entry.Generation;
+  return connection;
+}
+
+void ConnectionPool::giveBack(const TargetAddress &address,
+                              ConnectionPtr connection, base::MonoTime now) {
+  auto &entry = Entries[address];
+  if (connection->Generation != entry.Generation)
+    return drop(address, std::move(connection));
+  --entry.InUse;
+  connection->IdleSince = now;
+  entry.Idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::drop(const TargetAddress &address,
+                          ConnectionPtr connection) {
+  if (!connection)
+    return;
+  --Entries[address].InUse;
+  boost::system::error_code ec;
+  connection->Socket.close(ec);
+}
+
+void ConnectionPool::suspect(const TargetAddress &address) {
+  auto &entry = Entries[address];
+  ++entry.Generation;
+  entry.Idle.clear();
+}
+
+void ConnectionPool::closeExpired(base::MonoTime now) {
+  for (auto it = Entries.begin(); it != Entries.end();) {
+    auto &entry = it->second;
+    std::erase_if(entry.Idle, [&](const ConnectionPtr &connection) {
+      return now - connection->IdleSince > Config.MaxIdle ||
+             !isQuiet(connection->Socket);
+    });
+    // Generations matter only to connections in use.
+    const bool isUnused = entry.Idle.empty() && entry.InUse == 0;
+    it = isUnused ? Entries.erase(it) : std::next(it);
+  }
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -0,0 +1,263 @@
+// The life of one caller's connection.
+#include "gateway/internal/HttpConnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace magnoliamill::gateway::internal {
+
+namespace http = boost::beast::http;
+using base::ResultCode;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Bytes of further requests that are read ahead while one is answered.
+constexpr std::size_t MaxReadAhead = 64 * 1024;
+/// How long the caller may take to close after its last answer.
+constexpr auto LingerTime = std::chrono::seconds(1);
+/// How long an idle connection may still bring a request while draining.
+constexpr auto DrainIdleTime = std::chrono::milliseconds(500);
+
+ResultCode codeOfParseError(boost::system::error_code ec) {
+  if (ec == http::error::header_limit)
+    return ResultCode::HeaderTooLarge;
+  if (ec == http::error::body_limit)
+    return ResultCode::BodyTooLarge;
+  return ResultCode::BadRequest;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(std::shared_ptr<HttpServer> server,
+                               tcp::socket socket)
+    : Server(std::move(server)), Socket(std::move(socket)) {
+  boost::system::error_code ec;
+  Socket.set_option(tcp::no_delay(true), ec);
+  const auto remote = Socket.remote_endpoint(ec);
+  if (!ec)
+    From = remote.address().to_string();
+}
+
+void HttpConnection::start() { receiveNext(); }
+
+void HttpConnection::setLimit(base::Duration duration) {
+  TimeLimit = base::readMonotonic() + duration;
+}
+
+void HttpConnection::receiveNext() {
+  State = Phase::Receiving;
+  IsContinueSent = false;
+  IsHeaderSeen = false;
+  RequestParser.emplace();
+  RequestParser->eager(true);
+  RequestParser->header_limit(
+      static_cast<std::uint32_t>(Server->limits().MaxHeaderBytes));
+  RequestParser->body_limit(Server->limits().MaxBodyBytes);
+  if (Received.size() > 0) {
+    setLimit(Server->limits().HeaderTimeout);
+    return parse();
+  }
+  if (Server->isDraining())
+    return linger();
+  setLimit(Server->limits().IdleTimeout);
+  readMore();
+}
+
+void HttpConnection::parse() {
+  while (Received.size() > 0) {
+    boost::system::error_code ec;
+    const std::size_t n = RequestParser->put(Received.data(), ec);
+    Received.consume(n);
+    if (ec && ec != http::error::need_more)
+      return refuse({codeOfParseError(ec), ec.message(), 0});
+    if (RequestParser->is_done())
+      return dispatch();
+    if (n == 0)
+      break;
+  }
+  continueReceiving();
+}
+
+void HttpConnection::continueReceiving() {
+  if (RequestParser->is_header_done() && !IsHeaderSeen) {
+    IsHeaderSeen = true;
+    // The whole body has this time: a slow one must not hold memory for long.
+    setLimit(Server->limits().WriteTimeout);
+  }
+  if (IsHeaderSeen && !IsContinueSent) {
+    IsContinueSent = true;
+    const auto expect = RequestParser->get()[http::field::expect];
+    static constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (boost::beast::iequals(expect, "100-continue"))
+      boost::asio::async_write(Socket, boost::asio::buffer(Line),
+                               [self = shared_from_this()](
+                                   boost::system::error_code, std::size_t) {});
+  }
+  readMore();
+}
+
+HttpCall HttpConnection::releaseCall() {
+  auto message = RequestParser->release();
+  HttpCall call;
+  call.Method = std::string(message.method_string());
+  call.Target = std::string(message.target());
+  for (const auto &field : message)
+    call.Headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  call.Body = std::move(message.body());
+  call.From = From;
+  return call;
+}
+
+std::shared_ptr<AnswerInbox> HttpConnection::beginAnswer(AnswerForm form) {
+  State = Phase::Answering;
+  TimeLimit = base::MonoTime::max();
+  AnswerWriterHooks hooks;
+  hooks.OnWriting = [this](bool busy) {
+    if (busy)
+      setLimit(Server->limits().WriteTimeout);
+    else
+      TimeLimit = base::MonoTime::max();
+  };
+  hooks.OnDone = [this](bool keep) { onAnswered(keep); };
+  hooks.OnBroken = [this] { abort(); };
+  Writer = std::make_unique<AnswerWriter>(Socket, weak_from_this(), form,
+                                          std::move(hooks));
+  Inbox = std::make_shared<AnswerInbox>(
+      Server->duty(),
+      [weak = weak_from_this()](std::vector<AnswerEvent> events) {
+        auto self = weak.lock();
+        if (!self || self->State != Phase::Answering)
+          return;
+        self->Writer->put(std::move(events));
+      });
+  return Inbox;
+}
+
+void HttpConnection::dispatch() {
+  const auto &message = RequestParser->get();
+  AnswerForm form;
+  form.HeadOnly = message.method() == http::verb::head;
+  form.Version = message.version() >= 11 ? 11 : 10;
+  form.KeepAlive = message.keep_alive() && !Server->isDraining();
+  HttpCall call = releaseCall();
+  auto inbox = beginAnswer(form);
+  // Keeps a read open: the caller's disconnect shows as its end.
+  readMore();
+  auto hook = Server->handle(std::move(call), inbox->makeSink());
+  if (State == Phase::Answering && Inbox == inbox)
+    Cancel = std::move(hook);
+}
+
+void HttpConnection::refuse(protocol::RequestFailure failure) {
+  AnswerForm form;
+  form.KeepAlive = false;
+  auto inbox = beginAnswer(form);
+  std::vector<AnswerEvent> events;
+  events.emplace_back(std::move(failure));
+  Writer->put(std::move(events));
+}
+
+void HttpConnection::onAnswered(bool keep) {
+  if (State != Phase::Answering)
+    return;
+  Inbox->close();
+  Cancel = nullptr;
+  if (!keep)
+    return linger();
+  receiveNext();
+}
+
+void HttpConnection::linger() {
+  State = Phase::Lingering;
+  boost::system::error_code ec;
+  Socket.shutdown(tcp::socket::shutdown_send, ec);
+  if (ec)
+    return close();
+  setLimit(LingerTime);
+  Received.consume(Received.size());
+  readMore();
+}
+
+void HttpConnection::readMore() {
+  if (IsReading || State == Phase::Closed)
+    return;
+  if (State == Phase::Answering && Received.size() >= MaxReadAhead)
+    return;
+  IsReading = true;
+  Socket.async_read_some(
+      boost::asio::buffer(ReadArea),
+      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+        self->onRead(ec, n);
+      });
+}
+
+void HttpConnection::onRead(boost::system::error_code ec, std::size_t n) {
+  IsReading = false;
+  if (State == Phase::Closed)
+    return;
+  if (ec)
+    return onDisconnect();
+  if (State == Phase::Lingering)
+    return readMore();
+  const bool isFirst = State == Phase::Receiving && !IsHeaderSeen &&
+                       Received.size() == 0 && !RequestParser->got_some();
+  const auto target = Received.prepare(n);
+  boost::asio::buffer_copy(target, boost::asio::buffer(ReadArea, n));
+  Received.commit(n);
+  if (State != Phase::Receiving)
+    return readMore();
+  if (isFirst)
+    setLimit(Server->limits().HeaderTimeout);
+  parse();
+}
+
+void HttpConnection::onDisconnect() {
+  // A half-closed caller counts as gone, too: the two can't be told apart.
+  if (State == Phase::Answering)
+    return abort();
+  close();
+}
+
+void HttpConnection::onOverdue() {
+  if (State == Phase::Answering)
+    return abort();
+  const bool isIdle = State == Phase::Receiving && !RequestParser->got_some();
+  if (State == Phase::Lingering || isIdle)
+    return State == Phase::Lingering ? close() : linger();
+  refuse({ResultCode::RequestTimeout, "the request did not come in time", 0});
+}
+
+void HttpConnection::onDrain() {
+  if (State == Phase::Answering && Writer)
+    Writer->endKeepAlive();
+  if (State == Phase::Receiving && !RequestParser->got_some())
+    setLimit(DrainIdleTime);
+}
+
+void HttpConnection::abort() {
+  if (State == Phase::Closed)
+    return;
+  boost::system::error_code ec;
+  // A reset instead of an orderly end.
+  Socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+  close();
+}
+
+void HttpConnection::close() {
+  if (State == Phase::Closed)
+    return;
+  State = Phase::Closed;
+  boost::system::error_code ec;
+  Socket.close(ec);
+  if (Inbox)
+    Inbox->close();
+  auto self = shared_from_this();
+  if (auto cancel = std::exchange(Cancel, nullptr))
+    cancel();
+  Server->remove(this);
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/HttpServer.cpp
@@ -0,0 +1,159 @@
+// Accepts connections and watches their time limits.
+#include "gateway/internal/HttpServer.h"
+
+#include "base/Log.h"
+#include "gateway/internal/AnswerInbox.h"
+#include "gateway/internal/HttpConnection.h"
+
+#include <boost/asio/post.hpp>
+
+namespace magnoliamill::gateway::internal {
+
+using base::ResultCode;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// How often time limits are looked at; limits are late by this at most.
+constexpr auto SweepInterval = std::chrono::milliseconds(50);
+/// Pause after a failed accept, mostly for want of file descriptors.
+constexpr auto AcceptPause = std::chrono::milliseconds(100);
+/// Connections over the limit that get a numbered refusal; more than these are
+/// closed without a word.
+constexpr std::size_t MaxRefusals = 64;
+
+} // namespace
+
+HttpServer::HttpServer(base::DutyThread &duty, GatewayConfig config,
+                       CallHandler handler)
+    : Duty(duty), Config(std::move(config)), Handler(std::move(handler)),
+      Acceptor(duty.context()), SweepTimer(duty.context()),
+      AcceptTimer(duty.context()) {}
+
+base::Result<void> HttpServer::start() {
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(Config.Host, ec);
+  if (ec)
+    return base::fail(ResultCode::ListenFailed,
+                      "'" + Config.Host + "' is not an IP address");
+  const tcp::endpoint endpoint(address, Config.Port);
+  Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(endpoint, ec);
+  if (!ec)
+    Acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return base::fail(ResultCode::ListenFailed,
+                      "listen on " + Config.Host + ":" +
+                          std::to_string(Config.Port) + ": " + ec.message());
+  Port = Acceptor.local_endpoint(ec).port();
+  boost::asio::post(Duty.context(), [self = shared_from_this()] {
+    self->accept();
+    self->scheduleSweep();
+  });
+  return base::ok();
+}
+
+void HttpServer::accept() {
+  if (Draining || Closed)
+    return;
+  Acceptor.async_accept([self = shared_from_this()](
+                            boost::system::error_code ec, tcp::socket socket) {
+    if (!ec) {
+      self->onAccepted(std::move(socket));
+      return self->accept();
+    }
+    if (self->Draining || self->Closed)
+      return;
+    base::logWarning("gateway", ResultCode::Internal, "accept failed",
+                     {{"error", boost::json::value(ec.message().c_str())}});
+    self->AcceptTimer.expires_after(AcceptPause);
+    self->AcceptTimer.async_wait(
+        [self](boost::system::error_code) { self->accept(); });
+  });
+}
+
+void HttpServer::onAccepted(tcp::socket socket) {
+  const std::size_t limit = Config.Limits.MaxConnections;
+  if (Connections.size() >= limit + MaxRefusals)
+    return;
+  auto connection =
+      std::make_shared<HttpConnection>(shared_from_this(), std::move(socket));
+  Connections.emplace(connection.get(), connection);
+  Count = Connections.size();
+  if (Connections.size() > limit)
+    return connection->refuse({ResultCode::TooManyConnections,
+                               "this VM has its limit of connections", 0});
+  connection->start();
+}
+
+protocol::CancelHook HttpServer::handle(HttpCall call,
+                                        protocol::AnswerSink sink) {
+  return Handler(std::move(call), std::move(sink));
+}
+
+void HttpServer::remove(const HttpConnection *connection) {
+  Connections.erase(connection);
+  Count = Connections.size();
+  reportDrained();
+}
+
+void HttpServer::scheduleSweep() {
+  if (Closed)
+    return;
+  SweepTimer.expires_after(SweepInterval);
+  SweepTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (ec)
+          return;
+        self->sweep();
+        self->scheduleSweep();
+      });
+}
+
+void HttpServer::sweep() {
+  const base::MonoTime now = base::readMonotonic();
+  std::vector<std::shared_ptr<HttpConnection>> overdue;
+  for (const auto &[key, connection] : Connections)
+    if (connection->isOverdue(now))
+      overdue.push_back(connection);
+  for (const auto &connection : overdue)
+    connection->onOverdue();
+}
+
+void HttpServer::drain(std::function<void()> done) {
+  runOnDuty(Duty, [self = shared_from_this(), done = std::move(done)] {
+    self->Draining = true;
+    self->OnDrained = done;
+    boost::system::error_code ec;
+    self->Acceptor.close(ec);
+    for (const auto &[key, connection] : self->Connections)
+      connection->onDrain();
+    self->reportDrained();
+  });
+}
+
+void HttpServer::reportDrained() {
+  if (!Draining || !Connections.empty())
+    return;
+  if (auto done = std::exchange(OnDrained, nullptr))
+    boost::asio::post(Duty.context(), std::move(done));
+}
+
+void HttpServer::close() {
+  boost::asio::post(Duty.context(), [self = shared_from_this()] {
+    self->Closed = true;
+    boost::system::error_code ec;
+    self->Acceptor.close(ec);
+    self->SweepTimer.cancel();
+    auto connections = std::move(self->Connections);
+    self->Connections.clear();
+    for (const auto &[key, connection] : connections)
+      connection->abort();
+    self->Handler = nullptr;
+  });
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/HttpServer.h
@@ -0,0 +1,81 @@
+// An HTTP/1.1 server on one duty thread: listener, limits, timeouts, drain.
+// What the requests mean is the handler's business.
+#pragma once
+
+#include "base/DutyThread.h"
+#include "base/Result.h"
+#include "gateway/HttpGateway.h"
+#include "protocol/Messages.h"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace magnoliamill::gateway::internal {
+
+class HttpConnection;
+
+/// A request as it came, whole.
+struct HttpCall {
+  std::string Method;
+  /// Path and query.
+  std::string Target;
+  std::vector<protocol::HttpHeader> Headers;
+  std::string Body;
+  /// Numeric IP of the caller.
+  std::string From;
+};
+
+/// Answers \p call through the sink, from any thread. The returned hook (may
+/// be empty) is called when the caller disconnects before the answer's end.
+using CallHandler =
+    std::function<protocol::CancelHook(HttpCall call, protocol::AnswerSink)>;
+
+class HttpServer : public std::enable_shared_from_this<HttpServer> {
+public:
+  HttpServer(base::DutyThread &duty, GatewayConfig config, CallHandler handler);
+
+  base::Result<void> start();
+  /// See HttpGateway::drain.
+  void drain(std::function<void()> done);
+  /// Aborts everything.
+  void close();
+  /// The port that is listened on; 0 before start.
+  std::uint16_t port() const { return Port; }
+  std::size_t countConnections() const { return Count.load(); }
+
+  // For the connections, on the duty's thread.
+  base::DutyThread &duty() { return Duty; }
+  const HttpLimits &limits() const { return Config.Limits; }
+  bool isDraining() const { return Draining; }
+  protocol::CancelHook handle(HttpCall call, protocol::AnswerSink sink);
+  void remove(const HttpConnection *connection);
+
+private:
+  void accept();
+  void onAccepted(boost::asio::ip::tcp::socket socket);
+  void scheduleSweep();
+  void sweep();
+  void reportDrained();
+
+  base::DutyThread &Duty;
+  GatewayConfig Config;
+  CallHandler Handler;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer SweepTimer;
+  boost::asio::steady_timer AcceptTimer;
+  std::unordered_map<const HttpConnection *, std::shared_ptr<HttpConnection>>
+      Connections;
+  std::atomic<std::size_t> Count{0};
+  std::uint16_t Port = 0;
+  bool Draining = false;
+  bool Closed = false;
+  std::function<void()> OnDrained;
+};
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/TargetClient.cpp
@@ -0,0 +1,147 @@
+// The pools and the calls of one duty.
+#include "gateway/TargetClient.h"
+
+#include "gateway/internal/ConnectionPool.h"
+#include "gateway/internal/TargetExchange.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace magnoliamill::gateway {
+
+using base::ResultCode;
+
+namespace {
+
+constexpr auto SweepInterval = std::chrono::seconds(1);
+/// Largest answer of a grant or probe.
+constexpr std::size_t MaxExchangeBytes = 1u << 20;
+
+/// Collects the answer of a small exchange.
+struct ExchangeAnswer {
+  std::string Body;
+  protocol::CancelHook Cancel;
+};
+
+base::Result<std::string> judgeExchange(const TargetOutcome &outcome,
+                                        std::string body) {
+  if (!outcome.Answered) {
+    const bool isTargetCode = base::numberOf(outcome.Code) / 1000 == 8;
+    return base::fail(isTargetCode ? outcome.Code : ResultCode::TargetProtocol,
+                      outcome.Message);
+  }
+  if (outcome.Status < 200 || outcome.Status > 299)
+    return base::fail(ResultCode::TargetProtocol,
+                      "status " + std::to_string(outcome.Status));
+  return body;
+}
+
+} // namespace
+
+struct TargetClient::State : std::enable_shared_from_this<State> {
+  State(base::DutyThread &duty, TargetClientConfig config)
+      : Context(duty.context()), Config(config),
+        Requests(std::make_shared<internal::ConnectionPool>(Context, config)),
+        Controls(std::make_shared<internal::ConnectionPool>(Context, config)),
+        SweepTimer(Context) {}
+
+  void scheduleSweep();
+  protocol::CancelHook run(const std::shared_ptr<internal::ConnectionPool> &,
+                           TargetCall call, protocol::AnswerSink sink,
+                           std::function<void(TargetOutcome)> done);
+
+  boost::asio::io_context &Context;
+  TargetClientConfig Config;
+  // Requests and controls never share a connection: a grant must not wait
+  // behind a request, nor be lost with it.
+  std::shared_ptr<internal::ConnectionPool> Requests;
+  std::shared_ptr<internal::ConnectionPool> Controls;
+  boost::asio::steady_timer SweepTimer;
+};
+
+void TargetClient::State::scheduleSweep() {
+  SweepTimer.expires_after(SweepInterval);
+  SweepTimer.async_wait(
+      [weak = weak_from_this()](boost::system::error_code ec) {
+        auto self = weak.lock();
+        if (ec || !self)
+          return;
+        const auto now = base::readMonotonic();
+        self->Requests->closeExpired(now);
+        self->Controls->closeExpired(now);
+        self->scheduleSweep();
+      });
+}
+
+protocol::CancelHook
+TargetClient::State::run(const std::shared_ptr<internal::ConnectionPool> &pool,
+                         TargetCall call, protocol::AnswerSink sink,
+                         std::function<void(TargetOutcome)> done) {
+  auto exchange = std::make_shared<internal::TargetExchange>(
+      Context, pool, Config, std::move(call), std::move(sink), std::move(done));
+  exchange->start();
+  return [weak = std::weak_ptr(exchange), &context = Context] {
+    auto running = weak.lock();
+    if (!running)
+      return;
+    if (context.get_executor().running_in_this_thread())
+      return running->cancel();
+    boost::asio::post(context, [running] { running->cancel(); });
+  };
+}
+
+TargetClient::TargetClient(base::DutyThread &duty, TargetClientConfig config)
+    : Self(std::make_shared<State>(duty, config)) {
+  boost::asio::post(duty.context(), [weak = std::weak_ptr(Self)] {
+    if (auto self = weak.lock())
+      self->scheduleSweep();
+  });
+}
+
+TargetClient::~TargetClient() = default;
+
+protocol::CancelHook
+TargetClient::call(TargetCall call, protocol::AnswerSink sink,
+                   std::function<void(TargetOutcome)> done) {
+  return Self->run(Self->Requests, std::move(call), std::move(sink),
+                   std::move(done));
+}
+
+void TargetClient::exchange(
+    const TargetAddress &address, std::string method, std::string path,
+    std::string body, base::Duration timeout,
+    std::function<void(base::Result<std::string>)> done) {
+  TargetCall call;
+  call.Address = address;
+  call.Request.Method = std::move(method);
+  call.Request.Target = std::move(path);
+  call.Request.Body = std::move(body);
+  if (!call.Request.Body.empty())
+    call.Request.Headers.push_back({"Content-Type", "application/json"});
+  call.Deadline = base::readMonotonic() + timeout;
+  call.Idempotent = true;
+
+  auto answer = std::make_shared<ExchangeAnswer>();
+  protocol::AnswerSink sink;
+  sink.Head = [](const protocol::AnswerHead &) {};
+  sink.Chunk = [answer](const std::string &data,
+                        const std::function<void()> &more) {
+    if (answer->Body.size() + data.size() > MaxExchangeBytes)
+      return; // Never asks for more: the timeout ends it.
+    answer->Body += data;
+    more();
+  };
+  sink.End = [] {};
+  sink.Fail = [](const protocol::RequestFailure &) {};
+  Self->run(Self->Controls, std::move(call), std::move(sink),
+            [answer, done = std::move(done)](const TargetOutcome &outcome) {
+              done(judgeExchange(outcome, std::move(answer->Body)));
+            });
+}
+
+void TargetClient::suspect(const TargetAddress &address) {
+  Self->Requests->suspect(address);
+  Self->Controls->suspect(address);
+}
+
+} // namespace magnoliamill::gateway
--- /dev/null
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -0,0 +1,348 @@
+// Sends a request at most once (unless it is idempotent) and streams its
+// answer with at most one chunk in memory.
+#include "gateway/internal/TargetExchange.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+
+namespace magnoliamill::gateway::internal {
+
+namespace http = boost::beast::http;
+using base::ResultCode;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
+/// How much of the text of a refusal is kept for its message.
+constexpr std::size_t MaxRefusalBytes = 4 * 1024;
+constexpr std::size_t FirstReadBytes = 8 * 1024;
+
+} // namespace
+
+TargetExchange::TargetExchange(boost::asio::io_context &context,
+                               std::shared_ptr<ConnectionPool> pool,
+                               TargetClientConfig config, TargetCall call,
+                               protocol::AnswerSink sink, DoneHook done)
+    : Context(context), Pool(std::move(pool)), Config(config),
+      Call(std::move(call)), Sink(std::move(sink)), Done(std::move(done)),
+      Timer(context) {}
+
+void TargetExchange::start() {
+  StartedAt = base::readMonotonic();
+  if (StartedAt >= Call.Deadline)
+    return fail(ResultCode::TargetTimeout, "the deadline has passed");
+  takeConnection(false);
+}
+
+void TargetExchange::takeConnection(bool fresh) {
+  const auto now = base::readMonotonic();
+  if (!fresh)
+    Connection = Pool->takeIdle(Call.Address, Call.Idempotent, now);
+  if (Connection) {
+    armTimer(Call.Deadline);
+    return write();
+  }
+  Connection = Pool->open(Call.Address);
+  if (!Connection)
+    return fail(ResultCode::TargetUnreachable,
+                "the limit of connections to the target is reached");
+  connect();
+}
+
+void TargetExchange::connect() {
+  ErrorCode ec;
+  const auto address = boost::asio::ip::make_address(Call.Address.Host, ec);
+  if (ec)
+    return fail(ResultCode::TargetUnreachable,
+                "'" + Call.Address.Host + "' is not an IP address");
+  IsConnecting = true;
+  armTimer(
+      std::min(Call.Deadline, base::readMonotonic() + Config.ConnectTimeout));
+  Connection->Socket.async_connect(
+      tcp::endpoint(address, Call.Address.Port),
+      [self = shared_from_this()](ErrorCode result) {
+        self->onConnected(result);
+      });
+}
+
+void TargetExchange::onConnected(ErrorCode ec) {
+  if (IsFinished)
+    return;
+  IsConnecting = false;
+  if (ec)
+    return fail(ResultCode::TargetUnreachable, ec.message());
+  Connection->Socket.set_option(tcp::no_delay(true), ec);
+  armTimer(Call.Deadline);
+  write();
+}
+
+void TargetExchange::armTimer(base::MonoTime time) {
+  Timer.expires_at(time);
+  Timer.async_wait([self = shared_from_this(), time](ErrorCode ec) {
+    if (!ec)
+      self->onTimer(time);
+  });
+}
+
+void TargetExchange::onTimer(base::MonoTime time) {
+  // A wait that had already expired when the timer was armed anew.
+  if (IsFinished || Timer.expiry() != time)
+    return;
+  if (IsRefused)
+    return complete();
+  if (IsConnecting)
+    return fail(ResultCode::TargetUnreachable,
+                "the target did not accept a connection in time");
+  fail(IsHeadSeen ? ResultCode::AnswerTruncated : ResultCode::TargetTimeout,
+       "the deadline passed");
+}
+
+void TargetExchange::write() {
+  const auto left = Call.Deadline - base::readMonotonic();
+  Message = buildTargetRequest(Call, left);
+  // Nothing may come between this question and the write.
+  if (Call.MayWrite && !Call.MayWrite())
+    return fail(ResultCode::NotRunLeaseLost,
+                "the dispatcher may not write to the target any more");
+  // Set before the write: a call that ends in between counts as written.
+  const bool wasWritten = std::exchange(IsWritten, true);
+  http::async_write(
+      Connection->Socket, Message,
+      [self = shared_from_this(), wasWritten](ErrorCode ec, std::size_t n) {
+        if (ec && n == 0)
+          self->IsWritten = wasWritten;
+        self->onWritten(ec, n);
+      });
+}
+
+void TargetExchange::onWritten(ErrorCode ec, std::size_t n) {
+  if (IsFinished)
+    return;
+  if (ec && n == 0 && Connection->IsReused && !HasRetried)
+    return static_cast<void>(retryFresh());
+  if (ec)
+    return onLost(ec);
+  Parser.emplace();
+  Parser->header_limit(MaxAnswerHeaderBytes);
+  Parser->body_limit(boost::none);
+  Parser->skip(Call.Request.Method == "HEAD");
+  readMore();
+}
+
+void TargetExchange::readMore() {
+  const std::size_t size =
+      IsHeadSeen ? std::max(Config.ChunkBytes, FirstReadBytes) : FirstReadBytes;
+  Connection->Socket.async_read_some(
+      Connection->Buffer.prepare(size),
+      [self = shared_from_this()](ErrorCode ec, std::size_t n) {
+        self->onRead(ec, n);
+      });
+}
+
+void TargetExchange::onRead(ErrorCode ec, std::size_t n) {
+  if (IsFinished)
+    return;
+  if (ec)
+    return onLost(ec);
+  Connection->Buffer.commit(n);
+  feed();
+}
+
+void TargetExchange::feed() {
+  IsFeeding = true;
+  while (!IsFinished && !IsAwaitingMore) {
+    std::string chunk;
+    if (!parseSome(chunk))
+      break;
+    const bool isComplete = Parser->is_done();
+    const bool isStarved = Connection->Buffer.size() == 0;
+    if (!chunk.empty())
+      deliver(std::move(chunk));
+    if (IsFinished)
+      break;
+    if (isComplete) {
+      complete();
+      break;
+    }
+    if (isStarved && !IsAwaitingMore) {
+      readMore();
+      break;
+    }
+  }
+  IsFeeding = false;
+}
+
+/// Parses what is in the buffer into \p chunk, up to its limit. False when the
+/// call has ended or more input was asked for.
+bool TargetExchange::parseSome(std::string &chunk) {
+  auto &input = Connection->Buffer;
+  chunk.resize(std::min(Config.ChunkBytes, input.size()));
+  std::size_t filled = 0;
+  while (!Parser->is_done() && input.size() > 0) {
+    auto &body = Parser->get().body();
+    body.data = chunk.data() + filled;
+    body.size = chunk.size() - filled;
+    ErrorCode ec;
+    const std::size_t n = Parser->put(input.data(), ec);
+    input.consume(n);
+    filled = chunk.size() - body.size;
+    if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+      fail(ResultCode::TargetProtocol, ec.message());
+      return false;
+    }
+    if (Parser->is_header_done() && !IsHeadSeen && !onHeader())
+      return false;
+    if (ec == http::error::need_buffer)
+      break;
+    if (n == 0) {
+      // An incomplete element: the rest of it has to come first.
+      if (filled > 0)
+        break;
+      readMore();
+      return false;
+    }
+  }
+  chunk.resize(filled);
+  return true;
+}
+
+/// Looks at a head that is complete. False when the call has ended.
+bool TargetExchange::onHeader() {
+  const auto &response = Parser->get();
+  if (response.result_int() < 200) {
+    // An interim answer; the real one follows.
+    Parser.emplace();
+    Parser->header_limit(MaxAnswerHeaderBytes);
+    Parser->body_limit(boost::none);
+    Parser->skip(Call.Request.Method == "HEAD");
+    return true;
+  }
+  IsHeadSeen = true;
+  HeadAt = base::readMonotonic();
+  if (!Parser->is_done() && !Parser->chunked() && !Parser->content_length()) {
+    // Nobody can tell whether a body that ends with the connection is whole.
+    IsHeadSeen = false;
+    fail(ResultCode::TargetProtocol,
+         "the answer has neither Content-Length nor chunked coding");
+    return false;
+  }
+  IsRefused = isRefusedUnrun(response);
+  if (IsRefused)
+    return true;
+  std::optional<std::uint64_t> length;
+  if (const auto given = Parser->content_length())
+    length = *given;
+  else if (Parser->is_done())
+    length = 0;
+  Sink.Head(readAnswerHead(response, length));
+  return !IsFinished;
+}
+
+void TargetExchange::deliver(std::string chunk) {
+  if (IsRefused) {
+    const std::size_t room = MaxRefusalBytes - RefusalText.size();
+    RefusalText.append(chunk, 0, room);
+    return;
+  }
+  IsAwaitingMore = true;
+  Sink.Chunk(std::move(chunk), [weak = weak_from_this(), &context = Context] {
+    auto self = weak.lock();
+    if (!self)
+      return;
+    if (context.get_executor().running_in_this_thread())
+      return self->onMore();
+    boost::asio::post(context, [self] { self->onMore(); });
+  });
+}
+
+void TargetExchange::onMore() {
+  if (IsFinished || !IsAwaitingMore)
+    return;
+  IsAwaitingMore = false;
+  if (IsFeeding)
+    return;
+  if (Connection->Buffer.size() == 0)
+    return readMore();
+  feed();
+}
+
+void TargetExchange::onLost(ErrorCode ec) {
+  const bool isSilent = !Parser || !Parser->got_some();
+  if (isSilent && Connection->IsReused && Call.Idempotent && retryFresh())
+    return;
+  if (IsRefused)
+    return complete();
+  if (IsHeadSeen)
+    return fail(ResultCode::AnswerTruncated,
+                "the answer ended short: " + ec.message());
+  fail(ResultCode::TargetReset, ec.message());
+}
+
+/// Tries once more on a new connection. False when that was done before.
+bool TargetExchange::retryFresh() {
+  if (std::exchange(HasRetried, true))
+    return false;
+  releaseConnection(false);
+  Parser.reset();
+  takeConnection(true);
+  return true;
+}
+
+void TargetExchange::complete() {
+  TargetOutcome outcome;
+  outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
+  outcome.Latency = HeadAt - StartedAt;
+  outcome.MayHaveRun = !IsRefused;
+  outcome.Answered = !IsRefused;
+  if (IsRefused) {
+    outcome.Code = ResultCode::NotRunTargetRefused;
+    outcome.Message = RefusalText;
+    outcome.RetryAfterMs = readRetryAfterMs(Parser->get());
+  }
+  const bool isReusable = Parser->is_done() && Parser->keep_alive() &&
+                          Connection->Buffer.size() == 0;
+  releaseConnection(isReusable);
+  finish(std::move(outcome));
+  if (!IsRefused)
+    Sink.End();
+}
+
+void TargetExchange::cancel() {
+  fail(ResultCode::NotRunCancelled, "the caller went away");
+}
+
+void TargetExchange::fail(ResultCode code, std::string message) {
+  if (IsFinished)
+    return;
+  releaseConnection(false);
+  TargetOutcome outcome;
+  outcome.MayHaveRun = IsWritten;
+  outcome.Code = code;
+  outcome.Message = std::move(message);
+  if (IsHeadSeen)
+    outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
+  outcome.Latency = (IsHeadSeen ? HeadAt : base::readMonotonic()) - StartedAt;
+  finish(std::move(outcome));
+}
+
+void TargetExchange::finish(TargetOutcome outcome) {
+  IsFinished = true;
+  Timer.cancel();
+  if (auto done = std::exchange(Done, nullptr))
+    done(std::move(outcome));
+}
+
+void TargetExchange::releaseConnection(bool reusable) {
+  if (!Connection)
+    return;
+  if (reusable)
+    return Pool->giveBack(Call.Address, std::move(Connection),
+                          base::readMonotonic());
+  Pool->drop(Call.Address, std::move(Connection));
+}
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/TargetExchange.h
@@ -0,0 +1,79 @@
+// One call to one target, from taking a connection to the last byte.
+#pragma once
+
+#include "gateway/TargetClient.h"
+#include "gateway/internal/ConnectionPool.h"
+#include "gateway/internal/TargetMessage.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace magnoliamill::gateway::internal {
+
+class TargetExchange : public std::enable_shared_from_this<TargetExchange> {
+public:
+  using DoneHook = std::function<void(TargetOutcome)>;
+
+  TargetExchange(boost::asio::io_context &context,
+                 std::shared_ptr<ConnectionPool> pool,
+                 TargetClientConfig config, TargetCall call,
+                 protocol::AnswerSink sink, DoneHook done);
+
+  void start();
+  /// Closes the connection; the call ends with NotRunCancelled as its code.
+  void cancel();
+
+private:
+  using ErrorCode = boost::system::error_code;
+
+  void takeConnection(bool fresh);
+  void connect();
+  void onConnected(ErrorCode ec);
+  void armTimer(base::MonoTime time);
+  void onTimer(base::MonoTime time);
+  void write();
+  void onWritten(ErrorCode ec, std::size_t n);
+  void readMore();
+  void onRead(ErrorCode ec, std::size_t n);
+  void feed();
+  bool parseSome(std::string &chunk);
+  bool onHeader();
+  void deliver(std::string chunk);
+  void onMore();
+  void onLost(ErrorCode ec);
+  bool retryFresh();
+  void complete();
+  void fail(base::ResultCode code, std::string message);
+  void finish(TargetOutcome outcome);
+  void releaseConnection(bool reusable);
+
+  boost::asio::io_context &Context;
+  std::shared_ptr<ConnectionPool> Pool;
+  TargetClientConfig Config;
+  TargetCall Call;
+  protocol::AnswerSink Sink;
+  DoneHook Done;
+  boost::asio::steady_timer Timer;
+  ConnectionPtr Connection;
+  TargetRequest Message;
+  std::optional<TargetResponseParser> Parser;
+  base::MonoTime StartedAt;
+  base::MonoTime HeadAt;
+  /// True when a byte of the request may have left this VM. Never unset.
+  bool IsWritten = false;
+  bool HasRetried = false;
+  bool IsConnecting = false;
+  bool IsHeadSeen = false;
+  /// The target refused before running: the answer is not passed on.
+  bool IsRefused = false;
+  std::string RefusalText;
+  bool IsFeeding = false;
+  /// A chunk is with the receiver, which has not asked for more yet.
+  bool IsAwaitingMore = false;
+  bool IsFinished = false;
+};
+
+} // namespace magnoliamill::gateway::internal
--- /dev/null
+++ b/packages/gateway/internal/TargetMessage.cpp
@@ -0,0 +1,81 @@
+// Translates between calls and HTTP messages.
+#include "gateway/internal/TargetMessage.h"
+
+#include "gateway/internal/HeaderRules.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace magnoliamill::gateway::internal {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Longest delay that is taken over from a target.
+constexpr std::uint32_t MaxRetryAfterMs = 3'600'000;
+
+bool hasBodyByNature(http::verb method) {
+  return method == http::verb::post || method == http::verb::put ||
+         method == http::verb::patch;
+}
+
+} // namespace
+
+TargetRequest buildTargetRequest(const TargetCall &call, base::Duration left) {
+  const auto &request = call.Request;
+  TargetRequest message;
+  message.version(11);
+  message.method_string(request.Method);
+  message.target(request.Target);
+  message.set(http::field::host,
+              call.Address.Host + ":" + std::to_string(call.Address.Port));
+  for (const auto &header : request.Headers)
+    message.insert(header.Name, header.Value);
+  if (call.Token)
+    message.set("Mill-Token", base::formatToken(*call.Token));
+  if (call.Slot)
+    message.set("Mill-Slot", std::to_string(*call.Slot));
+  if (!request.Key.empty())
+    message.set("Mill-Key", request.Key);
+  if (!request.Id.empty())
+    message.set("Mill-Request-Id", request.Id.Value);
+  if (!request.Partner.empty())
+    message.set("Mill-Partner", request.Partner.Value);
+  if (!request.IdempotencyKey.empty())
+    message.set("Idempotency-Key", request.IdempotencyKey);
+  const auto ms = std::max<std::int64_t>(base::toMs(left), 1);
+  message.set("Mill-Deadline-Ms", std::to_string(ms));
+  message.body() = request.Body;
+  if (!request.Body.empty() || hasBodyByNature(message.method()))
+    message.content_length(request.Body.size());
+  return message;
+}
+
+protocol::AnswerHead readAnswerHead(const TargetResponse &response,
+                                    std::optional<std::uint64_t> length) {
+  protocol::AnswerHead head;
+  head.Status = static_cast<std::uint16_t>(response.result_int());
+  for (const auto &field : response)
+    head.Headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  stripForForwarding(head.Headers);
+  head.Length = length;
+  return head;
+}
+
+bool isRefusedUnrun(const TargetResponse &response) {
+  return response.result_int() >= 400 && response["Mill-Not-Run"] == "1";
+}
+
+std::uint32_t readRetryAfterMs(const TargetResponse &response) {
+  const auto text = response[http::field::retry_after];
+  std::uint32_t seconds = 0;
+  const auto [ptr, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (ec != std::errc() || ptr != text.data() + text.size())
+    return 0;
+  return std::min(seconds, MaxRetryAfterMs / 1000) * 1000;
+}
+
+} // namespace magnoliamill::gateway::internal
