protocol: schema, generated code and codecs

The inner protocol needs a schema and a translation to the plain types that the rest of the workspace uses. The generated code is committed and compiled as a system header, so that neither the build needs the generator nor our warnings meet code that isn't ours.

--- /dev/null
+++ b/packages/protocol/internal/Wire.h
@@ -0,0 +1,30 @@
+// The generated code of the schema, and the helpers that both codecs use to
+// move strings between it and the plain types.
+#pragma once
+
+#include <capnp/message.h>
+#include <mill.capnp.h>
+
+#include <string>
+#include <string_view>
+
+namespace magnoliamill::protocol::internal {
+
+/// Text may hold any bytes but is NUL-terminated on the wire.
+inline capnp::Text::Reader asText(const std::string &text) {
+  return {text.c_str(), text.size()};
+}
+
+inline capnp::Data::Reader asData(std::string_view bytes) {
+  return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
+}
+
+inline std::string toString(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+inline std::string toString(capnp::Data::Reader bytes) {
+  return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+} // namespace magnoliamill::protocol::internal
