peer: links between VMs over Cap'n Proto RPC

One thread with a KJ event loop; other threads post through a bounded ring and answers come back by number, so that no KJ object crosses a thread. Ruled out: kj::Executor (a lock and a heap allocation for each call) and holding fulfillers in reply hooks (they would be dropped on other threads). Small answers travel in one message; larger ones are pulled chunk by chunk. Two VMs on loopback: all calls, refusals and group messages pass.

--- a/packages/peer/PeerLinks.h
+++ b/packages/peer/PeerLinks.h
@@ -62,12 +62,22 @@
   std::size_t MaxQueuedBytesPerPeer = 8u << 20;
   /// Only connections from these VMs' addresses are taken, when not empty.
   std::vector<std::string> AllowedHosts;
+  /// Limit for opening a link, including its first heartbeat.
+  base::Duration ConnectTimeout = std::chrono::milliseconds(500);
+  /// Longest mean pause between two attempts to open a link; the first is
+  /// MinReconnectDelay, each later one twice as long. Jittered by half.
+  base::Duration MinReconnectDelay = std::chrono::milliseconds(50);
+  base::Duration MaxReconnectDelay = std::chrono::milliseconds(500);
+  /// Told to the peers with each heartbeat, for their logs.
+  std::uint64_t Incarnation = 0;
 };
 
 /// Safe from any thread, unless said otherwise. Every call has its own timeout,
-/// kept by own timers; a reply hook runs on the peer thread exactly once.
-/// Failure before anything was written is PeerUnreachable or PeerQueueFull;
-/// after that PeerTimeout: the peer may have done it.
+/// kept by own timers; a reply hook runs exactly once, on the peer thread, or
+/// at once on the calling thread when the call is refused (RingFull, Stopping).
+/// Failure before anything was written is PeerUnreachable, PeerQueueFull,
+/// RingFull or Stopping; after that PeerTimeout or PeerProtocol: the peer may
+/// have done it. A VM has no link to itself.
 class PeerLinks {
 public:
   PeerLinks(PeerConfig config, PeerHandlers handlers);
@@ -75,7 +85,11 @@
 
   /// Opens the listener; ListenFailed when the address is taken.
   base::Result<void> start();
+  /// Ends the thread. Calls under way fail as with a lost link; requests being
+  /// served for peers are cancelled.
   void stop();
+  /// The port of the listener, also when the configured one is 0.
+  std::uint16_t listenPort() const;
 
   /// Replaces the address book. Links to VMs that are gone are closed.
   void setPeers(std::vector<PeerAddress> peers);
@@ -103,9 +117,13 @@
   void query(const base::VmId &to, protocol::QueryRequest request,
              base::Duration timeout,
              protocol::Reply<protocol::QueryReply> reply);
-  /// Forwards a caller's request. The failure is NotRunPeerUnreachable only
-  /// when nothing of the request was written to the link; otherwise, when the
-  /// link is lost or silent, OutcomeUnknownPeerLost.
+  /// Forwards a caller's request. The failure is NotRunPeerUnreachable,
+  /// NotRunQueueFull or BodyTooLarge only when nothing of the request was
+  /// written to the link; otherwise, when the link is lost or silent,
+  /// OutcomeUnknownPeerLost, and OutcomeUnknownDeadline when the peer says
+  /// nothing by the deadline and a grace of 100 ms. The peer's own failures
+  /// pass unchanged. After a cancel that came in time the sink hears nothing
+  /// more.
   protocol::CancelHook forward(const base::VmId &to,
                                protocol::ForwardRequest request,
                                protocol::AnswerSink sink);
--- /dev/null
+++ b/packages/peer/internal/Acceptor.cpp
@@ -0,0 +1,121 @@
+// The accepted side of the links.
+#include "peer/internal/Acceptor.h"
+
+#include "base/Log.h"
+#include "peer/internal/CheckedMessageStream.h"
+#include "peer/internal/LinkStream.h"
+#include "peer/internal/PeerMetrics.h"
+#include "peer/internal/PeerServer.h"
+#include "peer/internal/SilenceWatch.h"
+#include "peer/internal/Sockets.h"
+
+#include <algorithm>
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+
+namespace magnoliamill::peer::internal {
+namespace {
+
+using base::ResultCode;
+
+// Pause after accept itself failed, for example for want of descriptors.
+constexpr kj::Duration AcceptPause = 50 * kj::MILLISECONDS;
+
+std::string readPeerHost(kj::AsyncIoStream &stream) {
+  sockaddr_storage address{};
+  kj::uint length = sizeof address;
+  stream.getpeername(reinterpret_cast<sockaddr *>(&address), &length);
+  return formatHost(address);
+}
+
+void logMalformed(const std::string &host, kj::StringPtr reason) {
+  metrics().MalformedLinks.Increment();
+  base::logWarning("peer", ResultCode::PeerProtocol,
+                   "closed a link that carried bad input",
+                   {{"host", host.c_str()}, {"reason", reason.cStr()}});
+}
+
+} // namespace
+
+struct Acceptor::Accepted {
+  Accepted(LoopContext &context, kj::Own<kj::AsyncIoStream> stream,
+           const std::string &host)
+      : Stream(kj::mv(stream)),
+        Messages(Stream,
+                 [host](kj::StringPtr reason) { logMalformed(host, reason); }),
+        Network(Messages, capnp::rpc::twoparty::Side::SERVER),
+        Rpc(capnp::makeRpcServer(Network, kj::heap<PeerServer>(context))),
+        Watch(context.Config.HeartbeatInterval, context.Config.SilenceLimit,
+              base::readMonotonic()) {
+    metrics().ConnectionsAccepted.Increment();
+  }
+  ~Accepted() noexcept(false) {
+    Messages.ignoreAborts();
+    metrics().ConnectionsAccepted.Decrement();
+  }
+  KJ_DISALLOW_COPY(Accepted);
+
+  LinkStream Stream;
+  CheckedMessageStream Messages;
+  capnp::TwoPartyVatNetwork Network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> Rpc;
+  SilenceWatch Watch;
+};
+
+Acceptor::Acceptor(LoopContext &context,
+                   kj::Own<kj::ConnectionReceiver> listener)
+    : Context(context), Listener(kj::mv(listener)), Tasks(*this) {
+  Tasks.add(acceptLoop());
+}
+
+kj::Promise<void> Acceptor::acceptLoop() {
+  return Listener->accept()
+      .then([this](kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void> {
+        take(kj::mv(stream));
+        return kj::READY_NOW;
+      })
+      .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
+        base::logWarning("peer", ResultCode::PeerRefused,
+                         "could not take a connection",
+                         {{"reason", exception.getDescription().cStr()}});
+        return Context.Timer.afterDelay(AcceptPause);
+      })
+      .then([this] { return acceptLoop(); });
+}
+
+void Acceptor::take(kj::Own<kj::AsyncIoStream> stream) {
+  std::string host = readPeerHost(*stream);
+  if (!isAllowed(host)) {
+    metrics().RefusedConnections.Increment();
+    base::logWarning("peer", ResultCode::PeerRefused,
+                     "refused a connection from a host that is not a peer",
+                     {{"host", host.c_str()}});
+    return;
+  }
+  auto accepted = kj::heap<Accepted>(Context, kj::mv(stream), host);
+  auto ended =
+      accepted->Network.onDisconnect().exclusiveJoin(watchSilence(*accepted));
+  Tasks.add(ended.attach(kj::mv(accepted)));
+}
+
+bool Acceptor::isAllowed(const std::string &host) const {
+  const auto &allowed = Context.Config.AllowedHosts;
+  return allowed.empty() || std::ranges::find(allowed, host) != allowed.end();
+}
+
+kj::Promise<void> Acceptor::watchSilence(Accepted &accepted) {
+  return Context.Timer.afterDelay(toKj(Context.Config.HeartbeatInterval))
+      .then([this, &accepted]() -> kj::Promise<void> {
+        if (accepted.Watch.isSilent(accepted.Stream.lastHeard(),
+                                    base::readMonotonic()))
+          return kj::READY_NOW;
+        return watchSilence(accepted);
+      });
+}
+
+void Acceptor::taskFailed(kj::Exception &&exception) {
+  base::logInfo("peer", "a connection from a peer ended",
+                {{"reason", exception.getDescription().cStr()}});
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/AnswerRelay.cpp
@@ -0,0 +1,169 @@
+// When an answer leaves and in how many parts.
+#include "peer/internal/AnswerRelay.h"
+
+#include "peer/internal/AnswerDesk.h"
+#include "peer/internal/PeerMetrics.h"
+#include "protocol/internal/CallCodec.h"
+
+#include <kj/debug.h>
+
+namespace magnoliamill::peer::internal {
+namespace {
+
+using protocol::internal::asData;
+using protocol::internal::encode;
+
+// How long the beginning of an answer waits for the rest of a small body.
+constexpr kj::Duration HoldLimit = 2 * kj::MILLISECONDS;
+
+// Hands out the body of a relay that did not fit into its first message.
+class RelayReader final : public protocol::wire::BodyReader::Server {
+public:
+  explicit RelayReader(kj::Own<AnswerRelay> relay) : Relay(kj::mv(relay)) {}
+
+  kj::Promise<void> read(ReadContext context) override {
+    context.allowCancellation();
+    return Relay->whenPart().then([this, context]() mutable {
+      Relay->writePart(context.getResults().initResult());
+    });
+  }
+
+private:
+  kj::Own<AnswerRelay> Relay;
+};
+
+} // namespace
+
+AnswerRelay::AnswerRelay(LoopContext &context)
+    : Context(context), Id(context.Desk.add(*this)) {}
+
+AnswerRelay::~AnswerRelay() noexcept(false) {
+  Context.Desk.remove(Id);
+  clearBody();
+  if (!IsFinished && Cancel)
+    Cancel();
+}
+
+kj::Promise<void> AnswerRelay::begin(protocol::ForwardRequest request) {
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  Ready = kj::mv(paf.fulfiller);
+  if (Context.Handlers.OnForward)
+    Cancel = Context.Handlers.OnForward(std::move(request),
+                                        Context.Desk.makeSink(Id));
+  else
+    takeFailure({base::ResultCode::NotRunNotReady, "no dispatcher here", 0});
+  return kj::mv(paf.promise);
+}
+
+void AnswerRelay::takeHead(protocol::AnswerHead head) {
+  if (Head || IsReady)
+    return;
+  Head = std::move(head);
+  HoldTimer = Context.Timer.afterDelay(HoldLimit)
+                  .then([this] { becomeReady(); })
+                  .eagerlyEvaluate(nullptr);
+}
+
+void AnswerRelay::takeChunk(std::string chunk, std::function<void()> more) {
+  metrics().AnswerBytesBuffered.Increment(static_cast<double>(chunk.size()));
+  if (Body.empty())
+    Body = std::move(chunk);
+  else
+    Body += chunk;
+  More = std::move(more);
+  if (IsAnswered)
+    return wakeReader();
+  if (isWhole() || Body.size() > InlineBytes)
+    becomeReady();
+  if (isWhole() || Body.size() <= InlineBytes)
+    askForMore();
+}
+
+void AnswerRelay::takeEnd() {
+  IsEnded = true;
+  becomeReady();
+  wakeReader();
+}
+
+void AnswerRelay::takeFailure(protocol::RequestFailure failure) {
+  Failure = std::move(failure);
+  becomeReady();
+  wakeReader();
+}
+
+void AnswerRelay::writeAnswer(
+    protocol::wire::Peer::ForwardResults::Builder results) {
+  IsAnswered = true;
+  auto result = results.initResult();
+  if (Failure || !Head) {
+    IsFinished = true;
+    encode(Failure.value_or(protocol::RequestFailure{
+               base::ResultCode::OutcomeUnknown, "the answer has no head", 0}),
+           result.initFailure());
+    return;
+  }
+  auto answer = result.initOk();
+  encode(*Head, answer.initHead());
+  answer.setChunk(asData(Body));
+  IsFinished = IsEnded || isWhole();
+  clearBody();
+  if (IsFinished)
+    return;
+  answer.setRest(kj::heap<RelayReader>(kj::addRef(*this)));
+  askForMore();
+}
+
+kj::Promise<void> AnswerRelay::whenPart() {
+  KJ_REQUIRE(PartReady == nullptr, "the last part is still being read");
+  if (hasPart())
+    return kj::READY_NOW;
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  PartReady = kj::mv(paf.fulfiller);
+  return paf.promise.attach(kj::defer([this] { PartReady = nullptr; }));
+}
+
+void AnswerRelay::writePart(protocol::wire::BodyReader::Part::Builder part) {
+  part.setChunk(asData(Body));
+  clearBody();
+  IsFinished = IsEnded || Failure;
+  if (Failure)
+    encode(*Failure, part.initFailure());
+  else if (IsEnded)
+    part.setEnd();
+  else
+    part.setMore();
+  // The duty prepares the next chunk while this one travels.
+  askForMore();
+}
+
+bool AnswerRelay::isWhole() const {
+  return Head && Head->Length == Body.size() && !IsAnswered;
+}
+
+void AnswerRelay::becomeReady() {
+  if (IsReady)
+    return;
+  IsReady = true;
+  Ready->fulfill();
+}
+
+void AnswerRelay::wakeReader() {
+  KJ_IF_MAYBE (fulfiller, PartReady) {
+    (*fulfiller)->fulfill();
+  }
+}
+
+void AnswerRelay::askForMore() {
+  if (!More)
+    return;
+  auto more = std::move(More);
+  More = nullptr;
+  more();
+}
+
+void AnswerRelay::clearBody() {
+  metrics().AnswerBytesBuffered.Decrement(static_cast<double>(Body.size()));
+  Body.clear();
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/CheckedMessageStream.h
@@ -0,0 +1,43 @@
+// Messages over a LinkStream, with a look at what the RPC system gives up for.
+#pragma once
+
+#include <capnp/serialize-async.h>
+#include <kj/async-io.h>
+#include <kj/string.h>
+
+#include <functional>
+
+namespace magnoliamill::peer::internal {
+
+/// The RPC system ends a link that carried bad input by an abort message that
+/// says why: OnAbort is told before it is written.
+class CheckedMessageStream final : public capnp::MessageStream {
+public:
+  CheckedMessageStream(kj::AsyncIoStream &stream,
+                       std::function<void(kj::StringPtr)> abort)
+      : Inner(stream), OnAbort(std::move(abort)) {}
+
+  /// Called before this side itself closes the link.
+  void ignoreAborts() { OnAbort = nullptr; }
+
+  kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>>
+  tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fds,
+                 capnp::ReaderOptions options,
+                 kj::ArrayPtr<capnp::word> scratch) override;
+  kj::Promise<void> writeMessage(
+      kj::ArrayPtr<const int> fds,
+      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
+  kj::Promise<void> writeMessages(
+      kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>>
+          messages) override;
+  kj::Maybe<int> getSendBufferSize() override;
+  kj::Promise<void> end() override;
+
+private:
+  void inspect(kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments);
+
+  capnp::AsyncIoMessageStream Inner;
+  std::function<void(kj::StringPtr)> OnAbort;
+};
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/ForwardCall.h
@@ -0,0 +1,57 @@
+// The asking side of one forwarded request.
+#pragma once
+
+#include "peer/internal/CallTable.h"
+#include "peer/internal/LoopContext.h"
+#include "protocol/internal/Wire.h"
+
+#include <cstdint>
+#include <functional>
+#include <kj/common.h>
+
+namespace magnoliamill::peer::internal {
+
+/// The failure of a request of which nothing was written, because of \p error.
+protocol::RequestFailure describeNotSent(const base::Error &error);
+
+/// Pulls the answer part by part and gives it to the sink. Owned by its link;
+/// used on the peer thread only.
+class ForwardCall {
+public:
+  /// \p ask posts a request for the next part to the peer thread; it is called
+  /// from any thread. \p done is called when nothing is left to do: it may
+  /// destroy this object later, not at once.
+  ForwardCall(CallTable &calls, protocol::AnswerSink sink,
+              std::function<void(std::uint64_t)> ask,
+              std::function<void()> done);
+  ~ForwardCall() noexcept(false);
+  KJ_DISALLOW_COPY(ForwardCall);
+
+  void start(protocol::wire::Peer::Client &remote,
+             const protocol::ForwardRequest &request, std::size_t bytes);
+  /// Reads the part with this number; ignored when it was asked for before.
+  void pull(std::uint64_t part);
+
+private:
+  using Answer = capnp::Response<protocol::wire::Peer::ForwardResults>;
+  using Part = capnp::Response<protocol::wire::BodyReader::ReadResults>;
+
+  void takeAnswer(Answer answer);
+  void takePart(Part response);
+  void giveChunk(std::string chunk);
+  CallTable::FailHook makeFailHook();
+  void end();
+  void fail(protocol::RequestFailure failure);
+
+  CallTable &Calls;
+  protocol::AnswerSink Sink;
+  std::function<void(std::uint64_t)> Ask;
+  std::function<void()> Done;
+  // The step under way in Calls.
+  std::uint64_t Step = 0;
+  // Number of the part that may be pulled next.
+  std::uint64_t NextPart = 1;
+  kj::Maybe<protocol::wire::BodyReader::Client> Rest;
+};
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/LinkStream.cpp
@@ -0,0 +1,109 @@
+// Reading ahead.
+#include "peer/internal/LinkStream.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace magnoliamill::peer::internal {
+namespace {
+
+constexpr std::size_t ReadAheadBytes = 64 * 1024;
+
+} // namespace
+
+LinkStream::LinkStream(kj::Own<kj::AsyncIoStream> inner)
+    : Inner(kj::mv(inner)), LastHeard(base::readMonotonic()),
+      Buffer(ReadAheadBytes) {}
+
+kj::Promise<std::size_t> LinkStream::tryRead(void *buffer, std::size_t least,
+                                             std::size_t most) {
+  auto *out = static_cast<kj::byte *>(buffer);
+  std::size_t taken = takeBuffered(out, most);
+  if (taken >= least)
+    return taken;
+  // What is longer than the buffer goes straight to its place.
+  if (least - taken >= Buffer.size())
+    return readThrough(out, taken, least, most);
+  return refill(out, taken, least, most);
+}
+
+std::size_t LinkStream::takeBuffered(kj::byte *out, std::size_t most) {
+  std::size_t n = std::min(most, End - Begin);
+  if (n > 0)
+    std::memcpy(out, Buffer.data() + Begin, n);
+  Begin += n;
+  return n;
+}
+
+kj::Promise<std::size_t> LinkStream::refill(kj::byte *out, std::size_t taken,
+                                            std::size_t least,
+                                            std::size_t most) {
+  // Reached with an empty buffer only.
+  std::size_t missing = least - taken;
+  return Inner->tryRead(Buffer.data(), missing, Buffer.size())
+      .then([this, out, taken, most](std::size_t n) {
+        noteArrival(n);
+        Begin = 0;
+        End = n;
+        return taken + takeBuffered(out + taken, most - taken);
+      });
+}
+
+kj::Promise<std::size_t> LinkStream::readThrough(kj::byte *out,
+                                                 std::size_t taken,
+                                                 std::size_t least,
+                                                 std::size_t most) {
+  // In pieces, so that a long message counts as a sign of life while it comes.
+  std::size_t piece = std::min(most - taken, Buffer.size());
+  return Inner->tryRead(out + taken, 1, piece)
+      .then([this, out, taken, least,
+             most](std::size_t n) -> kj::Promise<std::size_t> {
+        noteArrival(n);
+        std::size_t total = taken + n;
+        if (n == 0 || total >= least)
+          return total;
+        return readThrough(out, total, least, most);
+      });
+}
+
+void LinkStream::noteArrival(std::size_t n) {
+  if (n > 0)
+    LastHeard = base::readMonotonic();
+}
+
+kj::Promise<void> LinkStream::write(const void *buffer, std::size_t size) {
+  return Inner->write(buffer, size);
+}
+
+kj::Promise<void>
+LinkStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) {
+  return Inner->write(pieces);
+}
+
+kj::Promise<void> LinkStream::whenWriteDisconnected() {
+  return Inner->whenWriteDisconnected();
+}
+
+void LinkStream::shutdownWrite() { Inner->shutdownWrite(); }
+
+void LinkStream::abortRead() { Inner->abortRead(); }
+
+void LinkStream::getsockopt(int level, int option, void *value,
+                            kj::uint *length) {
+  Inner->getsockopt(level, option, value, length);
+}
+
+void LinkStream::setsockopt(int level, int option, const void *value,
+                            kj::uint length) {
+  Inner->setsockopt(level, option, value, length);
+}
+
+void LinkStream::getsockname(struct sockaddr *address, kj::uint *length) {
+  Inner->getsockname(address, length);
+}
+
+void LinkStream::getpeername(struct sockaddr *address, kj::uint *length) {
+  Inner->getpeername(address, length);
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/LoopContext.h
@@ -0,0 +1,35 @@
+// What the parts on the peer thread share.
+#pragma once
+
+#include "base/Time.h"
+#include "peer/PeerLinks.h"
+#include "peer/internal/Mailbox.h"
+
+#include <cstdint>
+#include <kj/async-io.h>
+#include <kj/time.h>
+#include <memory>
+#include <random>
+
+namespace magnoliamill::peer::internal {
+
+class AnswerDesk;
+
+inline kj::Duration toKj(base::Duration duration) {
+  return duration.count() * kj::MICROSECONDS;
+}
+
+/// Lives as long as the event loop; used on the peer thread only, but for
+/// Mailbox.
+struct LoopContext {
+  kj::AsyncIoContext &Io;
+  kj::Timer &Timer;
+  const PeerConfig &Config;
+  const PeerHandlers &Handlers;
+  std::shared_ptr<Mailbox> Posts;
+  AnswerDesk &Desk;
+  /// For jitter only.
+  std::minstd_rand Random;
+};
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/Mailbox.cpp
@@ -0,0 +1,77 @@
+// Ring and answer list of the peer thread.
+#include "peer/internal/Mailbox.h"
+
+#include "peer/internal/PeerMetrics.h"
+
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+
+namespace magnoliamill::peer::internal {
+
+Mailbox::Mailbox(std::size_t capacity)
+    : WakeHandle(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
+      Ring(capacity, [this] { wake(); }) {}
+
+Mailbox::~Mailbox() { ::close(WakeHandle); }
+
+bool Mailbox::tryPost(base::Task task) {
+  if (!enter())
+    return false;
+  bool posted = Ring.tryPost(std::move(task));
+  leave();
+  if (!posted)
+    metrics().RingRefusals.Increment();
+  return posted;
+}
+
+void Mailbox::postAnswer(base::Task task) {
+  if (!enter())
+    return;
+  bool isFirst = false;
+  {
+    std::lock_guard lock(AnswersMutex);
+    isFirst = Answers.empty();
+    Answers.push_back(std::move(task));
+  }
+  // Only the first one after a drain has to wake the thread.
+  if (isFirst)
+    wake();
+  leave();
+}
+
+void Mailbox::runPending() {
+  // Taken first and run last: a cancel that was posted after its call then
+  // finds the call.
+  std::vector<base::Task> batch;
+  {
+    std::lock_guard lock(AnswersMutex);
+    batch.swap(Answers);
+  }
+  Ring.runPending();
+  for (auto &task : batch)
+    task();
+}
+
+void Mailbox::close() {
+  Closed.store(true);
+  while (Posting.load() != 0)
+    std::this_thread::yield();
+}
+
+bool Mailbox::enter() {
+  Posting.fetch_add(1);
+  if (!Closed.load())
+    return true;
+  leave();
+  return false;
+}
+
+void Mailbox::wake() const {
+  const std::uint64_t one = 1;
+  // Fails only when the counter is full, and then the thread is woken anyway.
+  [[maybe_unused]] auto written = write(WakeHandle, &one, sizeof one);
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/PeerLink.h
@@ -0,0 +1,113 @@
+// The link to one peer: opened, kept alive by heartbeats, closed when silent
+// and opened anew.
+#pragma once
+
+#include "peer/internal/CallTable.h"
+#include "peer/internal/ForwardCall.h"
+#include "peer/internal/GroupQueue.h"
+#include "peer/internal/LinkConnection.h"
+#include "peer/internal/LivenessTable.h"
+#include "peer/internal/LoopContext.h"
+#include "peer/internal/SilenceWatch.h"
+#include "protocol/internal/CallCodec.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace magnoliamill::peer::internal {
+
+/// Used on the peer thread only. Every call handed to it ends exactly once.
+class PeerLink final : private kj::TaskSet::ErrorHandler {
+public:
+  /// \p ask posts to the peer thread that a part of a forwarded answer is
+  /// wanted: (number of the call, number of the part).
+  using AskHook = std::function<void(std::uint64_t, std::uint64_t)>;
+
+  PeerLink(LoopContext &context, PeerAddress address,
+           std::shared_ptr<AliveUntil> alive, AskHook ask);
+  ~PeerLink() noexcept(false);
+  KJ_DISALLOW_COPY(PeerLink);
+
+  const PeerAddress &address() const { return Address; }
+
+  /// One of the request functions of wire::Peer::Client.
+  template <typename Params, typename Results>
+  using Method = capnp::Request<Params, Results> (
+      protocol::wire::Peer::Client::*)(kj::Maybe<capnp::MessageSize>);
+  template <typename Params, typename Results, typename Request, typename Reply>
+  void call(Method<Params, Results> method, const Request &request,
+            base::Duration timeout, protocol::Reply<Reply> reply);
+  void forward(std::uint64_t id, const protocol::ForwardRequest &request,
+               protocol::AnswerSink sink);
+  void cancelForward(std::uint64_t id) { Forwards.erase(id); }
+  void pullForward(std::uint64_t id, std::uint64_t part);
+
+  void queueMessages(std::vector<protocol::GroupMessage> messages);
+  /// Sends what queueMessages collected in this turn of the loop.
+  void flushMessages();
+  /// Fails everything under way; the link takes nothing more.
+  void shutDown(const base::Error &error);
+
+private:
+  void open();
+  kj::Promise<kj::Own<kj::AsyncIoStream>> connect();
+  kj::Promise<void> greet(kj::Own<kj::AsyncIoStream> stream);
+  void becomeUp();
+  void retryLater();
+  kj::Promise<void> watch(std::uint64_t generation);
+  void beat();
+  void noteAlive();
+  /// Closes the present connection, fails its calls and opens a new one.
+  void lose(const base::Error &error);
+  void drop(const base::Error &error);
+  void sendBatch(GroupQueue::Batch batch);
+  std::optional<base::Error> refuse(std::size_t bytes);
+  void taskFailed(kj::Exception &&exception) override;
+
+  LoopContext &Context;
+  const PeerAddress Address;
+  const std::shared_ptr<AliveUntil> Alive;
+  const AskHook Ask;
+  // Counts connections: what belongs to an older one is ignored.
+  std::uint64_t Generation = 0;
+  unsigned FailedAttempts = 0;
+  bool IsUp = false;
+  bool IsShutDown = false;
+  kj::Maybe<kj::Own<LinkConnection>> Connection;
+  std::optional<SilenceWatch> Silence;
+  GroupQueue Messages;
+  CallTable Calls;
+  std::unordered_map<std::uint64_t, std::unique_ptr<ForwardCall>> Forwards;
+  // Last, so that no task outlives what it uses.
+  kj::TaskSet Tasks;
+};
+
+template <typename Params, typename Results, typename Request, typename Reply>
+void PeerLink::call(Method<Params, Results> method, const Request &request,
+                    base::Duration timeout, protocol::Reply<Reply> reply) {
+  std::size_t bytes = protocol::internal::estimateBytes(request);
+  if (auto error = refuse(bytes))
+    return reply(base::fail(std::move(*error)));
+  KJ_IF_MAYBE (connection, Connection) {
+    auto message = ((*connection)->remote().*method)(
+        capnp::MessageSize{bytes / sizeof(capnp::word) + 1, 0});
+    protocol::internal::encode(request, message.initRequest());
+    using Response = capnp::Response<Results>;
+    Calls.run<Response>(
+        message.send(),
+        [reply](Response &&response) {
+          auto result = response.getResult();
+          if (result.isFailure())
+            return reply(base::fail(
+                protocol::internal::decodeError(result.getFailure())));
+          reply(protocol::internal::decode(result.getOk()));
+        },
+        [reply](CallFault, base::Error error) {
+          reply(base::fail(std::move(error)));
+        },
+        timeout);
+  }
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/PeerLoop.cpp
@@ -0,0 +1,157 @@
+// Turns of the peer thread.
+#include "peer/internal/PeerLoop.h"
+
+#include "base/Log.h"
+#include "peer/internal/Acceptor.h"
+#include "peer/internal/KjLog.h"
+#include "peer/internal/PeerMetrics.h"
+
+#include <algorithm>
+#include <kj/async-unix.h>
+#include <kj/io.h>
+
+namespace magnoliamill::peer::internal {
+
+using base::ResultCode;
+
+// What exists only while the loop runs.
+struct PeerLoop::Running {
+  Running(PeerLoop &loop, kj::AsyncIoContext &io)
+      : Io(io), Context{io,
+                        io.provider->getTimer(),
+                        loop.Config,
+                        loop.Handlers,
+                        loop.Posts,
+                        loop.Desk,
+                        std::minstd_rand{}},
+        Wake(io.unixEventPort, loop.Posts->wakeHandle(),
+             kj::UnixEventPort::FdObserver::OBSERVE_READ),
+        Quit(kj::newPromiseAndFulfiller<void>()) {
+    Context.Random.seed(std::random_device{}());
+  }
+
+  // Runs \p turn whenever the mailbox has tasks.
+  kj::Promise<void> pump(const std::function<void()> &turn) {
+    // Asked first: what is posted during the turn wakes the loop again.
+    auto woken = Wake.whenBecomesReadable();
+    turn();
+    return woken.then([this, &turn] { return pump(turn); });
+  }
+
+  kj::AsyncIoContext &Io;
+  LoopContext Context;
+  kj::UnixEventPort::FdObserver Wake;
+  kj::PromiseFulfillerPair<void> Quit;
+};
+
+PeerLoop::PeerLoop(PeerConfig config, PeerHandlers handlers,
+                   std::shared_ptr<Mailbox> posts, LivenessTable &liveness)
+    : Config(std::move(config)), Handlers(std::move(handlers)),
+      Posts(std::move(posts)), Liveness(liveness), Desk(Posts) {}
+
+PeerLoop::~PeerLoop() = default;
+
+void PeerLoop::run(int listener) {
+  KjLog log;
+  auto io = kj::setupAsyncIo();
+  Running running(*this, io);
+  Current = &running;
+  {
+    constexpr auto flags = kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+                           kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK;
+    Acceptor acceptor(running.Context, io.lowLevelProvider->wrapListenSocketFd(
+                                           kj::AutoCloseFd(listener), flags));
+    std::function<void()> turn = [this] { drain(); };
+    auto pump = running.pump(turn).eagerlyEvaluate([](kj::Exception &&fault) {
+      base::logError("peer", ResultCode::Internal,
+                     fault.getDescription().cStr());
+      // A thread that is half done must not go on: the platform restarts us.
+      std::abort();
+    });
+    running.Quit.promise.wait(io.waitScope);
+    finish();
+  }
+  Current = nullptr;
+}
+
+void PeerLoop::quit() { Current->Quit.fulfiller->fulfill(); }
+
+void PeerLoop::finish() {
+  for (auto &[vm, link] : Links)
+    link->shutDown({ResultCode::PeerTimeout, "this VM is stopping"});
+  Posts->close();
+  Posts->runPending();
+  for (auto &[vm, link] : Links)
+    Liveness.remove(vm);
+  Links.clear();
+}
+
+void PeerLoop::drain() {
+  Posts->runPending();
+  // One batch for all that was posted in this turn.
+  auto unflushed = std::move(Unflushed);
+  Unflushed.clear();
+  for (const auto &vm : unflushed)
+    if (auto *link = findLink(vm))
+      link->flushMessages();
+}
+
+void PeerLoop::setPeers(std::vector<PeerAddress> peers) {
+  if (!Current || Posts->isClosed())
+    return;
+  std::erase_if(Links, [&](const auto &entry) {
+    bool isKept =
+        std::ranges::find(peers, entry.second->address()) != peers.end();
+    if (!isKept)
+      Liveness.remove(entry.first);
+    return !isKept;
+  });
+  for (const auto &peer : peers)
+    if (peer.Vm != Config.Self.Vm && !Links.contains(peer.Vm))
+      openLink(peer);
+}
+
+void PeerLoop::openLink(const PeerAddress &peer) {
+  auto ask = [this, vm = peer.Vm, posts = Posts](std::uint64_t id,
+                                                 std::uint64_t part) {
+    posts->postAnswer([this, vm, id, part] {
+      if (auto *link = findLink(vm))
+        link->pullForward(id, part);
+    });
+  };
+  Links.emplace(peer.Vm, std::make_unique<PeerLink>(Current->Context, peer,
+                                                    Liveness.add(peer.Vm),
+                                                    std::move(ask)));
+}
+
+PeerLink *PeerLoop::findLink(const base::VmId &vm) {
+  auto it = Links.find(vm);
+  return it == Links.end() ? nullptr : it->second.get();
+}
+
+void PeerLoop::forward(std::uint64_t id, const base::VmId &vm,
+                       const protocol::ForwardRequest &request,
+                       protocol::AnswerSink sink) {
+  if (auto *link = findLink(vm))
+    return link->forward(id, request, std::move(sink));
+  sink.Fail({ResultCode::NotRunPeerUnreachable,
+             "no VM of this name: " + vm.Value, 0});
+}
+
+void PeerLoop::cancelForward(std::uint64_t id, const base::VmId &vm) {
+  if (auto *link = findLink(vm))
+    link->cancelForward(id);
+}
+
+void PeerLoop::queueMessages(const base::VmId &vm,
+                             std::vector<protocol::GroupMessage> messages) {
+  auto *link = findLink(vm);
+  if (!link) {
+    metrics().MessagesDropped.Increment(static_cast<double>(messages.size()));
+    return;
+  }
+  link->queueMessages(std::move(messages));
+  Unflushed.push_back(vm);
+}
+
+} // namespace magnoliamill::peer::internal
--- /dev/null
+++ b/packages/peer/internal/PeerLoop.h
@@ -0,0 +1,58 @@
+// The peer thread's event loop and everything that lives on it.
+#pragma once
+
+#include "peer/internal/AnswerDesk.h"
+#include "peer/internal/LivenessTable.h"
+#include "peer/internal/LoopContext.h"
+#include "peer/internal/PeerLink.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace magnoliamill::peer::internal {
+
+/// Constructed and destroyed anywhere, run on the peer thread; all other
+/// functions are called from tasks in the mailbox.
+class PeerLoop {
+public:
+  PeerLoop(PeerConfig config, PeerHandlers handlers,
+           std::shared_ptr<Mailbox> posts, LivenessTable &liveness);
+  ~PeerLoop();
+
+  /// Serves \p listener and the links until quit() is called. Takes the socket.
+  void run(int listener);
+  void quit();
+  /// Ends the tasks that are left in the mailbox: their calls fail.
+  void finish();
+
+  void setPeers(std::vector<PeerAddress> peers);
+  /// Null when \p vm is not in the address book.
+  PeerLink *findLink(const base::VmId &vm);
+  void forward(std::uint64_t id, const base::VmId &vm,
+               const protocol::ForwardRequest &request,
+               protocol::AnswerSink sink);
+  void cancelForward(std::uint64_t id, const base::VmId &vm);
+  void queueMessages(const base::VmId &vm,
+                     std::vector<protocol::GroupMessage> messages);
+
+private:
+  struct Running;
+
+  void drain();
+  void openLink(const PeerAddress &peer);
+
+  const PeerConfig Config;
+  const PeerHandlers Handlers;
+  const std::shared_ptr<Mailbox> Posts;
+  LivenessTable &Liveness;
+  AnswerDesk Desk;
+  // Null while run() is not running.
+  Running *Current = nullptr;
+  // Links with messages that were queued in this turn.
+  std::vector<base::VmId> Unflushed;
+  std::map<base::VmId, std::unique_ptr<PeerLink>> Links;
+};
+
+} // namespace magnoliamill::peer::internal
--- a/packages/protocol/Messages.h
+++ b/packages/protocol/Messages.h
@@ -69,6 +69,7 @@
 /// Receives one answer: either Fail once, or Head once, then Chunk any number
 /// of times, then End or (when the body ends short) Fail. The three are called
 /// on the thread of the one who gives the answer; receivers post to their own.
+/// End and Fail may follow a chunk without waiting for its more().
 struct AnswerSink {
   std::function<void(AnswerHead)> Head;
   /// \p more asks for the next chunk: the giver holds at most one
