--- /dev/null
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -0,0 +1,286 @@
+// The dispatcher's story: admission, fairness, limits, retries, draining.
+#include "dispatch/Dispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+using namespace magnoliamill;
+using namespace magnoliamill::dispatch;
+using base::operator""ms;
+
+namespace {
+
+const base::VmId Self("vm-1");
+const base::ServiceId Keyed("press-orders");
+const base::ServiceId Keyless("art-vault");
+
+settings::ViewPtr makeSettings() {
+  auto view = std::make_shared<settings::View>();
+  for (const auto &id : {Keyed, Keyless}) {
+    settings::ServiceView service;
+    service.Id = id;
+    service.Keyed = id == Keyed;
+    service.Slots = service.Keyed ? 4 : 0;
+    service.QueueLimitPerTarget = 8;
+    view->Services[id] = service;
+  }
+  return view;
+}
+
+std::shared_ptr<ownership::View> makeOwnership() {
+  auto view = std::make_shared<ownership::View>();
+  auto add = [&](const char *instance, const base::ServiceId &service) {
+    ownership::TargetView target;
+    target.Instance = base::TargetInstanceId(instance);
+    target.Service = service;
+    target.Slots = 3;
+    target.Dispatcher = Self;
+    target.DispatchToken = {1, 1};
+    view->Targets[target.Instance] = target;
+  };
+  add("press-a", Keyed);
+  add("vault-a", Keyless);
+  add("vault-b", Keyless);
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    ownership::SlotView slot;
+    slot.Owner = base::TargetInstanceId("press-a");
+    slot.Token = {1, 10 + n};
+    view->Slots[Keyed].push_back(slot);
+  }
+  return view;
+}
+
+struct Bench {
+  Dispatcher Subject{{.Self = Self, .MayStart = nullptr}};
+  base::MonoTime Now{std::chrono::seconds(100)};
+  int Next = 0;
+
+  Bench() {
+    Subject.setSettings(makeSettings(), Now);
+    Subject.setOwnership(makeOwnership(), Now);
+  }
+
+  RequestInfo request(const base::ServiceId &service,
+                      const char *partner = "p") {
+    RequestInfo info;
+    info.Id = base::RequestId(fmt::format("r{}", Next++));
+    info.Service = service;
+    info.Partner = base::PartnerId(partner);
+    if (service == Keyed)
+      info.Slot = 1;
+    info.Deadline = Now + 2000ms;
+    return info;
+  }
+
+  DispatchActions answer(const base::RequestId &id) {
+    AttemptOutcome outcome;
+    outcome.Answered = true;
+    outcome.MayHaveRun = true;
+    outcome.Latency = 5ms;
+    return Subject.finish(id, outcome, Now);
+  }
+
+  /// Answers requests one after the other until the target's limit has grown.
+  void warmUp(const base::ServiceId &service) {
+    for (int i = 0; i < 20; ++i) {
+      auto started = Subject.submit(request(service), Now).Start;
+      REQUIRE(started.size() == 1);
+      answer(started.front().Request);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("A target never runs more than its slots", "[dispatch]") {
+  Bench bench;
+  SECTION("a cold target starts with one request at a time") {
+    REQUIRE(
+        bench.Subject.submit(bench.request(Keyed), bench.Now).Start.size() ==
+        1);
+    REQUIRE(
+        bench.Subject.submit(bench.request(Keyed), bench.Now).Start.empty());
+  }
+  SECTION("a warm one gets all its slots and not one more") {
+    bench.warmUp(Keyed);
+    std::size_t started = 0;
+    for (int i = 0; i < 8; ++i)
+      started +=
+          bench.Subject.submit(bench.request(Keyed), bench.Now).Start.size();
+    REQUIRE(started == 3);
+    REQUIRE(bench.Subject.countInFlight(base::TargetInstanceId("press-a")) ==
+            3);
+    REQUIRE(bench.Subject.countQueued() == 5);
+  }
+}
+
+TEST_CASE("A request that cannot make its deadline is refused at once",
+          "[dispatch]") {
+  Bench bench;
+  bench.warmUp(Keyed);
+  for (int i = 0; i < 8; ++i)
+    bench.Subject.submit(bench.request(Keyed), bench.Now);
+  auto late = bench.request(Keyed);
+  late.Deadline = bench.Now + 6ms;
+  auto actions = bench.Subject.submit(late, bench.Now);
+  REQUIRE(actions.End.size() == 1);
+  REQUIRE(actions.End[0].Failure.Code == base::ResultCode::NotRunDeadline);
+  REQUIRE(actions.End[0].Failure.RetryAfterMs > 0);
+}
+
+TEST_CASE("A flooding partner does not take the others' share", "[dispatch]") {
+  Bench bench;
+  bench.warmUp(Keyed);
+  std::map<std::string, int> served;
+  std::vector<base::RequestId> running;
+  std::map<base::RequestId, std::string> partnerOf;
+  std::set<base::RequestId> refused;
+  auto take = [&](const DispatchActions &actions) {
+    for (const auto &start : actions.Start)
+      running.push_back(start.Request);
+    for (const auto &end : actions.End)
+      refused.insert(end.Request);
+  };
+  for (int round = 0; round < 300; ++round) {
+    for (int i = 0; i < 10; ++i) {
+      auto info = bench.request(Keyed, "flood");
+      partnerOf[info.Id] = "flood";
+      take(bench.Subject.submit(info, bench.Now));
+    }
+    for (const char *partner : {"quiet-1", "quiet-2"}) {
+      auto info = bench.request(Keyed, partner);
+      partnerOf[info.Id] = partner;
+      take(bench.Subject.submit(info, bench.Now));
+    }
+    bench.Now += 5ms;
+    for (const auto &id : std::exchange(running, {})) {
+      ++served[partnerOf[id]];
+      take(bench.answer(id));
+    }
+  }
+  // Three are served in a round and three partners ask: each gets one.
+  double sum = 0;
+  double squares = 0;
+  for (const auto &[partner, n] : served)
+    if (!partner.empty() && partner != "p") {
+      sum += n;
+      squares += static_cast<double>(n) * n;
+    }
+  REQUIRE(sum * sum / (3 * squares) >= 0.98);
+}
+
+TEST_CASE("Retries", "[dispatch]") {
+  Bench bench;
+  AttemptOutcome outcome;
+  SECTION("a non-idempotent request that may have run is not tried again") {
+    auto id = bench.Subject.submit(bench.request(Keyless), bench.Now)
+                  .Start[0]
+                  .Request;
+    outcome.MayHaveRun = true;
+    auto actions = bench.Subject.finish(id, outcome, bench.Now);
+    REQUIRE(actions.Start.empty());
+    REQUIRE(actions.End[0].Failure.Code ==
+            base::ResultCode::OutcomeUnknownTargetLost);
+  }
+  SECTION("one that surely did not run goes to the other target") {
+    auto first =
+        bench.Subject.submit(bench.request(Keyless), bench.Now).Start[0];
+    outcome.Shed = true;
+    auto actions = bench.Subject.finish(first.Request, outcome, bench.Now);
+    REQUIRE(actions.Start.size() == 1);
+    REQUIRE(actions.Start[0].Request == first.Request);
+    REQUIRE(actions.Start[0].Target != first.Target);
+  }
+  SECTION("the budget bounds them when everything fails") {
+    int attempts = 0;
+    constexpr int Requests = 400;
+    for (int i = 0; i < Requests; ++i) {
+      auto started =
+          bench.Subject.submit(bench.request(Keyless), bench.Now).Start;
+      while (!started.empty()) {
+        ++attempts;
+        outcome.Shed = true;
+        auto id = started.front().Request;
+        started = bench.Subject.finish(id, outcome, bench.Now).Start;
+        bench.Now += 25ms;
+      }
+    }
+    // 10 % and the few that may be saved up.
+    REQUIRE(attempts <= Requests + Requests / 10 + 10);
+  }
+}
+
+TEST_CASE("Draining a slot", "[dispatch]") {
+  Bench bench;
+  bench.warmUp(Keyed);
+  base::SlotId slot{Keyed, 1};
+  auto running =
+      bench.Subject.submit(bench.request(Keyed), bench.Now).Start[0].Request;
+  REQUIRE(bench.Subject.drainSlot(slot, {1, 11}).DrainedSlots.empty());
+  SECTION("starts nothing new, requests wait") {
+    auto actions = bench.Subject.submit(bench.request(Keyed), bench.Now);
+    REQUIRE(actions.Start.empty());
+    REQUIRE(actions.End.empty());
+    SECTION("and are bounced to be routed anew when the slot has moved") {
+      auto moved = makeOwnership();
+      moved->Slots[Keyed][1].Owner = base::TargetInstanceId("elsewhere");
+      moved->Slots[Keyed][1].Token = {1, 99};
+      auto after = bench.Subject.setOwnership(moved, bench.Now);
+      REQUIRE(after.End.size() == 1);
+      REQUIRE(after.End[0].Failure.Code == base::ResultCode::NotRunNotOwner);
+    }
+  }
+  SECTION("is told once, when the last attempt has ended") {
+    auto actions = bench.answer(running);
+    REQUIRE(actions.DrainedSlots.size() == 1);
+    REQUIRE(actions.DrainedSlots[0].Token == base::Token{1, 11});
+    REQUIRE(bench.Subject.tick(bench.Now).DrainedSlots.empty());
+  }
+}
+
+TEST_CASE("A caller that goes away", "[dispatch]") {
+  Bench bench;
+  auto first = bench.request(Keyed);
+  auto second = bench.request(Keyed);
+  bench.Subject.submit(first, bench.Now);
+  bench.Subject.submit(second, bench.Now);
+  SECTION("takes its waiting request out of the queue") {
+    bench.Subject.cancel(second.Id, bench.Now);
+    REQUIRE(bench.Subject.countQueued() == 0);
+  }
+  SECTION("has its running request broken off") {
+    auto actions = bench.Subject.cancel(first.Id, bench.Now);
+    REQUIRE(actions.Abandon == std::vector{first.Id});
+  }
+}
+
+TEST_CASE("Failing targets", "[dispatch]") {
+  Bench bench;
+  AttemptOutcome failed;
+  failed.MayHaveRun = true;
+  auto fail = [&](const char *instance) {
+    // Sends until the named target has failed often enough to be ejected.
+    for (int i = 0; i < 40; ++i) {
+      auto actions = bench.Subject.submit(bench.request(Keyless), bench.Now);
+      if (actions.Start.empty())
+        return;
+      auto start = actions.Start[0];
+      if (start.Target.Value == instance)
+        bench.Subject.finish(start.Request, failed, bench.Now);
+      else
+        bench.answer(start.Request);
+    }
+  };
+  SECTION("one is passed over while the other serves") {
+    fail("vault-a");
+    fail("vault-a");
+    for (int i = 0; i < 10; ++i) {
+      auto start =
+          bench.Subject.submit(bench.request(Keyless), bench.Now).Start[0];
+      REQUIRE(start.Target.Value == "vault-b");
+      bench.answer(start.Request);
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/tests/RouterTest.cpp
@@ -0,0 +1,121 @@
+// The entry VM's decisions: where a request goes and how long it may wait.
+#include "dispatch/Router.h"
+
+#include <catch2/catch.hpp>
+
+using namespace magnoliamill;
+using namespace magnoliamill::dispatch;
+using base::operator""ms;
+
+namespace {
+
+const base::ServiceId Service("barnstock");
+const base::DataCentreId Here("dc-a");
+const base::DataCentreId There("dc-b");
+
+struct Scene {
+  std::shared_ptr<settings::View> Settings = std::make_shared<settings::View>();
+  std::shared_ptr<ownership::View> Ownership =
+      std::make_shared<ownership::View>();
+  Router Subject{{.Self = base::VmId("a1"),
+                  .DataCentre = Here,
+                  .MaxHeld = 2,
+                  .Seed = 1,
+                  .IsAlive = nullptr}};
+  base::MonoTime Now{std::chrono::seconds(50)};
+
+  Scene() {
+    settings::ServiceView service;
+    service.Id = Service;
+    service.Keyed = true;
+    service.Slots = 2;
+    service.DataCentres = {Here, There};
+    Settings->Services[Service] = service;
+    Settings->Homes[Service] = {{Here, 1, {}}, {There, 1, {}}};
+    for (const char *vm : {"a1", "a2"})
+      Settings->Vms[base::VmId(vm)].DataCentre = Here;
+    Settings->Vms[base::VmId("b1")].DataCentre = There;
+    Subject.setSettings(Settings, Now);
+  }
+
+  RouteActions own(const char *dispatcher) {
+    ownership::TargetView target;
+    target.Instance = base::TargetInstanceId("t");
+    target.Dispatcher = base::VmId(dispatcher);
+    auto view = std::make_shared<ownership::View>();
+    view->Targets[target.Instance] = target;
+    view->Slots[Service].resize(2);
+    view->Slots[Service][0].Owner = target.Instance;
+    return Subject.setOwnership(view, Now);
+  }
+
+  RequestInfo request(const char *id, base::SlotNumber slot) const {
+    RequestInfo info;
+    info.Id = base::RequestId(id);
+    info.Service = Service;
+    info.Slot = slot;
+    info.Deadline = Now + 500ms;
+    return info;
+  }
+};
+
+} // namespace
+
+TEST_CASE("A keyed request goes to the dispatcher of its owner", "[dispatch]") {
+  Scene scene;
+  scene.own("a2");
+  auto actions = scene.Subject.submit(scene.request("r", 0), true, scene.Now);
+  REQUIRE(actions.Go.size() == 1);
+  REQUIRE(actions.Go[0].Vm == base::VmId("a2"));
+
+  SECTION("a refusal as not the owner is routed again") {
+    protocol::RequestFailure failure{base::ResultCode::NotRunNotOwner, "", 0};
+    REQUIRE(scene.Subject.onFailure(base::RequestId("r"), failure, scene.Now)
+                .End.empty());
+    scene.Now += 5ms;
+    auto moved = scene.own("a1");
+    REQUIRE(moved.Go.size() == 1);
+    REQUIRE(moved.Go[0].Vm == base::VmId("a1"));
+  }
+  SECTION("an unknown outcome is final") {
+    protocol::RequestFailure failure{base::ResultCode::OutcomeUnknownPeerLost,
+                                     "", 0};
+    auto ended =
+        scene.Subject.onFailure(base::RequestId("r"), failure, scene.Now);
+    REQUIRE(ended.End.size() == 1);
+    REQUIRE(ended.Go.empty());
+  }
+}
+
+TEST_CASE("A slot at home elsewhere goes to a VM there", "[dispatch]") {
+  Scene scene;
+  auto actions = scene.Subject.submit(scene.request("r", 1), true, scene.Now);
+  REQUIRE(actions.Go[0].Vm == base::VmId("b1"));
+  SECTION("but a request from there does not travel in a circle") {
+    auto again = scene.Subject.submit(scene.request("s", 1), false, scene.Now);
+    REQUIRE(again.Go.empty());
+    REQUIRE(scene.Subject.countHeld() == 1);
+  }
+}
+
+TEST_CASE("While nobody owns the slot", "[dispatch]") {
+  Scene scene;
+  REQUIRE(
+      scene.Subject.submit(scene.request("r", 0), true, scene.Now).Go.empty());
+  SECTION("requests wait and go when an owner is there") {
+    REQUIRE(scene.own("a2").Go.size() == 1);
+  }
+  SECTION("no more than the bound wait") {
+    scene.Subject.submit(scene.request("s", 0), true, scene.Now);
+    auto third = scene.Subject.submit(scene.request("t", 0), true, scene.Now);
+    REQUIRE(third.End.size() == 1);
+    REQUIRE(third.End[0].Failure.Code == base::ResultCode::NotRunNoTarget);
+    REQUIRE(third.End[0].Failure.RetryAfterMs > 0);
+  }
+  SECTION("one whose deadline passes is told so") {
+    scene.Now += 501ms;
+    auto actions = scene.Subject.tick(scene.Now);
+    REQUIRE(actions.End.size() == 1);
+    REQUIRE(scene.Subject.countHeld() == 0);
+  }
+}
