--- a/packages/node/internal/DispatchFlowAgent.cpp
+++ b/packages/node/internal/DispatchFlowAgent.cpp
@@ -1,6 +1,8 @@
 // The agent's part of the dispatch duty: lease, grants, handover, stopping.
 #include "node/DispatchFlow.h"
 
+#include "ownership/Timing.h"
+
 #include <algorithm>
 
 namespace magnoliamill::node {
