settings: public headers of the package

The view gains teams and the operators' words about data centres, so that access checks and the home controller need nothing else.

--- a/packages/settings/View.h
+++ b/packages/settings/View.h
@@ -24,6 +24,7 @@
   Urgency Class = Urgency::Normal;
   /// Overrides the method's own property (GET and HEAD are idempotent).
   std::optional<bool> Idempotent;
+  bool operator==(const RouteRule &) const = default;
 };
 
 /// How much the rebalancer weighs each measure for this service.
@@ -31,6 +32,7 @@
   double Imbalance = 1.0;
   double Churn = 1.0;
   double Unavailable = 1.0;
+  bool operator==(const MeasureWeights &) const = default;
 };
 
 struct ServiceView {
@@ -53,6 +55,7 @@
   std::vector<std::string> TargetHosts;
   /// Retries allowed per 100 answered requests.
   std::uint32_t RetryBudgetPercent = 10;
+  bool operator==(const ServiceView &) const = default;
 };
 
 /// An operator's word about one target, by its announced name.
@@ -62,6 +65,7 @@
   /// Milliseconds since 1970 by which it must be empty; 0 when not leaving by
   /// date.
   std::int64_t LeaveByMs = 0;
+  bool operator==(const TargetRule &) const = default;
 };
 
 struct VmView {
@@ -71,6 +75,7 @@
   std::uint16_t PeerPort = 0;
   std::uint16_t HttpPort = 0;
   bool HasDisk = false;
+  bool operator==(const VmView &) const = default;
 };
 
 /// Where a slot is at home, and the epoch of its tokens there.
@@ -79,12 +84,34 @@
   std::uint64_t Epoch = 0;
   /// Set while a move waits for the old home's release.
   std::optional<base::DataCentreId> MovingTo;
+  bool operator==(const SlotHome &) const = default;
 };
 
 /// The start of a data-centre group: its epoch and first members.
 struct DataCentreGroupView {
   std::uint64_t Epoch = 0;
   consensus::Membership FirstMembers;
+  bool operator==(const DataCentreGroupView &) const = default;
+};
+
+/// A team's access.
+struct TeamView {
+  std::string Name;
+  /// Lower-case hexadecimal SHA-256 of the team's token.
+  std::string TokenSha256;
+  bool operator==(const TeamView &) const = default;
+};
+
+/// An operator's word about a data centre.
+struct DataCentreRule {
+  base::DataCentreId Id;
+  /// The data centre is lost for good: its slots are taken without its
+  /// confirmation.
+  bool Gone = false;
+  /// The group of this epoch (or a lower one) is lost for good and may be
+  /// replaced by a new one; 0 when nothing was said.
+  std::uint64_t AbandonedEpoch = 0;
+  bool operator==(const DataCentreRule &) const = default;
 };
 
 struct View {
@@ -96,6 +123,9 @@
   std::map<base::VmId, VmView> Vms;
   std::map<base::ServiceId, std::vector<SlotHome>> Homes;
   std::map<base::DataCentreId, DataCentreGroupView> Groups;
+  std::map<std::string, TeamView> Teams;
+  std::map<base::DataCentreId, DataCentreRule> DataCentreRules;
+  bool operator==(const View &) const = default;
 };
 
 using ViewPtr = std::shared_ptr<const View>;
