settings: state machine, schema, access, home controller, node settings

The state machine of the settings group without I/O: compare-and-set on versions that are log indexes, a change-id table bounded by a window of log entries, an audit trail in two bounded lanes (operators, system), homes with epochs, starts of data-centre groups by compare-and-set on the epoch.

Ruled out: cancelling a home move under the same epoch. A confirmation of the old home that was under way would then have finished a later move; a cancel gives out a new epoch instead. Replacing a data-centre group because its members are silent: silence may be a partition, so it is replaced only when every VM of the data centre has spoken and no quorum can be left, or on an operator's word.

--- a/packages/settings/HomeController.h
+++ b/packages/settings/HomeController.h
@@ -9,6 +9,7 @@
 #include "settings/View.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -21,8 +22,14 @@
   /// False for VMs that are not to be a replica.
   bool Candidate = false;
   /// Epoch of the group whose state this replica holds; 0 when it holds none
-  /// (first start, or memory lost by a restart).
+  /// (first start, or memory lost by a restart). A first member holds the epoch
+  /// as soon as it knows it.
   std::uint64_t HeldEpoch = 0;
+  /// Epoch of the group in the settings that the VM has in force.
+  std::uint64_t KnownEpoch = 0;
+  /// The group's voters as far as this replica knows; empty when it holds no
+  /// state.
+  std::vector<consensus::ReplicaId> Voters;
 };
 
 struct HomeControllerConfig {
@@ -35,6 +42,13 @@
   base::Duration GroupSettle = std::chrono::seconds(2);
   /// A report counts for this long.
   base::Duration ReportLifetime = std::chrono::seconds(5);
+  /// A group must be seen to be without a quorum for this long before it is
+  /// replaced.
+  base::Duration LostSettle = std::chrono::seconds(1);
+  /// Says whether a data centre has a target that could own slots of the
+  /// service; a home is not moved to one that has none. Unset: all have.
+  std::function<bool(const base::ServiceId &, const base::DataCentreId &)>
+      CanServe;
   /// A command is given out again when the view has not changed for this long.
   base::Duration RetryInterval = std::chrono::seconds(1);
 };
@@ -56,17 +70,24 @@
     ReplicaReport Report;
     base::MonoTime At;
   };
+  using Reports = std::vector<ReplicaReport>;
+
+  Reports freshReports(const base::DataCentreId &centre,
+                       base::MonoTime now) const;
   void planHomes(const View &view, std::vector<Command> &out) const;
   void planGroups(const View &view, base::MonoTime now,
                   std::vector<Command> &out);
+  bool isStartDue(const View &view, const base::DataCentreId &centre,
+                  const Reports &fresh, base::MonoTime now);
 
   HomeControllerConfig Config;
-  std::map<base::VmId, Seen> Reports;
-  // When the first candidate of a data centre without a group was seen.
-  std::map<base::DataCentreId, base::MonoTime> FirstCandidate;
+  std::map<base::VmId, Seen> LastReports;
+  // Since when the first candidate of a data centre without a group has been
+  // waiting, or its group has been without a quorum.
+  std::map<base::DataCentreId, base::MonoTime> WaitingSince;
   consensus::LogIndex LastIndex = 0;
-  base::MonoTime LastStep;
-  bool Stepped = false;
+  // When commands were last given out for LastIndex.
+  base::MonoTime LastCommands;
 };
 
 /// Stamps any command with the proposer's wall clock.
--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -28,7 +28,7 @@
   /// "max_connections"
   std::size_t MaxConnections = 4096;
   /// "max_header_bytes"
-  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxHeaderBytes = 16u << 10;
   /// "max_body_bytes"
   std::size_t MaxBodyBytes = 1u << 20;
   /// "max_queued_bytes": bodies held in queues of this VM.
--- a/packages/settings/Schema.h
+++ b/packages/settings/Schema.h
@@ -14,7 +14,7 @@
 
 namespace magnoliamill::settings {
 
-constexpr std::size_t MaxValueBytes = 64 * 1024;
+constexpr std::size_t MaxValueBytes = 64u << 10;
 constexpr std::size_t MaxValueDepth = 8;
 constexpr std::uint32_t MaxSlots = 65536;
 
--- a/packages/settings/StateMachine.h
+++ b/packages/settings/StateMachine.h
@@ -25,6 +25,8 @@
   std::size_t AuditEntries = 20000;
   std::size_t AuditBytes = 8u << 20;
   std::size_t MaxPaths = 50000;
+  /// Slots of all services together.
+  std::uint64_t MaxTotalSlots = 1000000;
   bool operator==(const StateLimits &) const = default;
 };
 
--- /dev/null
+++ b/packages/settings/internal/HomeCommands.cpp
@@ -0,0 +1,144 @@
+// Homes of slots. Each change of a home gives out a new epoch, the log index.
+#include "settings/internal/ApplyCommands.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliamill::settings::internal {
+namespace {
+
+using base::ResultCode;
+
+bool isGone(const View &view, const base::DataCentreId &centre) {
+  auto it = view.DataCentreRules.find(centre);
+  return it != view.DataCentreRules.end() && it->second.Gone;
+}
+
+bool mayBeHome(const View &view, const base::ServiceId &service,
+               const base::DataCentreId &centre) {
+  auto it = view.Services.find(service);
+  return it != view.Services.end() && !isGone(view, centre) &&
+         std::ranges::find(it->second.DataCentres, centre) !=
+             it->second.DataCentres.end();
+}
+
+/// The home of \p slot, if its epoch is still the one decided on.
+SlotHome *findHome(View &view, const base::SlotId &slot, std::uint64_t epoch) {
+  auto it = view.Homes.find(slot.Service);
+  if (it == view.Homes.end() || slot.Slot >= it->second.size())
+    return nullptr;
+  auto &home = it->second[slot.Slot];
+  return home.Epoch == epoch ? &home : nullptr;
+}
+
+ChangeOutcome refuseStale() {
+  return refuse(ResultCode::VersionConflict,
+                "the slot has another epoch or does not exist");
+}
+
+/// Notes a change of homes in view and audit trail. The entry stands at the
+/// service's path, so that its team sees it.
+ChangeOutcome finishChange(ApplyContext to, std::string_view action,
+                           std::int64_t when, const base::ServiceId &service,
+                           std::string value) {
+  auto &state = to.State;
+  state.touch(to.Index);
+  AuditEntry entry;
+  entry.Index = to.Index;
+  entry.WhenMs = when;
+  entry.Who = "system";
+  entry.Action = action;
+  entry.Path =
+      fmt::format("/teams/{}/services/{}",
+                  state.Current.Services.at(service).Team, service.Value);
+  entry.NewValue = std::move(value);
+  state.auditSystem(std::move(entry));
+  return {};
+}
+
+std::string describeSlot(const base::SlotId &slot, const SlotHome &home) {
+  return fmt::format(R"({{"slot":{},"home":"{}","epoch":{},"moving_to":"{}"}})",
+                     slot.Slot, home.Home.Value, home.Epoch,
+                     home.MovingTo ? home.MovingTo->Value : "");
+}
+
+} // namespace
+
+ChangeOutcome applyCommand(ApplyContext to, const AssignHomes &assign) {
+  auto &view = to.State.Current;
+  auto it = view.Services.find(assign.Service);
+  if (it == view.Services.end() || !it->second.Keyed)
+    return refuse(ResultCode::UnknownService, "no such keyed service");
+  if (view.Homes.contains(assign.Service))
+    return refuse(ResultCode::VersionConflict, "the slots have homes already");
+  bool fit = assign.Homes.size() == it->second.Slots &&
+             std::ranges::all_of(assign.Homes, [&](const auto &home) {
+               return mayBeHome(view, assign.Service, home);
+             });
+  if (!fit)
+    return refuse(ResultCode::ValueInvalid,
+                  "the homes do not fit the service as it is now");
+  auto &homes = view.Homes[assign.Service];
+  for (const auto &home : assign.Homes)
+    homes.push_back({home, to.Index, std::nullopt});
+  return finishChange(to, "assign_homes", assign.WhenMs, assign.Service,
+                      fmt::format(R"({{"slots":{}}})", homes.size()));
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const BeginHomeMove &move) {
+  auto &view = to.State.Current;
+  auto *home = findHome(view, move.Slot, move.Epoch);
+  if (!home)
+    return refuseStale();
+  if (home->Home == move.To || home->MovingTo == move.To)
+    return {};
+  if (!mayBeHome(view, move.Slot.Service, move.To))
+    return refuse(ResultCode::ValueInvalid,
+                  "the service does not use that data centre");
+  home->MovingTo = move.To;
+  return finishChange(to, "begin_home_move", move.WhenMs, move.Slot.Service,
+                      describeSlot(move.Slot, *home));
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const CancelHomeMove &move) {
+  auto *home = findHome(to.State.Current, move.Slot, move.Epoch);
+  if (!home)
+    return refuseStale();
+  if (!home->MovingTo)
+    return {};
+  // The old home may have released the slot already and sent its confirmation.
+  // The new epoch makes that confirmation stale, so that a later move does not
+  // take it for its own.
+  *home = {home->Home, to.Index, std::nullopt};
+  return finishChange(to, "cancel_home_move", move.WhenMs, move.Slot.Service,
+                      describeSlot(move.Slot, *home));
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const FinishHomeMove &move) {
+  auto *home = findHome(to.State.Current, move.Slot, move.Epoch);
+  if (!home || home->Home != move.From)
+    return refuseStale();
+  if (!home->MovingTo)
+    return refuse(ResultCode::VersionConflict, "the slot is not moving");
+  *home = {*home->MovingTo, to.Index, std::nullopt};
+  return finishChange(to, "finish_home_move", move.WhenMs, move.Slot.Service,
+                      describeSlot(move.Slot, *home));
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const ReclaimHome &move) {
+  auto &view = to.State.Current;
+  auto *home = findHome(view, move.Slot, move.Epoch);
+  if (!home)
+    return refuseStale();
+  if (!isGone(view, home->Home))
+    return refuse(ResultCode::HomeNotReleased,
+                  "the home is not declared gone: it has to release the slot");
+  if (!mayBeHome(view, move.Slot.Service, move.To))
+    return refuse(ResultCode::ValueInvalid,
+                  "the service does not use that data centre");
+  *home = {move.To, to.Index, std::nullopt};
+  return finishChange(to, "reclaim_home", move.WhenMs, move.Slot.Service,
+                      describeSlot(move.Slot, *home));
+}
+
+} // namespace magnoliamill::settings::internal
--- /dev/null
+++ b/packages/settings/internal/HomeController.cpp
@@ -0,0 +1,272 @@
+// Planning of homes and groups from the settings in force.
+#include "settings/HomeController.h"
+
+#include <algorithm>
+#include <set>
+
+namespace magnoliamill::settings {
+namespace {
+
+using Centres = std::vector<base::DataCentreId>;
+
+bool contains(const Centres &centres, const base::DataCentreId &centre) {
+  return std::ranges::find(centres, centre) != centres.end();
+}
+
+bool isGone(const View &view, const base::DataCentreId &centre) {
+  auto it = view.DataCentreRules.find(centre);
+  return it != view.DataCentreRules.end() && it->second.Gone;
+}
+
+/// Plans the homes of one service.
+class ServicePlan {
+public:
+  ServicePlan(const View &view, const ServiceView &service,
+              const HomeControllerConfig &config)
+      : Now(view), Service(service), Config(config) {
+    for (const auto &centre : service.DataCentres)
+      if (!isGone(view, centre))
+        Allowed.push_back(centre);
+  }
+
+  void plan(std::vector<Command> &out) {
+    if (Allowed.empty())
+      return;
+    auto it = Now.Homes.find(Service.Id);
+    if (it == Now.Homes.end()) {
+      out.emplace_back(assignAll());
+      return;
+    }
+    countSlots(it->second);
+    for (std::size_t i = 0; i < it->second.size(); ++i)
+      planMisplaced(slotAt(i), it->second[i], out);
+    planBalance(it->second, out);
+  }
+
+private:
+  base::SlotId slotAt(std::size_t i) const {
+    return {Service.Id, static_cast<base::SlotNumber>(i)};
+  }
+
+  AssignHomes assignAll() const {
+    AssignHomes assign;
+    assign.Service = Service.Id;
+    for (std::uint32_t slot = 0; slot < Service.Slots; ++slot)
+      assign.Homes.push_back(Allowed[slot % Allowed.size()]);
+    return assign;
+  }
+
+  /// Counts each slot where it is or is moving to.
+  void countSlots(const std::vector<SlotHome> &homes) {
+    for (const auto &centre : Allowed)
+      if (canServe(centre))
+        Count[centre] = 0;
+    for (const auto &home : homes) {
+      auto it = Count.find(home.MovingTo.value_or(home.Home));
+      if (it != Count.end())
+        ++it->second;
+      if (home.MovingTo)
+        ++Moving;
+    }
+  }
+
+  bool canServe(const base::DataCentreId &centre) const {
+    return !Config.CanServe || Config.CanServe(Service.Id, centre);
+  }
+
+  /// The data centre with the fewest slots, by name when equal.
+  std::optional<base::DataCentreId> leastLoaded() const {
+    auto it = std::ranges::min_element(
+        Count, {}, [](const auto &entry) { return entry.second; });
+    if (it == Count.end())
+      return std::nullopt;
+    return it->first;
+  }
+
+  void planMisplaced(const base::SlotId &slot, const SlotHome &home,
+                     std::vector<Command> &out) {
+    if (isGone(Now, home.Home)) {
+      reclaim(slot, home, out);
+      return;
+    }
+    bool astray = home.MovingTo && !contains(Allowed, *home.MovingTo);
+    if (astray && contains(Allowed, home.Home)) {
+      out.emplace_back(CancelHomeMove{0, slot, home.Epoch});
+      return;
+    }
+    bool homeless = !home.MovingTo && !contains(Allowed, home.Home);
+    if (astray || homeless)
+      begin(slot, home, out);
+  }
+
+  void reclaim(const base::SlotId &slot, const SlotHome &home,
+               std::vector<Command> &out) {
+    auto to = leastLoaded();
+    // A slot without any home is worse than one in a data centre that has no
+    // target yet.
+    if (!to)
+      to = Allowed.front();
+    ++Count[*to];
+    out.emplace_back(ReclaimHome{0, slot, home.Epoch, *to});
+  }
+
+  void begin(const base::SlotId &slot, const SlotHome &home,
+             std::vector<Command> &out) {
+    auto to = leastLoaded();
+    bool full = !home.MovingTo && Moving >= Config.MaxMovesPerService;
+    if (!to || full)
+      return;
+    if (!home.MovingTo)
+      ++Moving;
+    ++Count[*to];
+    out.emplace_back(BeginHomeMove{0, slot, home.Epoch, *to});
+  }
+
+  /// Moves slots from the fullest to the emptiest data centre until they
+  /// differ by one at most.
+  void planBalance(const std::vector<SlotHome> &homes,
+                   std::vector<Command> &out) {
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+      if (Moving >= Config.MaxMovesPerService)
+        return;
+      const auto &home = homes[i];
+      auto from = Count.find(home.Home);
+      auto to = leastLoaded();
+      if (home.MovingTo || from == Count.end() || !to ||
+          from->second <= Count.at(*to) + 1)
+        continue;
+      --from->second;
+      begin(slotAt(i), home, out);
+    }
+  }
+
+  const View &Now;
+  const ServiceView &Service;
+  const HomeControllerConfig &Config;
+  Centres Allowed;
+  // Slots per data centre that may take more.
+  std::map<base::DataCentreId, std::uint64_t> Count;
+  std::uint32_t Moving = 0;
+};
+
+/// True when the group of \p epoch can have no quorum any more. Every VM of
+/// the data centre has spoken, so each replica that is not among the holders
+/// has lost its state and cannot come back under the same identity.
+bool isQuorumLost(const std::vector<ReplicaReport> &fresh, std::uint64_t epoch,
+                  std::size_t registered) {
+  std::set<consensus::ReplicaId> holders;
+  for (const auto &report : fresh) {
+    if (report.KnownEpoch != epoch)
+      return false;
+    if (report.HeldEpoch == epoch)
+      holders.insert(report.Replica);
+  }
+  if (fresh.size() < registered)
+    return false;
+  return std::ranges::all_of(fresh, [&](const ReplicaReport &report) {
+    if (!holders.contains(report.Replica))
+      return true;
+    auto alive = std::ranges::count_if(report.Voters, [&](const auto &voter) {
+      return holders.contains(voter);
+    });
+    return static_cast<std::size_t>(alive) * 2 <= report.Voters.size() &&
+           !report.Voters.empty();
+  });
+}
+
+std::vector<consensus::ReplicaId>
+pickMembers(const std::vector<ReplicaReport> &fresh, std::size_t most) {
+  std::vector<consensus::ReplicaId> members;
+  for (const auto &report : fresh)
+    if (report.Candidate && members.size() < most)
+      members.push_back(report.Replica);
+  return members;
+}
+
+} // namespace
+
+HomeController::HomeController(HomeControllerConfig config)
+    : Config(std::move(config)) {}
+
+void HomeController::report(const ReplicaReport &report, base::MonoTime now) {
+  LastReports[report.Replica.Vm] = {report, now};
+}
+
+std::vector<Command> HomeController::step(const View &view,
+                                          base::MonoTime now) {
+  std::vector<Command> out;
+  planGroups(view, now, out);
+  planHomes(view, out);
+  bool waiting =
+      view.Index == LastIndex && now - LastCommands < Config.RetryInterval;
+  if (out.empty() || waiting)
+    return {};
+  LastIndex = view.Index;
+  LastCommands = now;
+  if (out.size() > Config.MaxCommands)
+    out.resize(Config.MaxCommands);
+  return out;
+}
+
+void HomeController::planHomes(const View &view,
+                               std::vector<Command> &out) const {
+  for (const auto &[id, service] : view.Services)
+    if (service.Keyed)
+      ServicePlan(view, service, Config).plan(out);
+}
+
+HomeController::Reports
+HomeController::freshReports(const base::DataCentreId &centre,
+                             base::MonoTime now) const {
+  Reports fresh;
+  for (const auto &[vm, seen] : LastReports)
+    if (seen.Report.DataCentre == centre &&
+        now - seen.At <= Config.ReportLifetime)
+      fresh.push_back(seen.Report);
+  return fresh;
+}
+
+bool HomeController::isStartDue(const View &view,
+                                const base::DataCentreId &centre,
+                                const Reports &fresh, base::MonoTime now) {
+  auto registered = static_cast<std::size_t>(
+      std::ranges::count_if(view.Vms, [&](const auto &it) {
+        return it.second.DataCentre == centre;
+      }));
+  auto candidates = pickMembers(fresh, Config.MaxGroupMembers).size();
+  auto group = view.Groups.find(centre);
+  bool first = group == view.Groups.end();
+  auto rule = view.DataCentreRules.find(centre);
+  bool abandoned = !first && rule != view.DataCentreRules.end() &&
+                   rule->second.AbandonedEpoch >= group->second.Epoch;
+  bool lost = !first && isQuorumLost(fresh, group->second.Epoch, registered);
+  if (candidates == 0 || !(first || abandoned || lost)) {
+    WaitingSince.erase(centre);
+    return false;
+  }
+  if (candidates >= std::min(Config.MaxGroupMembers, registered) && !lost)
+    return true;
+  auto since = WaitingSince.emplace(centre, now).first->second;
+  return now - since >= (lost ? Config.LostSettle : Config.GroupSettle);
+}
+
+void HomeController::planGroups(const View &view, base::MonoTime now,
+                                std::vector<Command> &out) {
+  std::set<base::DataCentreId> centres;
+  for (const auto &[id, vm] : view.Vms)
+    if (!isGone(view, vm.DataCentre))
+      centres.insert(vm.DataCentre);
+  for (const auto &centre : centres) {
+    auto fresh = freshReports(centre, now);
+    if (!isStartDue(view, centre, fresh, now))
+      continue;
+    auto group = view.Groups.find(centre);
+    StartDataCentreGroup start;
+    start.DataCentre = centre;
+    start.Members = pickMembers(fresh, Config.MaxGroupMembers);
+    start.ExpectedEpoch = group == view.Groups.end() ? 0 : group->second.Epoch;
+    out.emplace_back(std::move(start));
+  }
+}
+
+} // namespace magnoliamill::settings
--- /dev/null
+++ b/packages/settings/internal/OperatorCommands.cpp
@@ -0,0 +1,170 @@
+// Set and delete: change id, version, checks, audit.
+#include "base/Hash.h"
+#include "settings/internal/ApplyCommands.h"
+
+#include <fmt/format.h>
+
+namespace magnoliamill::settings::internal {
+namespace {
+
+using base::ResultCode;
+
+/// An outcome is remembered for resends, so its list of faults is bounded. The
+/// gateway's own check reports all.
+constexpr std::size_t MaxOutcomeFaults = 20;
+constexpr std::size_t MaxReportedPath = 512;
+
+std::uint64_t digestOf(std::string_view action, std::string_view path,
+                       std::string_view value, std::uint64_t version) {
+  auto seed = base::hash64(path, base::hash64(action, version));
+  return base::hash64(value, seed);
+}
+
+ChangeOutcome refuseValue(std::vector<Fault> faults) {
+  auto code = faults.front().Code == ResultCode::ValueTooLarge
+                  ? ResultCode::ValueTooLarge
+                  : ResultCode::ValueInvalid;
+  auto n = faults.size();
+  if (n > MaxOutcomeFaults)
+    faults.resize(MaxOutcomeFaults);
+  auto outcome =
+      refuse(code, fmt::format("{} fault{} in the value: {}", n,
+                               n == 1 ? "" : "s", joinFaults(faults)));
+  outcome.Faults = std::move(faults);
+  return outcome;
+}
+
+ChangeOutcome refuseVersion(std::uint64_t current, std::uint64_t expected) {
+  std::string message =
+      current == 0 ? fmt::format("nothing is set there, but version {} was "
+                                 "expected",
+                                 expected)
+      : expected == 0
+          ? fmt::format("the path exists with version {}", current)
+          : fmt::format("the version is {}, not {}", current, expected);
+  auto outcome =
+      refuse(ResultCode::VersionConflict,
+             message + ": read the path again and repeat the change");
+  outcome.Version = current;
+  return outcome;
+}
+
+ChangeOutcome decideSet(ApplyContext to, const SettingsPath &path,
+                        const SetValue &set) {
+  auto &state = to.State;
+  auto current = state.versionOf(set.Path);
+  if (current != set.ExpectedVersion)
+    return refuseVersion(current, set.ExpectedVersion);
+  auto checked = checkValue(path, set.Value);
+  if (checked.Value)
+    checked.Faults = checkInForce(state, path, *checked.Value);
+  if (!checked.Faults.empty())
+    return refuseValue(std::move(checked.Faults));
+  if (current == 0 && state.Tree.size() >= state.Limits.MaxPaths)
+    return refuse(ResultCode::RateLimited,
+                  fmt::format("the tree holds {} paths, its limit",
+                              state.Limits.MaxPaths));
+  state.put(path, checked, to.Index);
+  ChangeOutcome outcome;
+  outcome.Version = to.Index;
+  return outcome;
+}
+
+/// True when anything is set below the team's subtree.
+bool ownsAnything(const SettingsState &state, std::string_view team) {
+  auto prefix = fmt::format("/teams/{}/", team);
+  auto it = state.Tree.lower_bound(prefix);
+  return it != state.Tree.end() && it->first.starts_with(prefix);
+}
+
+ChangeOutcome decideDelete(ApplyContext to, const SettingsPath &path,
+                           const DeleteValue &erase) {
+  auto current = to.State.versionOf(erase.Path);
+  if (erase.ExpectedVersion == 0)
+    return refuse(ResultCode::BadRequest,
+                  "a delete names the version that it deletes");
+  if (current != erase.ExpectedVersion)
+    return refuseVersion(current, erase.ExpectedVersion);
+  if (path.Kind == PathKind::Team && ownsAnything(to.State, path.Team))
+    return refuse(ResultCode::ValueInvalid,
+                  "the team still has settings: delete them first");
+  to.State.erase(path, to.Index);
+  return {};
+}
+
+/// The audit entry of a change, but for what becomes of it.
+template <typename Change>
+AuditEntry startEntry(ApplyContext to, const Change &change,
+                      std::string_view action) {
+  AuditEntry entry;
+  entry.Index = to.Index;
+  entry.WhenMs = change.Origin.WhenMs;
+  entry.Who = change.Origin.Who;
+  entry.Action = action;
+  entry.Path = change.Path.substr(0, MaxReportedPath);
+  entry.ChangeId = change.Origin.ChangeId.substr(0, MaxIdLength);
+  return entry;
+}
+
+/// Fills in where and for whom the change was decided, and audits it.
+ChangeOutcome finishChange(ApplyContext to, AuditEntry entry,
+                           ChangeOutcome outcome) {
+  outcome.Path = entry.Path;
+  outcome.Index = to.Index;
+  outcome.ChangeId = entry.ChangeId;
+  entry.Code = outcome.Code;
+  entry.Message = outcome.Message;
+  to.State.auditOperator(std::move(entry));
+  return outcome;
+}
+
+/// The part that set and delete share: \p decide is called when the change is
+/// neither a resend nor at a wrong path.
+template <typename Change, typename Decide>
+ChangeOutcome applyChange(ApplyContext to, const Change &change,
+                          std::string_view action, std::string_view value,
+                          Decide decide) {
+  auto &ids = to.State.ChangeIds;
+  ChangeKey key{change.Origin.Who, change.Origin.ChangeId};
+  auto digest = digestOf(action, change.Path, value, change.ExpectedVersion);
+  if (const auto *first = ids.findResent(key, digest))
+    return *first;
+  auto entry = startEntry(to, change, action);
+  if (auto refused = ids.judge(key, to.Index))
+    return finishChange(to, std::move(entry), std::move(*refused));
+  auto path = parsePath(change.Path);
+  if (path) {
+    entry.OldValue = to.State.redactedAt(path.value());
+    if (value.size() <= MaxValueBytes)
+      entry.NewValue = redact(path.value().Kind, value);
+  }
+  auto outcome =
+      finishChange(to, std::move(entry),
+                   path ? decide(path.value())
+                        : refuse(path.error().Code, path.error().Message));
+  ids.remember(std::move(key), digest, outcome);
+  return outcome;
+}
+
+} // namespace
+
+ChangeOutcome refuse(ResultCode code, std::string message) {
+  ChangeOutcome outcome;
+  outcome.Code = code;
+  outcome.Message = std::move(message);
+  return outcome;
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const SetValue &set) {
+  return applyChange(to, set, "set", set.Value, [&](const SettingsPath &path) {
+    return decideSet(to, path, set);
+  });
+}
+
+ChangeOutcome applyCommand(ApplyContext to, const DeleteValue &erase) {
+  return applyChange(to, erase, "delete", "", [&](const SettingsPath &path) {
+    return decideDelete(to, path, erase);
+  });
+}
+
+} // namespace magnoliamill::settings::internal
--- /dev/null
+++ b/packages/settings/tests/HomesTest.cpp
@@ -0,0 +1,239 @@
+// Homes of slots and data-centre groups: the state machine driven by the
+// controller.
+#include "TestSettings.h"
+
+#include "settings/HomeController.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace magnoliamill;
+using namespace magnoliamill::settings;
+using namespace magnoliamill::settings::tests;
+using base::ResultCode;
+using std::chrono_literals::operator""s;
+
+namespace {
+
+const base::ServiceId Service("barnstock");
+
+base::MonoTime at(int seconds) {
+  return base::MonoTime(std::chrono::seconds(seconds));
+}
+
+/// Lets a controller decide once and applies what it wants.
+std::size_t decide(Machine &it, HomeController &controller,
+                   base::MonoTime now) {
+  auto commands = controller.step(*it.Settings.viewNow(), now);
+  for (const auto &command : commands)
+    it.run(command);
+  return commands.size();
+}
+
+/// The old homes confirm all moves that are under way.
+void confirmMoves(Machine &it) {
+  auto view = it.Settings.viewNow();
+  const auto &homes = view->Homes.at(Service);
+  for (std::uint32_t i = 0; i < homes.size(); ++i)
+    if (homes[i].MovingTo)
+      it.run(FinishHomeMove{0, {Service, i}, homes[i].Epoch, homes[i].Home});
+}
+
+std::map<std::string, int> countHomes(const Machine &it) {
+  std::map<std::string, int> count;
+  auto view = it.Settings.viewNow();
+  for (const auto &home : view->Homes.at(Service))
+    ++count[home.Home.Value];
+  return count;
+}
+
+ReplicaReport report(const std::string &name, std::uint64_t number,
+                     std::uint64_t held, std::uint64_t known) {
+  return {base::DataCentreId("basel"),
+          {base::VmId(name), number},
+          true,
+          held,
+          known,
+          {}};
+}
+
+} // namespace
+
+TEST_CASE("The slots of a keyed service", "[settings]") {
+  Machine it;
+  it.bootstrap();
+  HomeController controller;
+  auto set = it.set(Barnstock, keyedService(6, R"("basel","chur")"), 0, "a");
+  REQUIRE(decide(it, controller, at(1)) == 1);
+  REQUIRE(countHomes(it) ==
+          std::map<std::string, int>{{"basel", 3}, {"chur", 3}});
+
+  SECTION("stay where they are while nothing changes") {
+    REQUIRE(decide(it, controller, at(2)) == 0);
+  }
+  SECTION("move to a new data centre, a few at a time") {
+    it.set(Barnstock, keyedService(6, R"("basel","chur","genf")"), set.Version,
+           "b");
+    REQUIRE(decide(it, controller, at(2)) == 2);
+    confirmMoves(it);
+    REQUIRE(countHomes(it) ==
+            std::map<std::string, int>{{"basel", 2}, {"chur", 2}, {"genf", 2}});
+  }
+  SECTION("leave a data centre only when it confirms") {
+    it.set(Barnstock, keyedService(6, R"("basel")"), set.Version, "b");
+    REQUIRE(decide(it, controller, at(2)) == 3);
+    REQUIRE(countHomes(it).at("chur") == 3);
+    auto before = it.Settings.viewNow()->Homes.at(Service)[1].Epoch;
+    confirmMoves(it);
+    REQUIRE(countHomes(it) == std::map<std::string, int>{{"basel", 6}});
+    REQUIRE(it.Settings.viewNow()->Homes.at(Service)[1].Epoch > before);
+  }
+  SECTION("stay when the data centre comes back before it confirmed") {
+    auto gone =
+        it.set(Barnstock, keyedService(6, R"("basel")"), set.Version, "b");
+    decide(it, controller, at(2));
+    auto moving = it.Settings.viewNow()->Homes.at(Service)[1];
+    REQUIRE(moving.MovingTo);
+    it.run(CancelHomeMove{0, {Service, 1}, moving.Epoch});
+    SECTION("and a late confirmation is refused") {
+      auto late = it.run(FinishHomeMove{
+          0, {Service, 1}, moving.Epoch, base::DataCentreId("chur")});
+      REQUIRE(late.Code == ResultCode::VersionConflict);
+    }
+  }
+  SECTION("are taken from a data centre only after an operator's word") {
+    auto home = it.Settings.viewNow()->Homes.at(Service)[1];
+    ReclaimHome reclaim{
+        0, {Service, 1}, home.Epoch, base::DataCentreId("basel")};
+    REQUIRE(it.run(reclaim).Code == ResultCode::HomeNotReleased);
+    it.set("/admin/data_centres/chur", R"({"state":"gone"})", 0, "g");
+    decide(it, controller, at(2));
+    REQUIRE(countHomes(it) == std::map<std::string, int>{{"basel", 6}});
+  }
+  SECTION("are not moved to a data centre without targets") {
+    HomeControllerConfig config;
+    config.CanServe = [](const auto &, const auto &centre) {
+      return centre.Value != "genf";
+    };
+    HomeController careful(config);
+    it.set(Barnstock, keyedService(6, R"("basel","chur","genf")"), set.Version,
+           "b");
+    REQUIRE(decide(it, careful, at(2)) == 0);
+  }
+}
+
+TEST_CASE("Homes settle after any changes of the list", "[settings]") {
+  REQUIRE(rc::check("evenly, with rising epochs", [] {
+    Machine it;
+    it.bootstrap();
+    HomeController controller;
+    std::uint64_t version = 0;
+    std::vector<std::uint64_t> epochs(8, 0);
+    int now = 0;
+    auto changes = *rc::gen::inRange(1, 5);
+    for (int change = 0; change < changes; ++change) {
+      auto mask = *rc::gen::inRange(1, 8);
+      std::string centres;
+      for (int i = 0; i < 3; ++i)
+        if (mask & (1 << i))
+          centres +=
+              fmt::format("{}\"{}\"", centres.empty() ? "" : ",",
+                          std::vector{"basel", "chur",
+                                      "genf"}[static_cast<std::size_t>(i)]);
+      version = it.set(Barnstock, keyedService(8, centres), version,
+                       std::to_string(change))
+                    .Version;
+      // A change may come before the former one is done.
+      auto rounds = change + 1 == changes ? 20 : *rc::gen::inRange(1, 4);
+      for (int round = 0; round < rounds; ++round) {
+        decide(it, controller, at(++now));
+        confirmMoves(it);
+      }
+      auto view = it.Settings.viewNow();
+      for (std::size_t i = 0; i < 8; ++i) {
+        RC_ASSERT(view->Homes.at(Service)[i].Epoch >= epochs[i]);
+        epochs[i] = view->Homes.at(Service)[i].Epoch;
+      }
+    }
+    auto view = it.Settings.viewNow();
+    auto count = countHomes(it);
+    RC_ASSERT(count.size() == view->Services.at(Service).DataCentres.size());
+    auto fewer = [](const auto &one, const auto &two) {
+      return one.second < two.second;
+    };
+    auto [low, high] = std::minmax_element(count.begin(), count.end(), fewer);
+    RC_ASSERT(high->second - low->second <= 1);
+  }));
+}
+
+TEST_CASE("The group of a data centre", "[settings]") {
+  Machine it;
+  it.run(BootstrapVms{1,
+                      {vm("b1", "basel", 1000), vm("b2", "basel", 1010),
+                       vm("b3", "basel", 1020)}});
+  HomeController controller;
+  for (const char *name : {"b1", "b2"})
+    controller.report(report(name, 1, 0, 0), at(1));
+
+  SECTION("waits a little for missing VMs") {
+    REQUIRE(decide(it, controller, at(1)) == 0);
+    REQUIRE(decide(it, controller, at(3)) == 1);
+  }
+  SECTION("starts at once when all are there") {
+    controller.report(report("b3", 1, 0, 0), at(1));
+    REQUIRE(decide(it, controller, at(1)) == 1);
+    auto group = it.Settings.viewNow()->Groups.at(base::DataCentreId("basel"));
+    REQUIRE(group.FirstMembers.Voters.size() == 3);
+    REQUIRE(group.Epoch == it.Index);
+
+    auto speak = [&](const char *name, bool holds, int now) {
+      auto said =
+          report(name, holds ? 1 : 2, holds ? group.Epoch : 0, group.Epoch);
+      if (holds)
+        said.Voters = group.FirstMembers.Voters;
+      controller.report(said, at(now));
+    };
+    SECTION("of two starts one wins") {
+      StartDataCentreGroup again{0, base::DataCentreId("basel"),
+                                 group.FirstMembers.Voters, 0};
+      REQUIRE(it.run(again).Code == ResultCode::VersionConflict);
+    }
+    SECTION("is left alone while a quorum may exist") {
+      for (int now = 10; now < 14; ++now) {
+        speak("b1", true, now);
+        speak("b2", true, now);
+        speak("b3", false, now);
+        REQUIRE(decide(it, controller, at(now)) == 0);
+      }
+    }
+    SECTION("is left alone while a VM is silent that may hold it") {
+      for (int now = 10; now < 14; ++now) {
+        speak("b1", true, now);
+        speak("b2", false, now);
+        REQUIRE(decide(it, controller, at(now)) == 0);
+      }
+      SECTION("until an operator says that it is lost") {
+        it.set("/admin/data_centres/basel",
+               fmt::format(R"({{"state":"active","abandoned_epoch":{}}})",
+                           group.Epoch),
+               0, "g");
+        speak("b1", true, 14);
+        speak("b2", false, 14);
+        decide(it, controller, at(14));
+        REQUIRE(decide(it, controller, at(16)) == 1);
+      }
+    }
+    SECTION("is replaced once all have said that no quorum is left") {
+      for (int now = 10; now < 12; ++now) {
+        speak("b1", true, now);
+        speak("b2", false, now);
+        speak("b3", false, now);
+        REQUIRE(decide(it, controller, at(now)) == (now == 10 ? 0 : 1));
+      }
+      REQUIRE(
+          it.Settings.viewNow()->Groups.at(base::DataCentreId("basel")).Epoch >
+          group.Epoch);
+    }
+  }
+}
--- /dev/null
+++ b/packages/settings/tests/StateMachineTest.cpp
@@ -0,0 +1,311 @@
+// The state machine: versions, change ids, audit trail, snapshots.
+#include "TestSettings.h"
+
+#include "base/ResultCode.h"
+#include "settings/Access.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace magnoliamill;
+using namespace magnoliamill::settings;
+using namespace magnoliamill::settings::tests;
+using base::ResultCode;
+
+TEST_CASE("A service is set, changed and deleted", "[settings]") {
+  Machine it;
+  it.bootstrap();
+  auto first = it.set(Barnstock, keyedService(), 0, "a");
+  REQUIRE(first.accepted());
+  REQUIRE(first.Version == first.Index);
+
+  SECTION("and stands in the view at once") {
+    auto view = it.Settings.viewNow();
+    REQUIRE(view->Index == first.Index);
+    REQUIRE(view->Services.at(base::ServiceId("barnstock")).Slots == 6);
+    SECTION("which stays the same object until something changes") {
+      it.Settings.skip(++it.Index);
+      REQUIRE(it.Settings.viewNow() == view);
+      REQUIRE(it.Settings.appliedIndex() == it.Index);
+    }
+  }
+  SECTION("with an equal version only once") {
+    auto one = it.set(Barnstock, keyedService(), first.Version, "b");
+    auto two = it.set(Barnstock, keyedService(), first.Version, "c");
+    REQUIRE(one.accepted());
+    REQUIRE(two.Code == ResultCode::VersionConflict);
+    REQUIRE(two.Version == one.Version);
+    REQUIRE(httpStatusOf(two.Code) == 409);
+  }
+  SECTION("but its slots are fixed") {
+    auto other = it.set(Barnstock, keyedService(7), first.Version, "b");
+    REQUIRE(other.Code == ResultCode::ValueInvalid);
+    REQUIRE(other.Faults.at(0).Path == "/slots");
+  }
+  SECTION("and its name is taken for other teams") {
+    auto other =
+        it.set("/teams/brazos/services/barnstock", keyedService(), 0, "b");
+    REQUIRE(other.Code == ResultCode::ValueInvalid);
+  }
+  SECTION("and a delete names the version") {
+    REQUIRE(it.run(DeleteValue{origin("d"), Barnstock, 0}).Code ==
+            ResultCode::BadRequest);
+    REQUIRE(
+        it.run(DeleteValue{origin("e"), Barnstock, first.Version}).accepted());
+    REQUIRE(it.Settings.get(Barnstock).error().Code == ResultCode::PathUnknown);
+    REQUIRE(it.Settings.viewNow()->Services.empty());
+    SECTION("so that a version is never used twice") {
+      auto again = it.set(Barnstock, keyedService(), 0, "f");
+      REQUIRE(again.Version > first.Version);
+    }
+  }
+  SECTION("a data centre without VMs is refused") {
+    auto other = it.set("/teams/salzhof/services/haulroute",
+                        R"({"keyed":false,"data_centres":["zug"]})", 0, "b");
+    REQUIRE(other.Faults.at(0).Path == "/data_centres/0");
+  }
+  SECTION("an index that was applied changes nothing") {
+    auto before = it.Settings.snapshot();
+    auto text = it.Settings.apply(
+        first.Index, encodeCommand(SetValue{origin("z"), Barnstock, "1", 0}));
+    REQUIRE(decodeOutcome(text).value().Code == ResultCode::ProposalDropped);
+    REQUIRE(it.Settings.snapshot() == before);
+  }
+}
+
+TEST_CASE("A target's rule", "[settings]") {
+  Machine it;
+  it.bootstrap();
+  const std::string Path = "/teams/salzhof/targets/barnstock/barn-3";
+  SECTION("needs its service") {
+    REQUIRE(it.set(Path, R"({"state":"leaving"})", 0, "t").Code ==
+            ResultCode::ValueInvalid);
+  }
+  SECTION("goes and comes with its service") {
+    auto service = it.set(Barnstock, keyedService(), 0, "a");
+    it.set(Path, R"({"state":"leaving","leave_by":"2026-12-31T18:00:00Z"})", 0,
+           "t");
+    auto rules = it.Settings.viewNow()->TargetRules;
+    REQUIRE(rules.at(base::ServiceId("barnstock")).at("barn-3").LeaveByMs ==
+            1798740000000);
+    it.run(DeleteValue{origin("d"), Barnstock, service.Version});
+    REQUIRE(it.Settings.viewNow()->TargetRules.empty());
+    it.set(Barnstock, keyedService(), 0, "b");
+    REQUIRE(it.Settings.viewNow()->TargetRules == rules);
+  }
+}
+
+TEST_CASE("A resend after a lost answer", "[settings]") {
+  Machine it;
+  it.bootstrap();
+  auto first = it.set(Barnstock, keyedService(), 0, "a");
+  SECTION("gets the first outcome") {
+    REQUIRE(it.set(Barnstock, keyedService(), 0, "a") == first);
+    REQUIRE(it.Settings.get(Barnstock).value().Version == first.Version);
+    SECTION("also when it was a conflict that would be none now") {
+      auto conflict = it.set(Barnstock, keyedService(), 0, "b");
+      it.run(DeleteValue{origin("d"), Barnstock, first.Version});
+      REQUIRE(it.set(Barnstock, keyedService(), 0, "b") == conflict);
+    }
+    SECTION("also from a snapshot") {
+      Machine other;
+      REQUIRE(other.Settings.restore(it.Settings.snapshot()).has_value());
+      other.Index = it.Index;
+      REQUIRE(other.set(Barnstock, keyedService(), 0, "a") == first);
+    }
+  }
+  SECTION("is refused when the id names another change") {
+    REQUIRE(it.set(Barnstock, keyedService(9), 0, "a").Code ==
+            ResultCode::ChangeIdReused);
+  }
+  SECTION("does not meet the ids of another team") {
+    auto other = it.run(SetValue{origin("a", "team/brazos"), Barnstock,
+                                 keyedService(), first.Version});
+    REQUIRE(other.accepted());
+  }
+}
+
+TEST_CASE("Change ids beyond the window", "[settings]") {
+  StateLimits limits;
+  limits.ChangeIdWindow = 10;
+  Machine it{StateMachine(limits)};
+  it.bootstrap();
+  auto id = fmt::format("{}~first", it.Index);
+  auto first = it.set(Barnstock, keyedService(), 0, id);
+  it.run(DeleteValue{origin("d"), Barnstock, first.Version});
+  auto skip = [&](consensus::LogIndex index) {
+    while (it.Index < index)
+      it.Settings.skip(++it.Index);
+  };
+  SECTION("are known up to its end") {
+    skip(first.Index + 9);
+    REQUIRE(it.set(Barnstock, keyedService(), 0, id) == first);
+  }
+  SECTION("are refused for certain after it") {
+    skip(first.Index + 10);
+    REQUIRE(it.set(Barnstock, keyedService(), 0, id).Code ==
+            ResultCode::ChangeIdExpired);
+    REQUIRE(it.Settings.viewNow()->Services.empty());
+  }
+  SECTION("that name an index to come are refused") {
+    REQUIRE(it.set(Barnstock, keyedService(), 0, "999~x").Code ==
+            ResultCode::BadRequest);
+  }
+}
+
+TEST_CASE("The audit trail", "[settings]") {
+  Machine it;
+  it.bootstrap();
+  auto hash = hashToken("secret");
+  it.run(SetValue{origin("t", "admin"), "/admin/teams/salzhof",
+                  fmt::format(R"({{"token_sha256":"{}"}})", hash), 0});
+  auto first = it.set(Barnstock, keyedService(), 0, "a");
+  it.set(Barnstock, keyedService(), 0, "b");
+
+  SECTION("holds accepted and rejected changes in order") {
+    auto entries = it.Settings.audit({"/teams/salzhof", 0, 100});
+    REQUIRE(entries.size() == 2);
+    REQUIRE(entries[0].Index == first.Index);
+    REQUIRE(entries[0].Who == "team/salzhof");
+    REQUIRE(entries[0].OldValue.empty());
+    REQUIRE(entries[1].Code == ResultCode::VersionConflict);
+    REQUIRE(entries[1].ChangeId == "b");
+  }
+  SECTION("leaves out resends") {
+    it.set(Barnstock, keyedService(), 0, "a");
+    REQUIRE(it.Settings.audit({Barnstock, 0, 100}).size() == 2);
+  }
+  SECTION("never shows a token's hash, nor do get and snapshots' readers") {
+    for (const auto &entry : it.Settings.audit({}))
+      REQUIRE(renderAuditEntry(entry).find(hash) == std::string::npos);
+    REQUIRE(it.Settings.get("/admin/teams/salzhof").value().Value.find(hash) ==
+            std::string::npos);
+    REQUIRE(it.Settings.viewNow()->Teams.at("salzhof").TokenSha256 == hash);
+  }
+  SECTION("is bounded, and says what it dropped") {
+    StateLimits limits;
+    limits.AuditEntries = 2;
+    Machine small{StateMachine(limits)};
+    for (int i = 0; i < 5; ++i)
+      small.set(Barnstock, keyedService(), 0, std::to_string(i));
+    REQUIRE(small.Settings.audit({}).size() == 2);
+    REQUIRE(small.Settings.auditDroppedUpTo() == 3);
+  }
+}
+
+TEST_CASE("A damaged or older snapshot is refused and changes nothing",
+          "[settings]") {
+  Machine it;
+  it.bootstrap();
+  auto old = it.Settings.snapshot();
+  it.set(Barnstock, keyedService(), 0, "a");
+  auto now = it.Settings.snapshot();
+  REQUIRE(it.Settings.restore(old).error().Code == ResultCode::ProposalDropped);
+  REQUIRE(it.Settings.restore(now.substr(0, now.size() / 2)).error().Code ==
+          ResultCode::SnapshotDamaged);
+  REQUIRE(it.Settings.restore("{}").error().Code ==
+          ResultCode::SnapshotDamaged);
+  REQUIRE(it.Settings.snapshot() == now);
+}
+
+namespace {
+
+/// A change out of few paths, values, versions and ids, so that conflicts,
+/// resends and reuses are frequent. Versions are given relative to the last.
+SetValue drawSet() {
+  const auto service = *rc::gen::inRange(0, 3);
+  const auto version = *rc::gen::inRange(0, 12);
+  const auto id = *rc::gen::inRange(0, 25);
+  const auto deadline = *rc::gen::inRange(0, 3);
+  return {origin(fmt::format("id{}", id),
+                 *rc::gen::element<std::string>("team/salzhof", "admin")),
+          fmt::format("/teams/salzhof/services/s{}", service),
+          fmt::format(R"({{"keyed":true,"slots":4,"data_centres":["basel"],)"
+                      R"("default_deadline_ms":{}}})",
+                      deadline),
+          static_cast<std::uint64_t>(version)};
+}
+
+Command drawCommand() {
+  switch (*rc::gen::inRange(0, 6)) {
+  case 0: {
+    auto set = drawSet();
+    return DeleteValue{set.Origin, set.Path, set.ExpectedVersion};
+  }
+  case 1:
+    return AssignHomes{
+        0, base::ServiceId("s0"),
+        std::vector<base::DataCentreId>(4, base::DataCentreId("basel"))};
+  case 2:
+    return BeginHomeMove{0,
+                         {base::ServiceId("s0"), 1},
+                         static_cast<std::uint64_t>(*rc::gen::inRange(0, 12)),
+                         base::DataCentreId("chur")};
+  default:
+    return drawSet();
+  }
+}
+
+std::vector<std::string> drawLog() {
+  std::vector<std::string> log;
+  auto n = *rc::gen::inRange(0, 40);
+  log.reserve(static_cast<std::size_t>(n));
+  for (int i = 0; i < n; ++i)
+    log.push_back(encodeCommand(drawCommand()));
+  return log;
+}
+
+} // namespace
+
+TEST_CASE("Equal logs give equal states", "[settings]") {
+  REQUIRE(rc::check("whichever snapshots were taken between", [] {
+    auto log = drawLog();
+    auto cut = static_cast<std::size_t>(*rc::gen::inRange(0, 41));
+    StateMachine one;
+    StateMachine two;
+    for (std::size_t i = 0; i < log.size(); ++i) {
+      if (i == cut) {
+        StateMachine restored;
+        RC_ASSERT(restored.restore(two.snapshot()).has_value());
+        RC_ASSERT(*restored.viewNow() == *two.viewNow());
+        two = std::move(restored);
+      }
+      // Both give the same outcome, also for resends across the restart.
+      RC_ASSERT(one.apply(i + 1, log[i]) == two.apply(i + 1, log[i]));
+    }
+    RC_ASSERT(one.snapshot() == two.snapshot());
+    RC_ASSERT(*one.viewNow() == *two.viewNow());
+  }));
+}
+
+TEST_CASE("Two operators who race with equal versions", "[settings]") {
+  REQUIRE(rc::check("exactly one wins each round, resends change nothing", [] {
+    Machine it;
+    it.bootstrap();
+    std::uint64_t version = 0;
+    auto rounds = *rc::gen::inRange(1, 10);
+    for (int round = 0; round < rounds; ++round) {
+      std::vector<SetValue> sends;
+      for (const char *who : {"team/salzhof", "admin"})
+        for (int copy = *rc::gen::inRange(1, 4); copy > 0; --copy)
+          sends.push_back({origin(fmt::format("r{}", round), who), Barnstock,
+                           keyedService(), version});
+      auto order = *rc::gen::container<std::vector<unsigned>>(
+          sends.size(), rc::gen::arbitrary<unsigned>());
+      std::map<std::string, ChangeOutcome> first;
+      std::multimap<unsigned, SetValue> shuffled;
+      for (std::size_t i = 0; i < sends.size(); ++i)
+        shuffled.emplace(order[i], sends[i]);
+      for (const auto &[place, set] : shuffled) {
+        auto outcome = it.run(set);
+        RC_ASSERT(first.emplace(set.Origin.Who, outcome).first->second ==
+                  outcome);
+      }
+      RC_ASSERT(std::ranges::count_if(first, [](const auto &entry) {
+                  return entry.second.accepted();
+                }) == 1);
+      version = it.Settings.get(Barnstock).value().Version;
+    }
+  }));
+}
