millctl: operators' command line over the control API

A table of commands (get, set, delete, list, watch, history, status, targets, owners, drain, evacuate, members, check), flags defined by gflags, one blocking Beast exchange per attempt. A change makes its id once and keeps it over all attempts and endpoints; the id carries the settings index when the server tells one. When no attempt was answered the way to repeat the change is printed.

gflags' own parser was ruled out: it ends the process with exit code 1 on an unknown flag, the table of exit codes says 2 for usage. Its registry still defines and checks the flags.

--- /dev/null
+++ b/apps/millctl/ApiClient.cpp
@@ -0,0 +1,125 @@
+// Attempts over endpoints, and what a failure means.
+#include "ApiClient.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <random>
+#include <thread>
+
+namespace magnoliamill::millctl {
+namespace {
+
+namespace json = boost::json;
+using base::ResultCode;
+
+/// Another endpoint may do better: the call was not carried out, or (for
+/// changes) it is repeated under the same change id.
+bool isRetryable(ResultCode code) {
+  switch (code) {
+  case ResultCode::PeerUnreachable:
+  case ResultCode::PeerTimeout:
+  case ResultCode::PeerProtocol:
+  case ResultCode::NoQuorum:
+  case ResultCode::NotLeader:
+  case ResultCode::ProposalDropped:
+  case ResultCode::ChangeOutcomeUnknown:
+  case ResultCode::NotRunNotReady:
+  case ResultCode::RingFull:
+  case ResultCode::Stopping:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// The call may have been carried out.
+bool isOutcomeUnknown(ResultCode code) {
+  return code == ResultCode::PeerTimeout || code == ResultCode::PeerProtocol ||
+         code == ResultCode::ChangeOutcomeUnknown;
+}
+
+} // namespace
+
+base::Result<json::value> ApiClient::get(const std::string &target) {
+  return attempt({"GET", target, {}, ""});
+}
+
+base::Result<json::value> ApiClient::change(const std::string &method,
+                                            const std::string &target,
+                                            const std::string &body,
+                                            const std::string &id) {
+  return attempt({method, target, {{"Mill-Change-Id", id}}, body});
+}
+
+base::Result<json::value> ApiClient::attempt(const HttpCall &call) {
+  auto signedcall = call;
+  if (!Config.Token.empty())
+    signedcall.Headers.emplace_back("Authorization", "Bearer " + Config.Token);
+  bool unknown = false;
+  base::Error last{ResultCode::PeerUnreachable, "no endpoint is given"};
+  for (unsigned round = 0; round < Config.Rounds; ++round) {
+    if (round > 0)
+      std::this_thread::sleep_for(Config.Pause);
+    for (const auto &endpoint : Config.Endpoints) {
+      LastError = nullptr;
+      auto answer = Send(endpoint, signedcall, Config.Timeout);
+      auto value = answer ? readAnswer(answer.value())
+                          : base::Result<json::value>(
+                                base::fail(std::move(answer.error())));
+      if (value || !isRetryable(value.error().Code))
+        return value;
+      unknown = unknown || isOutcomeUnknown(value.error().Code);
+      last = value.error();
+    }
+  }
+  if (unknown && call.Method != "GET")
+    return base::fail(
+        ResultCode::ChangeOutcomeUnknown,
+        fmt::format("the change may have been made ({})", last.Message));
+  return base::fail(std::move(last));
+}
+
+base::Result<json::value> ApiClient::readAnswer(const HttpAnswer &answer) {
+  boost::system::error_code ec;
+  auto value = json::parse(answer.Body, ec);
+  bool good = answer.Status >= 200 && answer.Status < 300;
+  if (ec)
+    return base::fail(ResultCode::PeerProtocol,
+                      fmt::format("HTTP {} without JSON", answer.Status));
+  if (good)
+    return value;
+  LastError = value;
+  const auto *object = value.if_object();
+  const auto *code = object ? object->if_contains("code") : nullptr;
+  const auto *text = object ? object->if_contains("message") : nullptr;
+  if (!code || !code->is_int64())
+    return base::fail(ResultCode::PeerProtocol,
+                      fmt::format("HTTP {} without a code", answer.Status));
+  return base::fail(static_cast<ResultCode>(code->get_int64()),
+                    text && text->is_string()
+                        ? std::string(text->get_string().c_str())
+                        : fmt::format("HTTP {}", answer.Status));
+}
+
+std::string escapeQuery(std::string_view text) {
+  std::string escaped;
+  for (char c : text) {
+    bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                 (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' ||
+                 c == '~' || c == '/';
+    if (plain)
+      escaped += c;
+    else
+      escaped += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  }
+  return escaped;
+}
+
+std::string makeChangeId(std::uint64_t index) {
+  std::random_device random;
+  auto draw = [&random] { return (std::uint64_t{random()} << 32) | random(); };
+  auto rest = fmt::format("{:016x}{:016x}", draw(), draw());
+  return index == 0 ? rest : fmt::format("{}~{}", index, rest);
+}
+
+} // namespace magnoliamill::millctl
--- /dev/null
+++ b/apps/millctl/SettingsCommands.cpp
@@ -0,0 +1,52 @@
+// get, set, delete, list.
+#include "Change.h"
+#include "Output.h"
+
+#include <boost/json.hpp>
+
+namespace magnoliamill::millctl {
+namespace {
+
+/// Prints an answer, or passes its failure on.
+base::Result<void> show(CommandContext &context,
+                        const base::Result<boost::json::value> &answer) {
+  if (!answer)
+    return base::fail(answer.error());
+  printAnswer(context, answer.value());
+  return base::ok();
+}
+
+} // namespace
+
+base::Result<void> runGet(CommandContext &context, Arguments arguments) {
+  return show(context, context.Api.get("/v1/settings" + arguments[0]));
+}
+
+base::Result<void> runSet(CommandContext &context, Arguments arguments) {
+  const auto &first = arguments[0];
+  const auto &expect = context.Flags.Expect;
+  if (arguments.size() == 2) {
+    auto value = readSource(context, arguments[1]);
+    if (!value)
+      return base::fail(value.error());
+    return show(context, putValue(context, first, value.value(), expect));
+  }
+  auto mark = first.find('=');
+  if (mark == std::string::npos)
+    return failUsage("give the value: set PATH FILE, set PATH - or set "
+                     "PATH=VALUE");
+  return show(context, putValue(context, first.substr(0, mark),
+                                first.substr(mark + 1), expect));
+}
+
+base::Result<void> runDelete(CommandContext &context, Arguments arguments) {
+  return show(context,
+              deleteValue(context, arguments[0], context.Flags.Expect));
+}
+
+base::Result<void> runList(CommandContext &context, Arguments arguments) {
+  auto prefix = arguments.empty() ? "/" : arguments[0];
+  return show(context, context.Api.get("/v1/list" + prefix));
+}
+
+} // namespace magnoliamill::millctl
--- a/packages/settings/tests/HomesTest.cpp
+++ b/packages/settings/tests/HomesTest.cpp
@@ -12,7 +12,6 @@
 using namespace magnoliamill::settings;
 using namespace magnoliamill::settings::tests;
 using base::ResultCode;
-using std::chrono_literals::operator""s;
 
 namespace {
 
