Gateway: tests of HTTP front, target client and the whole path

Cause: each promise of the two needs a test that induces its failure. Found by them: a slow body shared the answer's write timeout of 30 s; it has a limit of its own now (BodyTimeout). Ruled out: a body without length or chunked coding as an answer, nobody can tell whether it is whole: it fails with TargetProtocol.

--- a/fakes/target/tests/FakeTargetTest.cpp
+++ b/fakes/target/tests/FakeTargetTest.cpp
@@ -1,1 +1,87 @@
-// x
+// The fake target in one process: it announces itself, serves under grants and
+// leaves in order.
+#include "fakes/target/FakeTarget.h"
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace magnoliamill;
+using namespace magnoliamill::gateway;
+
+namespace {
+
+/// An entry VM that only listens to announcements.
+struct Entry {
+  Entry() {
+    GatewayHandlers handlers;
+    handlers.OnApi = [this](const ApiRequest &request,
+                            const std::function<void(ApiReply)> &reply) {
+      {
+        std::lock_guard lock(Mutex);
+        Last = boost::json::parse(request.Body).as_object();
+        Path = request.Path;
+      }
+      reply({200, "application/json", "{}", {}});
+    };
+    GatewayConfig config;
+    config.Host = "127.0.0.1";
+    Gateway.emplace(Duty, config, std::move(handlers));
+    REQUIRE(Gateway->start());
+    Duty.start();
+  }
+  ~Entry() { Duty.stop(); }
+  boost::json::object last() {
+    std::lock_guard lock(Mutex);
+    return Last;
+  }
+
+  std::mutex Mutex;
+  boost::json::object Last;
+  std::string Path;
+  base::DutyThread Duty{"entry", 64};
+  std::optional<HttpGateway> Gateway;
+};
+
+bool waitFor(const std::function<bool()> &condition) {
+  const auto end = base::readMonotonic() + std::chrono::seconds(10);
+  while (!condition()) {
+    if (base::readMonotonic() > end)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+} // namespace
+
+TEST_CASE("A target announces itself, serves and leaves") {
+  Entry entry;
+  base::DutyThread duty("target", 64);
+  fakes::FakeTargetConfig config;
+  config.Name = "press-1";
+  config.Service = "press-orders";
+  // The first entry VM is not there: the next one is tried.
+  config.Entries = {{"127.0.0.1", 1}, {"127.0.0.1", entry.Gateway->port()}};
+  auto target = std::make_shared<fakes::FakeTarget>(duty, config);
+  REQUIRE(target->start());
+  duty.start();
+  REQUIRE(waitFor([&] { return entry.last().contains("instance"); }));
+  const auto first = entry.last();
+  CHECK(entry.Path == "/targets/announce");
+  CHECK(first.at("instance").as_string() == target->instance());
+  CHECK(first.at("service").as_string() == "press-orders");
+  CHECK(first.at("port").to_number<int>() == target->port());
+  CHECK_FALSE(first.at("leaving").as_bool());
+  CHECK(first.at("clock").to_number<std::int64_t>() > 0);
+
+  SECTION("on leaving it says so first, and goes when nothing is left") {
+    std::promise<void> left;
+    target->leave([&] { left.set_value(); });
+    CHECK(waitFor([&] { return entry.last().at("leaving").as_bool(); }));
+    CHECK(left.get_future().wait_for(std::chrono::seconds(12)) ==
+          std::future_status::ready);
+  }
+  target->close();
+  duty.stop();
+}
--- a/packages/gateway/HttpGateway.h
+++ b/packages/gateway/HttpGateway.h
@@ -20,8 +20,12 @@
   std::size_t MaxHeaderBytes = 16 * 1024;
   std::size_t MaxBodyBytes = 1u << 20;
   std::size_t MaxConnections = 4096;
+  /// From the first byte of a request to the end of its header.
   base::Duration HeaderTimeout = std::chrono::seconds(10);
+  /// From the end of the header to the end of the body.
+  base::Duration BodyTimeout = std::chrono::seconds(30);
   base::Duration IdleTimeout = std::chrono::seconds(60);
+  /// For one chunk of an answer to be taken by the caller.
   base::Duration WriteTimeout = std::chrono::seconds(30);
 };
 
--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -84,7 +84,7 @@
   if (RequestParser->is_header_done() && !IsHeaderSeen) {
     IsHeaderSeen = true;
     // The whole body has this time: a slow one must not hold memory for long.
-    setLimit(Server->limits().WriteTimeout);
+    setLimit(Server->limits().BodyTimeout);
   }
   if (IsHeaderSeen && !IsContinueSent) {
     IsContinueSent = true;
--- a/packages/gateway/tests/PathTest.cpp
+++ b/packages/gateway/tests/PathTest.cpp
@@ -1,1 +1,159 @@
-// x
+// The whole path in one process: caller, gateway, target client, fake target.
+#include "Support.h"
+#include "fakes/target/BodyStream.h"
+#include "fakes/target/FakeTarget.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+
+using namespace magnoliamill;
+using namespace magnoliamill::gateway;
+using namespace magnoliamill::gateway::tests;
+
+namespace {
+
+/// Resident memory of this process in bytes.
+std::size_t readResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * 4096;
+}
+
+/// Gateway and client on one duty, the fake target on another.
+struct Bench {
+  explicit Bench(fakes::Behaviour conduct) {
+    fakes::FakeTargetConfig target;
+    target.Conduct = std::move(conduct);
+    Target = std::make_shared<fakes::FakeTarget>(Far.Duty, std::move(target));
+    REQUIRE(Target->start());
+    Client.emplace(Near.Duty, TargetClientConfig{});
+    GatewayHandlers handlers;
+    handlers.OnRequest = [this](protocol::ForwardRequest request,
+                                const protocol::AnswerSink &sink) {
+      return pass(std::move(request), sink);
+    };
+    GatewayConfig config;
+    config.Host = "127.0.0.1";
+    Gateway.emplace(Near.Duty, std::move(config), std::move(handlers));
+    REQUIRE(Gateway->start());
+  }
+  ~Bench() {
+    Near.run([this] {
+      Gateway.reset();
+      Client.reset();
+    });
+    Target->close();
+    Far.run([] {});
+  }
+
+  protocol::CancelHook pass(protocol::ForwardRequest request,
+                            const protocol::AnswerSink &sink) {
+    TargetCall call;
+    call.Address = {"127.0.0.1", Target->port()};
+    call.Idempotent = request.Method == "GET";
+    call.Request = std::move(request);
+    call.Deadline = base::readMonotonic() + std::chrono::seconds(20);
+    return Client->call(
+        std::move(call), sink, [this, sink](const TargetOutcome &outcome) {
+          Last = outcome.Code;
+          if (!outcome.Answered)
+            sink.Fail({outcome.MayHaveRun
+                           ? base::ResultCode::OutcomeUnknownTargetLost
+                           : base::ResultCode::NotRunTargetRefused,
+                       outcome.Message, outcome.RetryAfterMs});
+        });
+  }
+
+  RunningDuty Near;
+  RunningDuty Far;
+  std::atomic<base::ResultCode> Last{base::ResultCode::Ok};
+  std::shared_ptr<fakes::FakeTarget> Target;
+  std::optional<TargetClient> Client;
+  std::optional<HttpGateway> Gateway;
+};
+
+fakes::Behaviour makeQuick() {
+  fakes::Behaviour conduct;
+  conduct.ServiceMs = 0;
+  return conduct;
+}
+
+} // namespace
+
+TEST_CASE("Small requests go the whole way") {
+  Bench bench(makeQuick());
+  RawClient client(bench.Gateway->port());
+  std::vector<std::int64_t> times;
+  for (int n = 0; n < 2000; ++n) {
+    const auto start = base::readMonotonic();
+    client.send("POST /s/orders/jobs HTTP/1.1\r\nMill-Key: k1\r\n"
+                "Content-Length: 4\r\n\r\nbody");
+    const std::string answer = client.readAnswer();
+    times.push_back((base::readMonotonic() - start).count());
+    REQUIRE(answer.find("\"key\":\"k1\"") != std::string::npos);
+  }
+  std::ranges::sort(times);
+  WARN("round trip through gateway and target, us: p50 "
+       << times[times.size() / 2] << " p99 " << times[times.size() * 99 / 100]);
+}
+
+TEST_CASE("A body of 32 MB streams with bounded memory") {
+  constexpr std::uint64_t Size = 32u << 20;
+  fakes::Behaviour conduct = makeQuick();
+  conduct.BodyBytes = Size;
+  Bench bench(conduct);
+  RawClient client(bench.Gateway->port());
+  const std::size_t before = readResidentBytes();
+  std::size_t most = 0;
+  client.send("GET /s/orders/proof HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string head = client.readUntil("\r\n\r\n");
+  CHECK(head.find("Content-Length: 33554432") != std::string::npos);
+  std::uint64_t offset = 0;
+  bool isEqual = true;
+  while (offset < Size) {
+    const std::string part = client.readAvailable();
+    if (part.empty())
+      break;
+    for (const char byte : part)
+      isEqual = isEqual && byte == fakes::bodyByteAt(offset++);
+    most = std::max(most, readResidentBytes());
+  }
+  CHECK(offset == Size);
+  CHECK(isEqual);
+  CHECK(most - std::min(most, before) < (8u << 20));
+}
+
+TEST_CASE("A target's short answer aborts the caller's connection") {
+  fakes::Behaviour conduct = makeQuick();
+  conduct.BodyBytes = 200'000;
+  conduct.TruncateEvery = 1;
+  Bench bench(conduct);
+  RawClient client(bench.Gateway->port());
+  client.send("GET /s/orders/proof HTTP/1.1\r\n\r\n");
+  const std::string answer = client.readAll();
+  CHECK(answer.size() < 200'000);
+  CHECK_FALSE(client.endedOrderly());
+  CHECK(bench.Last == base::ResultCode::AnswerTruncated);
+}
+
+TEST_CASE("A caller's disconnect reaches the target") {
+  fakes::Behaviour conduct;
+  conduct.ServiceMs = 15'000;
+  Bench bench(conduct);
+  RawClient client(bench.Gateway->port());
+  client.send("POST /s/orders/jobs HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  RawClient probe(bench.Target->port());
+  auto readLoad = [&] {
+    probe.send("GET /.mill/load HTTP/1.1\r\n\r\n");
+    return probe.readAnswer();
+  };
+  CHECK(waitFor(
+      [&] { return readLoad().find("\"running\":1") != std::string::npos; }));
+  client.close();
+  CHECK(waitFor(
+      [&] { return readLoad().find("\"running\":0") != std::string::npos; }));
+  CHECK(bench.Last == base::ResultCode::NotRunCancelled);
+}
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -1,1 +1,355 @@
-// x
+// The client towards targets: what is written, how often, and what counts as
+// answered.
+#include "Support.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace magnoliamill;
+using namespace magnoliamill::gateway;
+using namespace magnoliamill::gateway::tests;
+
+namespace {
+
+using Peer = ScriptedServer::Peer;
+using base::ResultCode;
+
+constexpr const char *OkAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+TargetCall makeCall(const TargetAddress &address, const char *method) {
+  TargetCall call;
+  call.Address = address;
+  call.Request.Id = base::RequestId("r-1");
+  call.Request.Service = base::ServiceId("orders");
+  call.Request.Partner = base::PartnerId("acme");
+  call.Request.Key = "job-7";
+  call.Request.Method = method;
+  call.Request.Target = "/jobs/7";
+  call.Request.Headers = {{"X-Kept", "yes"}};
+  call.Token = base::Token{4, 17};
+  call.Slot = 12;
+  call.Deadline = base::readMonotonic() + std::chrono::seconds(5);
+  call.Idempotent = std::string_view(method) == "GET";
+  return call;
+}
+
+struct Bench {
+  explicit Bench(ScriptedServer::Script script) : Server(std::move(script)) {
+    TargetClientConfig config;
+    config.MaxIdleForUnsafe = std::chrono::milliseconds(100);
+    Client.emplace(Runner.Duty, config);
+  }
+  AnswerCollector start(TargetCall call, bool acknowledge = true) {
+    AnswerCollector answer;
+    Runner.run([&] {
+      Cancel = Client->call(std::move(call), answer.makeSink(acknowledge),
+                            answer.makeDone());
+    });
+    return answer;
+  }
+  AnswerCollector run(TargetCall call) {
+    AnswerCollector answer = start(std::move(call));
+    REQUIRE(answer.awaitDone());
+    // The end follows done in the same turn of the loop.
+    Runner.run([] {});
+    CHECK(answer.countDone() == 1);
+    return answer;
+  }
+  AnswerCollector run(const char *method) {
+    return run(makeCall(Server.address(), method));
+  }
+
+  ScriptedServer Server;
+  RunningDuty Runner;
+  std::optional<TargetClient> Client;
+  protocol::CancelHook Cancel;
+};
+
+/// Answers every request of a connection.
+void answerAlways(Peer &peer, std::size_t) {
+  while (!peer.readRequest().empty())
+    peer.send(OkAnswer);
+}
+
+std::size_t countRequests(const std::string &bytes) {
+  std::size_t count = 0;
+  for (std::size_t at = 0;
+       (at = bytes.find("Mill-Request-Id", at)) != std::string::npos; ++at)
+    ++count;
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("A call reaches the target with its token and key") {
+  Bench bench(answerAlways);
+  auto call = makeCall(bench.Server.address(), "POST");
+  call.Request.Body = "payload";
+  const auto answer = bench.run(std::move(call));
+  CHECK(answer.status() == 200);
+  CHECK(answer.body() == "ok");
+  CHECK(answer.isEnded());
+  CHECK(answer.outcome().Answered);
+  CHECK(answer.outcome().MayHaveRun);
+  const std::string bytes = bench.Server.bytes();
+  for (const char *line :
+       {"POST /jobs/7 HTTP/1.1\r\n", "Mill-Token: 4.17\r\n",
+        "Mill-Slot: 12\r\n", "Mill-Key: job-7\r\n", "Mill-Request-Id: r-1\r\n",
+        "Mill-Partner: acme\r\n", "X-Kept: yes\r\n", "Mill-Deadline-Ms: 4",
+        "Content-Length: 7\r\n\r\npayload"})
+    CHECK(bytes.find(line) != std::string::npos);
+
+  SECTION("and the next one reuses its connection") {
+    CHECK(bench.run("POST").outcome().Answered);
+    CHECK(bench.Server.countConnections() == 1);
+  }
+  SECTION("unless the connection was idle for long and a repeat is unsafe") {
+    const auto since = std::chrono::steady_clock::now();
+    REQUIRE(waitFor([&] {
+      return std::chrono::steady_clock::now() - since >
+             std::chrono::milliseconds(110);
+    }));
+    CHECK(bench.run("POST").outcome().Answered);
+    CHECK(bench.Server.countConnections() == 2);
+  }
+  SECTION("unless it is suspect") {
+    bench.Runner.run([&] { bench.Client->suspect(bench.Server.address()); });
+    CHECK(bench.run("GET").outcome().Answered);
+    CHECK(bench.Server.countConnections() == 2);
+  }
+  SECTION("and grants have connections of their own") {
+    std::promise<base::Result<std::string>> reply;
+    bench.Runner.run([&] {
+      bench.Client->exchange(bench.Server.address(), "PUT", "/.mill/grants",
+                             "{}", std::chrono::seconds(5),
+                             [&](base::Result<std::string> result) {
+                               reply.set_value(std::move(result));
+                             });
+    });
+    CHECK(reply.get_future().get().value() == "ok");
+    CHECK(bench.Server.countConnections() == 2);
+  }
+}
+
+TEST_CASE("Without the right to write, nothing is written") {
+  Bench bench(answerAlways);
+  SECTION("on a new connection") {}
+  SECTION("on a reused one") { bench.run("POST"); }
+  const std::string before = bench.Server.bytes();
+  auto call = makeCall(bench.Server.address(), "POST");
+  int asked = 0;
+  call.MayWrite = [&] {
+    ++asked;
+    return false;
+  };
+  const auto answer = bench.run(std::move(call));
+  CHECK(asked == 1);
+  CHECK(answer.outcome().Code == ResultCode::NotRunLeaseLost);
+  CHECK_FALSE(answer.outcome().MayHaveRun);
+  CHECK(answer.status() == 0);
+  // Whatever had been written would have come before this next request.
+  bench.run("GET");
+  const std::string after = bench.Server.bytes();
+  CHECK(countRequests(after) == countRequests(before) + 1);
+  CHECK(after.substr(before.size()).starts_with("GET "));
+}
+
+TEST_CASE("A body that ends short is never an answer") {
+  const char *bytes = nullptr;
+  SECTION("short of its length") {
+    bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort";
+  }
+  SECTION("without its last chunk") {
+    bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "5\r\nshort\r\n";
+  }
+  SECTION("in the middle of a chunk") {
+    bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "9\r\nshort";
+  }
+  Bench bench([&](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send(bytes);
+  });
+  const auto answer = bench.run("GET");
+  CHECK(answer.body() == "short");
+  CHECK_FALSE(answer.isEnded());
+  CHECK_FALSE(answer.outcome().Answered);
+  CHECK(answer.outcome().MayHaveRun);
+  CHECK(answer.outcome().Code == ResultCode::AnswerTruncated);
+}
+
+TEST_CASE("An answer whose end nobody could see is refused") {
+  Bench bench([](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send("HTTP/1.1 200 OK\r\n\r\nis this all?");
+  });
+  const auto answer = bench.run("GET");
+  CHECK(answer.status() == 0);
+  CHECK(answer.outcome().Code == ResultCode::TargetProtocol);
+  CHECK(answer.outcome().MayHaveRun);
+}
+
+TEST_CASE("Forms of answers that are whole") {
+  struct Form {
+    const char *Title;
+    const char *Method;
+    const char *Bytes;
+    std::uint16_t Status;
+    const char *Body;
+  };
+  const std::vector<Form> forms = {
+      {"chunked", "GET",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+       200, "abcdefg"},
+      {"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+      {"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", 200,
+       ""},
+      {"interim", "GET",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+       "Content-Length: 2\r\n\r\nok",
+       200, "ok"},
+      {"error of the target", "GET",
+       "HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno", 500, "no"},
+  };
+  for (const auto &form : forms) {
+    DYNAMIC_SECTION(form.Title) {
+      Bench bench([&](Peer &peer, std::size_t) {
+        while (!peer.readRequest().empty())
+          for (const char *at = form.Bytes; *at != '\0'; ++at)
+            peer.send(std::string_view(at, 1));
+      });
+      for (int n = 0; n < 2; ++n) {
+        const auto answer = bench.run(form.Method);
+        CHECK(answer.isEnded());
+        CHECK(answer.status() == form.Status);
+        CHECK(answer.body() == form.Body);
+      }
+      CHECK(bench.Server.countConnections() == 1);
+    }
+  }
+}
+
+TEST_CASE("A kept connection that went bad") {
+  // The first connection answers once and dies with the second request.
+  Bench bench([](Peer &peer, std::size_t number) {
+    peer.readRequest();
+    peer.send(OkAnswer);
+    if (number == 1)
+      peer.readRequest();
+    else
+      answerAlways(peer, number);
+  });
+  bench.run("GET");
+  SECTION("is no loss for a request that may be repeated") {
+    CHECK(bench.run("GET").outcome().Answered);
+    CHECK(bench.Server.countConnections() == 2);
+  }
+  SECTION("leaves an unsafe request unresent, with its outcome unknown") {
+    const auto answer = bench.run("POST");
+    CHECK_FALSE(answer.outcome().Answered);
+    CHECK(answer.outcome().MayHaveRun);
+    CHECK(answer.outcome().Code == ResultCode::TargetReset);
+    CHECK(bench.Server.countConnections() == 1);
+    CHECK(countRequests(bench.Server.bytes()) == 2);
+  }
+}
+
+TEST_CASE("A kept connection that the target has closed is not used") {
+  Bench bench([](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send(OkAnswer);
+  });
+  bench.run("POST");
+  // By now, or in a moment, the close has arrived; a new connection is taken.
+  REQUIRE(waitFor([&] { return bench.run("GET").outcome().Answered; }));
+  CHECK(bench.Server.countConnections() == 2);
+}
+
+TEST_CASE("A target's refusal before running is not passed on") {
+  Bench bench([](Peer &peer, std::size_t) {
+    while (!peer.readRequest().empty())
+      peer.send("HTTP/1.1 503 Busy\r\nMill-Not-Run: 1\r\nRetry-After: 3\r\n"
+                "Content-Length: 4\r\n\r\nbusy");
+  });
+  const auto answer = bench.run("POST");
+  CHECK(answer.status() == 0);
+  CHECK_FALSE(answer.isEnded());
+  CHECK_FALSE(answer.outcome().Answered);
+  CHECK_FALSE(answer.outcome().MayHaveRun);
+  CHECK(answer.outcome().Code == ResultCode::NotRunTargetRefused);
+  CHECK(answer.outcome().Status == 503);
+  CHECK(answer.outcome().RetryAfterMs == 3000);
+  CHECK(answer.outcome().Message == "busy");
+}
+
+TEST_CASE("Deadlines and cancellation close the connection") {
+  std::promise<void> closed;
+  Bench bench([&](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.awaitClose();
+    closed.set_value();
+  });
+  auto call = makeCall(bench.Server.address(), "POST");
+  SECTION("the deadline") {
+    call.Deadline = base::readMonotonic() + std::chrono::milliseconds(100);
+    const auto answer = bench.run(std::move(call));
+    CHECK(answer.outcome().Code == ResultCode::TargetTimeout);
+    CHECK(answer.outcome().MayHaveRun);
+    CHECK(base::toMs(answer.outcome().Latency) >= 99);
+    CHECK(base::toMs(answer.outcome().Latency) < 2000);
+  }
+  SECTION("the caller, from another thread") {
+    auto answer = bench.start(std::move(call));
+    REQUIRE(waitFor([&] { return countRequests(bench.Server.bytes()) == 1; }));
+    bench.Cancel();
+    REQUIRE(answer.awaitDone());
+    CHECK(answer.outcome().Code == ResultCode::NotRunCancelled);
+    CHECK(answer.outcome().MayHaveRun);
+  }
+  CHECK(closed.get_future().wait_for(std::chrono::seconds(10)) ==
+        std::future_status::ready);
+}
+
+TEST_CASE("A call that can't start was surely not run") {
+  RunningDuty runner;
+  TargetClient client(runner.Duty, {});
+  AnswerCollector answer;
+  TargetAddress address{"127.0.0.1", 0};
+  {
+    // A port that was just given back: nobody listens on it.
+    ScriptedServer server([](Peer &, std::size_t) {});
+    address = server.address();
+  }
+  auto call = makeCall(address, "POST");
+  auto expected = ResultCode::TargetUnreachable;
+  SECTION("nobody listens") {}
+  SECTION("the address is none") { call.Address.Host = "no-address"; }
+  SECTION("the deadline has passed") {
+    call.Deadline = base::readMonotonic();
+    expected = ResultCode::TargetTimeout;
+  }
+  runner.run([&] {
+    client.call(std::move(call), answer.makeSink(), answer.makeDone());
+  });
+  REQUIRE(answer.awaitDone());
+  CHECK(answer.outcome().Code == expected);
+  CHECK_FALSE(answer.outcome().MayHaveRun);
+}
+
+TEST_CASE("A receiver that does not ask for more gets one chunk") {
+  Bench bench([](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" +
+              std::string(1'000'000, 'x'));
+  });
+  auto call = makeCall(bench.Server.address(), "GET");
+  call.Deadline = base::readMonotonic() + std::chrono::milliseconds(300);
+  auto answer = bench.start(std::move(call), false);
+  REQUIRE(answer.awaitDone());
+  CHECK(answer.body().size() <= TargetClientConfig{}.ChunkBytes);
+  CHECK(answer.outcome().Code == ResultCode::AnswerTruncated);
+  CHECK_FALSE(answer.isEnded());
+}
