peer: failure tests, and a mended loss of parked answers

The tests cut, silence, fill and feed garbage to links through a small relay. They found a fault: when the link was lost while the receiver of a long answer had not yet asked for the next part, no call was under way and the sink never heard the end. Such answers now fail with OutcomeUnknownPeerLost.

--- a/packages/peer/internal/AnswerRelay.h
+++ b/packages/peer/internal/AnswerRelay.h
@@ -18,10 +18,10 @@
 class AnswerRelay final : public kj::Refcounted {
 public:
   /// Answers up to this size go in one message.
-  static constexpr std::size_t InlineBytes = 64 * 1024;
+  static constexpr std::size_t InlineBytes = 64u << 10;
 
   explicit AnswerRelay(LoopContext &context);
-  ~AnswerRelay() noexcept(false);
+  ~AnswerRelay() noexcept(false) override;
 
   /// Hands the request to the duty. The promise resolves when writeAnswer has
   /// something to write.
--- a/packages/peer/internal/ForwardCall.cpp
+++ b/packages/peer/internal/ForwardCall.cpp
@@ -22,8 +22,8 @@
 }
 
 protocol::RequestFailure describeLoss(CallFault fault, base::Error error) {
-  bool isLate = fault == CallFault::TimeLimit;
-  return {isLate ? ResultCode::OutcomeUnknownDeadline
+  bool IsLate = fault == CallFault::TimeLimit;
+  return {IsLate ? ResultCode::OutcomeUnknownDeadline
                  : ResultCode::OutcomeUnknownPeerLost,
           std::move(error.Message), 0};
 }
@@ -77,12 +77,12 @@
   auto ok = result.getOk();
   auto head = decode(ok.getHead());
   auto chunk = toString(ok.getChunk());
-  bool isWhole = !ok.hasRest();
-  if (!isWhole)
+  bool IsWhole = !ok.hasRest();
+  if (!IsWhole)
     Rest = ok.getRest();
   Calls.finish(Step);
   Sink.Head(std::move(head));
-  if (isWhole) {
+  if (IsWhole) {
     if (!chunk.empty())
       Sink.Chunk(std::move(chunk), [] {});
     return end();
@@ -108,14 +108,14 @@
   auto part = response.getResult();
   auto chunk = toString(part.getChunk());
   Calls.finish(Step);
-  bool isLast = !part.isMore();
-  if (!chunk.empty() && isLast)
+  bool IsLast = !part.isMore();
+  if (!chunk.empty() && IsLast)
     Sink.Chunk(std::move(chunk), [] {});
   else if (!chunk.empty())
     return giveChunk(std::move(chunk));
   if (part.isFailure())
     return fail(decode(part.getFailure()));
-  if (isLast)
+  if (IsLast)
     return end();
   pull(NextPart);
 }
@@ -124,6 +124,10 @@
   Sink.Chunk(std::move(chunk), [ask = Ask, part = NextPart] { ask(part); });
 }
 
+void ForwardCall::lose(const base::Error &error) {
+  fail(describeLoss(CallFault::Link, error));
+}
+
 void ForwardCall::end() {
   Calls.finish(Step);
   Sink.End();
--- a/packages/peer/internal/ForwardCall.h
+++ b/packages/peer/internal/ForwardCall.h
@@ -31,6 +31,8 @@
              const protocol::ForwardRequest &request, std::size_t bytes);
   /// Reads the part with this number; ignored when it was asked for before.
   void pull(std::uint64_t part);
+  /// The link is gone while no step is under way.
+  void lose(const base::Error &error);
 
 private:
   using Answer = capnp::Response<protocol::wire::Peer::ForwardResults>;
--- a/packages/peer/internal/GroupQueue.h
+++ b/packages/peer/internal/GroupQueue.h
@@ -14,11 +14,11 @@
 public:
   /// Largest batch in bytes, unless a single message is larger. Small enough
   /// that a heartbeat behind it is not held up for long.
-  static constexpr std::size_t MaxBatchBytes = 256 * 1024;
+  static constexpr std::size_t MaxBatchBytes = 256u << 10;
   /// Bytes on their way to the peer, not yet acknowledged.
-  static constexpr std::size_t MaxUnacknowledgedBytes = 1024 * 1024;
+  static constexpr std::size_t MaxUnacknowledgedBytes = 1u << 20;
 
-  explicit GroupQueue(std::size_t maxBytes) : MaxBytes(maxBytes) {}
+  explicit GroupQueue(std::size_t limit) : MaxBytes(limit) {}
 
   /// Adds a message; returns how many older ones were dropped for it.
   std::size_t push(protocol::GroupMessage message);
--- a/packages/peer/internal/LinkStream.cpp
+++ b/packages/peer/internal/LinkStream.cpp
@@ -7,7 +7,7 @@
 namespace magnoliamill::peer::internal {
 namespace {
 
-constexpr std::size_t ReadAheadBytes = 64 * 1024;
+constexpr std::size_t ReadAheadBytes = 64u << 10;
 
 } // namespace
 
--- a/packages/peer/internal/Mailbox.cpp
+++ b/packages/peer/internal/Mailbox.cpp
@@ -29,14 +29,14 @@
 void Mailbox::postAnswer(base::Task task) {
   if (!enter())
     return;
-  bool isFirst = false;
+  bool IsFirst = false;
   {
     std::lock_guard lock(AnswersMutex);
-    isFirst = Answers.empty();
+    IsFirst = Answers.empty();
     Answers.push_back(std::move(task));
   }
   // Only the first one after a drain has to wake the thread.
-  if (isFirst)
+  if (IsFirst)
     wake();
   leave();
 }
--- a/packages/peer/internal/PeerLink.cpp
+++ b/packages/peer/internal/PeerLink.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <kj/debug.h>
 #include <kj/io.h>
+#include <utility>
 
 namespace magnoliamill::peer::internal {
 namespace {
@@ -78,11 +79,11 @@
                                  address.value().Storage.ss_family);
   if (!socket)
     return disconnected(socket.error());
-  constexpr auto flags = kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+  constexpr auto Flags = kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
                          kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK;
   return Context.Io.lowLevelProvider->wrapConnectingSocketFd(
       kj::AutoCloseFd(socket.value()), address.value().get(),
-      address.value().Length, flags);
+      address.value().Length, Flags);
 }
 
 kj::Promise<void> PeerLink::greet(kj::Own<kj::AsyncIoStream> stream) {
@@ -194,7 +195,10 @@
   IsUp = false;
   metrics().MessagesDropped.Increment(static_cast<double>(Messages.clear()));
   Calls.failAll(error);
-  Forwards.clear();
+  // Those left wait for their receiver to ask for the next part.
+  auto parked = std::exchange(Forwards, {});
+  for (auto &[id, call] : parked)
+    call->lose(error);
   // The caller may be a continuation of the connection's own promises.
   KJ_IF_MAYBE (connection, Connection) {
     Tasks.add(kj::evalLater([old = kj::mv(*connection)]() {}));
--- a/packages/peer/internal/PeerLinks.cpp
+++ b/packages/peer/internal/PeerLinks.cpp
@@ -16,7 +16,6 @@
 namespace magnoliamill::peer {
 
 using base::ResultCode;
-using internal::PeerLink;
 using protocol::wire::Peer;
 
 struct PeerLinks::State {
--- a/packages/peer/internal/PeerLoop.cpp
+++ b/packages/peer/internal/PeerLoop.cpp
@@ -57,10 +57,10 @@
   Running running(*this, io);
   Current = &running;
   {
-    constexpr auto flags = kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+    constexpr auto Flags = kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
                            kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK;
     Acceptor acceptor(running.Context, io.lowLevelProvider->wrapListenSocketFd(
-                                           kj::AutoCloseFd(listener), flags));
+                                           kj::AutoCloseFd(listener), Flags));
     std::function<void()> turn = [this] { drain(); };
     auto pump = running.pump(turn).eagerlyEvaluate([](kj::Exception &&fault) {
       base::logError("peer", ResultCode::Internal,
@@ -100,11 +100,11 @@
   if (!Current || Posts->isClosed())
     return;
   std::erase_if(Links, [&](const auto &entry) {
-    bool isKept =
+    bool IsKept =
         std::ranges::find(peers, entry.second->address()) != peers.end();
-    if (!isKept)
+    if (!IsKept)
       Liveness.remove(entry.first);
-    return !isKept;
+    return !IsKept;
   });
   for (const auto &peer : peers)
     if (peer.Vm != Config.Self.Vm && !Links.contains(peer.Vm))
--- a/packages/peer/internal/SilenceWatch.h
+++ b/packages/peer/internal/SilenceWatch.h
@@ -16,9 +16,9 @@
   /// late is passed over: what arrived while this process was paused or busy
   /// has not been read yet.
   bool isSilent(base::MonoTime heard, base::MonoTime now) {
-    bool isLate = now - Previous > Interval + Limit / 2;
+    bool IsLate = now - Previous > Interval + Limit / 2;
     Previous = now;
-    return !isLate && now - heard > Limit;
+    return !IsLate && now - heard > Limit;
   }
 
 private:
--- /dev/null
+++ b/packages/peer/tests/BodyTest.cpp
@@ -0,0 +1,185 @@
+// Large answers: complete, pulled by the reader, and never held in memory as a
+// whole.
+#include "PeerNode.h"
+#include "TcpRelay.h"
+#include "peer/internal/AnswerRelay.h"
+#include "peer/internal/PeerMetrics.h"
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using namespace magnoliamill;
+using namespace magnoliamill::peer;
+using namespace magnoliamill::peer::tests;
+using base::ResultCode;
+
+namespace {
+
+constexpr std::size_t ChunkBytes = 64u << 10;
+
+// Gives a body of counted bytes, chunk by chunk, and then how it ends.
+struct BodyGiver : std::enable_shared_from_this<BodyGiver> {
+  std::size_t Total = 32u << 20;
+  bool HasLength = true;
+  std::optional<protocol::RequestFailure> Ending;
+  std::atomic<std::size_t> Given{0};
+  std::atomic<int> Cancelled{0};
+  protocol::AnswerSink Sink;
+
+  PeerHandlers makeHandlers() {
+    PeerHandlers handlers;
+    handlers.OnForward = [this](auto, auto sink) -> protocol::CancelHook {
+      Sink = sink;
+      protocol::AnswerHead head;
+      head.Status = 200;
+      if (HasLength)
+        head.Length = Total;
+      Sink.Head(head);
+      give();
+      return [this] { ++Cancelled; };
+    };
+    return handlers;
+  }
+  void give() {
+    std::size_t n = std::min(ChunkBytes, Total - Given);
+    if (n > 0) {
+      std::string chunk(n, '\0');
+      for (std::size_t i = 0; i < n; ++i)
+        chunk[i] = static_cast<char>((Given + i) % 251);
+      Given += n;
+      return Sink.Chunk(std::move(chunk), [this] { give(); });
+    }
+    if (Ending)
+      Sink.Fail(*Ending);
+    else
+      Sink.End();
+  }
+};
+
+bool isCounted(std::string_view body) {
+  for (std::size_t i = 0; i < body.size(); ++i)
+    if (body[i] != static_cast<char>(i % 251))
+      return false;
+  return true;
+}
+
+} // namespace
+
+TEST_CASE("Answers of every size arrive whole", "[peer]") {
+  for (std::size_t size : {std::size_t{0}, std::size_t{1}, ChunkBytes - 1,
+                           ChunkBytes, ChunkBytes + 1, std::size_t{3u << 20}}) {
+    for (bool length : {true, false}) {
+      BodyGiver giver;
+      giver.Total = size;
+      giver.HasLength = length;
+      PeerNode b("vm-b", giver.makeHandlers());
+      PeerNode a("vm-a");
+      REQUIRE(a.Links.start());
+      REQUIRE(b.Links.start());
+      REQUIRE(a.connect(b.address()));
+      RecordedAnswer answer;
+      a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
+      REQUIRE(answer.waitForEnd());
+      REQUIRE(answer.code() == ResultCode::Ok);
+      REQUIRE(answer.Body.size() == size);
+      REQUIRE(isCounted(answer.Body));
+      a.Links.stop();
+      b.Links.stop();
+      REQUIRE(giver.Cancelled == 0);
+    }
+  }
+}
+
+TEST_CASE("A slow reader of 32 MB bounds what is held", "[peer]") {
+  // The giver's chunk, one that travels, one that the reader has.
+  constexpr std::size_t MaxHeld =
+      4 * ChunkBytes + internal::AnswerRelay::InlineBytes;
+  BodyGiver giver;
+  PeerNode b("vm-b", giver.makeHandlers());
+  PeerNode a("vm-a");
+  REQUIRE(a.Links.start());
+  REQUIRE(b.Links.start());
+  REQUIRE(a.connect(b.address()));
+  RecordedAnswer answer;
+  auto cancel = a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
+  REQUIRE(answer.waitForBytes(1));
+  answer.setReading(false);
+  // Several heartbeats pass while nothing is read: the link stays up.
+  auto pause = base::readMonotonic() + std::chrono::seconds(1);
+  REQUIRE(waitFor([&] {
+    REQUIRE(giver.Given <= answer.size() + MaxHeld);
+    return base::readMonotonic() > pause;
+  }));
+  REQUIRE(internal::metrics().AnswerBytesBuffered.Value() <=
+          static_cast<double>(MaxHeld));
+
+  SECTION("and it arrives whole when the reader goes on") {
+    answer.setReading(true);
+    REQUIRE(answer.waitForEnd());
+    REQUIRE(answer.code() == ResultCode::Ok);
+    REQUIRE(answer.Body.size() == giver.Total);
+    REQUIRE(isCounted(answer.Body));
+    REQUIRE(giver.Cancelled == 0);
+  }
+  SECTION("and a cancel reaches the giver") {
+    cancel();
+    REQUIRE(waitFor([&] { return giver.Cancelled == 1; }));
+    REQUIRE(answer.Ends == 0);
+  }
+  SECTION("and a stop of the giver's VM ends it as lost") {
+    b.Links.stop();
+    REQUIRE(answer.waitForEnd());
+    REQUIRE(answer.code() == ResultCode::OutcomeUnknownPeerLost);
+    REQUIRE(answer.size() < giver.Total);
+  }
+  a.Links.stop();
+  b.Links.stop();
+  REQUIRE(internal::metrics().AnswerBytesBuffered.Value() == 0);
+}
+
+TEST_CASE("A body that ends short is told as a failure", "[peer]") {
+  BodyGiver giver;
+  giver.Ending = {ResultCode::AnswerTruncated, "the target closed", 0};
+  SECTION("within the first message") { giver.Total = 100; }
+  SECTION("after many parts") { giver.Total = 1u << 20; }
+  giver.HasLength = false;
+  PeerNode b("vm-b", giver.makeHandlers());
+  PeerNode a("vm-a");
+  REQUIRE(a.Links.start());
+  REQUIRE(b.Links.start());
+  REQUIRE(a.connect(b.address()));
+  RecordedAnswer answer;
+  a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
+  REQUIRE(answer.waitForEnd());
+  REQUIRE(answer.code() == ResultCode::AnswerTruncated);
+  REQUIRE(answer.Ends == 1);
+}
+
+TEST_CASE("A slow answer is not held back", "[peer]") {
+  PeerHandlers handlers;
+  protocol::AnswerSink sink;
+  std::atomic<bool> isTaken{false};
+  handlers.OnForward = [&](auto, auto given) -> protocol::CancelHook {
+    sink = given;
+    isTaken = true;
+    return [] {};
+  };
+  PeerNode b("vm-b", handlers);
+  PeerNode a("vm-a");
+  REQUIRE(a.Links.start());
+  REQUIRE(b.Links.start());
+  REQUIRE(a.connect(b.address()));
+  RecordedAnswer answer;
+  a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
+  REQUIRE(waitFor([&] { return isTaken.load(); }));
+  sink.Head({200, {}, std::nullopt, "vm-b"});
+  sink.Chunk("first", [] {});
+  REQUIRE(answer.waitForBytes(5));
+  REQUIRE(answer.Ends == 0);
+  sink.Chunk("second", [] {});
+  REQUIRE(answer.waitForBytes(11));
+  sink.End();
+  REQUIRE(answer.waitForEnd());
+  REQUIRE(answer.Body == "firstsecond");
+}
--- a/packages/peer/tests/LoopbackTest.cpp
+++ b/packages/peer/tests/LoopbackTest.cpp
@@ -8,10 +8,11 @@
 using namespace magnoliamill::peer;
 using namespace magnoliamill::peer::tests;
 using base::ResultCode;
-using std::chrono_literals::operator""s;
 
 namespace {
 
+constexpr base::Duration Limit = std::chrono::seconds(5);
+
 // Answers a call from another thread, as the duties do.
 template <typename Task> void answerLater(Task task) {
   std::thread(std::move(task)).detach();
@@ -23,7 +24,8 @@
   }
   base::Result<Reply> wait() {
     auto future = Promise.get_future();
-    REQUIRE(future.wait_for(20s) == std::future_status::ready);
+    REQUIRE(future.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
     return future.get();
   }
   std::promise<base::Result<Reply>> Promise;
@@ -68,7 +70,7 @@
 
   SECTION("proposals bring back index and outcome") {
     Replied<protocol::ProposeReply> reply;
-    a.Links.propose(b.Vm, {protocol::GroupKind::DataCentre, "cmd"}, 5s,
+    a.Links.propose(b.Vm, {protocol::GroupKind::DataCentre, "cmd"}, Limit,
                     reply.hook());
     auto got = reply.wait().value();
     REQUIRE(got.Index == 7);
@@ -76,7 +78,7 @@
   }
   SECTION("fetches bring back entries") {
     Replied<protocol::FetchReply> reply;
-    a.Links.fetch(b.Vm, {protocol::GroupKind::Settings, 4, 0, a.Vm, 3}, 5s,
+    a.Links.fetch(b.Vm, {protocol::GroupKind::Settings, 4, 0, a.Vm, 3}, Limit,
                   reply.hook());
     auto got = reply.wait().value();
     REQUIRE(got.Entries.at(0).Index == 5);
@@ -85,27 +87,28 @@
   }
   SECTION("a lease repeats when it was asked for") {
     Replied<protocol::LeaseReply> reply;
-    a.Links.renewLease(b.Vm, {a.Vm, 1, 1234, true, "report"}, 5s, reply.hook());
+    a.Links.renewLease(b.Vm, {a.Vm, 1, 1234, true, "report"}, Limit,
+                       reply.hook());
     auto got = reply.wait().value();
     REQUIRE(got.SentAtUs == 1234);
     REQUIRE(got.Granted);
   }
   SECTION("a refusal keeps its number and text") {
     Replied<protocol::AnnounceReply> reply;
-    a.Links.announce(b.Vm, {"{}"}, 5s, reply.hook());
+    a.Links.announce(b.Vm, {"{}"}, Limit, reply.hook());
     auto got = reply.wait();
     REQUIRE(got.error().Code == ResultCode::TargetNotAllowed);
     REQUIRE(got.error().Message == "not in the settings");
   }
   SECTION("a call that the peer does not serve is refused") {
     Replied<protocol::QueryReply> reply;
-    a.Links.query(b.Vm, {"owners", ""}, 5s, reply.hook());
+    a.Links.query(b.Vm, {"owners", ""}, Limit, reply.hook());
     REQUIRE(reply.wait().error().Code == ResultCode::PeerRefused);
   }
   SECTION("a call to an unknown VM, or to itself, is unreachable") {
     for (const auto &vm : {base::VmId("vm-z"), a.Vm}) {
       Replied<protocol::QueryReply> reply;
-      a.Links.query(vm, {"owners", ""}, 5s, reply.hook());
+      a.Links.query(vm, {"owners", ""}, Limit, reply.hook());
       REQUIRE(reply.wait().error().Code == ResultCode::PeerUnreachable);
     }
   }
@@ -125,7 +128,7 @@
     a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
     REQUIRE(answer.code() == ResultCode::NotRunPeerUnreachable);
     Replied<protocol::QueryReply> reply;
-    a.Links.query(b.Vm, {"owners", ""}, 5s, reply.hook());
+    a.Links.query(b.Vm, {"owners", ""}, Limit, reply.hook());
     REQUIRE(reply.wait().error().Code == ResultCode::Stopping);
   }
 }
