--- a/scripts/demo-check.sh
+++ b/scripts/demo-check.sh
@@ -16,7 +16,7 @@
 check_release() {
   curl -sf -m 3 -X POST -H 'Mill-Key: barn-9' -H 'Idempotency-Key: release-1' \
     "http://127.0.0.1:$(http_port a3)/s/barnstock/release" >/dev/null || return 1
-  [ "$(cat "$DEMO_DIR"/barn-*.runs | grep -c '"path":"/release"')" = 1 ]
+  [ "$(cat "$DEMO_DIR"/barn-*.runs | grep '"path":"/release"' | grep -c '"event":"begin"')" = 1 ]
 }
 
 index_of_change() { sed -n 's/.*"index": *\([0-9]*\).*/\1/p' | head -1; }
@@ -26,7 +26,7 @@
 check_settings_change() {
   local value index
   value=$(sed 's/"queue_limit_per_target": *[0-9]*/"queue_limit_per_target": 99/' "$MILL_ROOT/examples/demo/barnstock.json")
-  index=$(millctl --token "$DEMO_TEAM_TOKEN" --output json set /teams/roads/services/barnstock="$value" | index_of_change)
+  index=$(millctl --token "$DEMO_TEAM_TOKEN" --output json set --expect current /teams/roads/services/barnstock="$value" | index_of_change)
   [ -n "$index" ] && wait_until 6 "the change is in force" in_force_everywhere "$index"
 }
 
--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -104,9 +104,9 @@
 }
 
 load_example_settings() {
-  millctl --token "$DEMO_ADMIN_TOKEN" set /admin/teams/roads="{\"token_sha256\":\"$(sha256 $DEMO_TEAM_TOKEN)\"}"
-  millctl --token "$DEMO_TEAM_TOKEN" set /teams/roads/services/barnstock="$(cat "$MILL_ROOT/examples/demo/barnstock.json")"
-  millctl --token "$DEMO_TEAM_TOKEN" set /teams/roads/services/art-vault="$(cat "$MILL_ROOT/examples/demo/art-vault.json")"
+  millctl --token "$DEMO_ADMIN_TOKEN" set --expect none /admin/teams/roads="{\"token_sha256\":\"$(sha256 $DEMO_TEAM_TOKEN)\"}"
+  millctl --token "$DEMO_TEAM_TOKEN" set --expect none /teams/roads/services/barnstock="$(cat "$MILL_ROOT/examples/demo/barnstock.json")"
+  millctl --token "$DEMO_TEAM_TOKEN" set --expect none /teams/roads/services/art-vault="$(cat "$MILL_ROOT/examples/demo/art-vault.json")"
 }
 
 demo_start() {
--- a/tests/cluster/LocalCluster.cpp
+++ b/tests/cluster/LocalCluster.cpp
@@ -78,16 +78,15 @@
                      {"disk", other.HasDisk}});
   }
   const Ports &own = PortsOf.at(vm.Name);
-  json::object out{
-      {"vm", vm.Name},
-      {"data_centre", vm.DataCentre},
-      {"peer_listen", {{"host", "127.0.0.1"}, {"port", own.Peer}}},
-      {"http_listen", {{"host", "127.0.0.1"}, {"port", own.Http}}},
-      {"settings_replica", vm.HasDisk},
-      {"data_centre_replica", true},
-      {"admin_token_sha256", settings::hashToken(AdminToken)},
-      {"allowed_target_hosts", json::array{"127.0.0.0/8"}},
-      {"seeds", seeds}};
+  json::object out{{"vm", vm.Name},
+                   {"data_centre", vm.DataCentre},
+                   {"peer_listen", {{"host", "127.0.0.1"}, {"port", own.Peer}}},
+                   {"http_listen", {{"host", "127.0.0.1"}, {"port", own.Http}}},
+                   {"settings_replica", vm.HasDisk},
+                   {"data_centre_replica", true},
+                   {"admin_token_sha256", settings::hashToken(AdminToken)},
+                   {"allowed_target_hosts", json::array{"127.0.0.0/8"}},
+                   {"seeds", seeds}};
   if (vm.HasDisk)
     out["data_folder"] = dataFolder(vm.Name).string();
   std::ofstream(Folder / (vm.Name + ".json")) << json::serialize(out);
@@ -142,8 +141,8 @@
 }
 
 void LocalCluster::createTeam() {
-  std::string value = fmt::format(R"({{"token_sha256":"{}"}})",
-                                  settings::hashToken(TeamToken));
+  std::string value =
+      fmt::format(R"({{"token_sha256":"{}"}})", settings::hashToken(TeamToken));
   auto answer = callHttp(
       httpPort(Vms.front().Name), "PUT", "/v1/settings/admin/teams/roads",
       {{"Authorization", "Bearer " + AdminToken}, {"Mill-Change-Id", "team"}},
@@ -155,11 +154,10 @@
 HttpAnswer LocalCluster::set(const std::string &vm, const std::string &path,
                              const std::string &value, std::uint64_t expected,
                              const std::string &changeId) {
-  return callHttp(httpPort(vm), "PUT", "/v1/settings/teams/roads" + path,
-                  {{"Authorization", "Bearer " + TeamToken},
-                   {"Mill-Change-Id", changeId}},
-                  fmt::format(R"({{"value":{},"expected_version":{}}})", value,
-                              expected));
+  return callHttp(
+      httpPort(vm), "PUT", "/v1/settings/teams/roads" + path,
+      {{"Authorization", "Bearer " + TeamToken}, {"Mill-Change-Id", changeId}},
+      fmt::format(R"({{"value":{},"expected_version":{}}})", value, expected));
 }
 
 HttpAnswer LocalCluster::get(const std::string &vm, const std::string &path) {
@@ -182,28 +180,50 @@
                   limit);
 }
 
+namespace {
+
+std::string readText(const json::object &line, const char *name) {
+  const auto *value = line.if_contains(name);
+  return value && value->is_string() ? std::string(value->as_string())
+                                     : std::string();
+}
+
+/// A begin line makes a run, the line at its end completes it: a run whose
+/// target was killed counts as well.
+void addRunLine(const json::object &line, std::vector<RunRecord> &runs) {
+  std::string request = readText(line, "request");
+  if (readText(line, "event") == "begin") {
+    runs.push_back({request, readText(line, "key"), readText(line, "token"),
+                    readText(line, "instance"), readText(line, "name"),
+                    readText(line, "path"), readText(line, "idempotency"),
+                    line.at("start_us").to_number<std::int64_t>(), 0});
+    return;
+  }
+  auto begun = std::find_if(runs.rbegin(), runs.rend(),
+                            [&request](const RunRecord &run) {
+                              return run.Request == request && run.EndUs == 0;
+                            });
+  if (begun != runs.rend())
+    begun->EndUs = line.at("end_us").to_number<std::int64_t>();
+}
+
+} // namespace
+
 std::vector<RunRecord> LocalCluster::runs() const {
   std::vector<RunRecord> all;
   for (const auto &file : std::filesystem::directory_iterator(Folder)) {
     if (file.path().extension() != ".runs")
       continue;
+    std::vector<RunRecord> ofTarget;
     std::ifstream in(file.path());
     for (std::string line; std::getline(in, line);) {
       boost::system::error_code ec;
       auto parsed = json::parse(line, ec);
-      if (ec || !parsed.as_object().contains("request"))
-        continue;
-      const auto &run = parsed.as_object();
-      auto text = [&run](const char *name) {
-        const auto *value = run.if_contains(name);
-        return value && value->is_string() ? std::string(value->as_string())
-                                           : std::string();
-      };
-      all.push_back({text("request"), text("key"), text("instance"),
-                     text("name"), text("path"),
-                     run.at("start_us").to_number<std::int64_t>(),
-                     run.at("end_us").to_number<std::int64_t>()});
+      // The last line of a killed target may be cut.
+      if (!ec && parsed.as_object().contains("request"))
+        addRunLine(parsed.as_object(), ofTarget);
     }
+    all.insert(all.end(), ofTarget.begin(), ofTarget.end());
   }
   return all;
 }
--- a/tests/cluster/LocalCluster.h
+++ b/tests/cluster/LocalCluster.h
@@ -33,10 +33,15 @@
 struct RunRecord {
   std::string Request;
   std::string Key;
+  /// The fencing token that the request carried.
+  std::string Token;
   std::string Instance;
   std::string Name;
   std::string Path;
+  std::string IdempotencyKey;
+  /// CLOCK_MONOTONIC, comparable between the processes of one machine.
   std::int64_t StartUs = 0;
+  /// 0 when the target did not live to its end.
   std::int64_t EndUs = 0;
 };
 
@@ -71,10 +76,11 @@
   HttpAnswer get(const std::string &vm, const std::string &path);
   HttpAnswer api(const std::string &vm, const std::string &path);
 
-  HttpAnswer request(const std::string &vm, const std::string &method,
-                     const std::string &service, const std::string &path,
-                     const HttpHeaders &headers,
-                     std::chrono::milliseconds limit = std::chrono::seconds(10));
+  HttpAnswer
+  request(const std::string &vm, const std::string &method,
+          const std::string &service, const std::string &path,
+          const HttpHeaders &headers,
+          std::chrono::milliseconds limit = std::chrono::seconds(10));
   /// What all targets ran so far.
   std::vector<RunRecord> runs() const;
   /// The VM that leads the data centre's group ("data_centre_group") or the
