Dispatch: codes that say no more than is known; idempotent reads survive a lost VM

Cause: a code of the way to the target (8xxx) could reach the caller, who could not tell 'not run' from 'unknown'; and a read whose dispatching VM was lost failed although it may be repeated. Ruled out: repeating without bound (amplification).

--- a/packages/dispatch/internal/Dispatcher.cpp
+++ b/packages/dispatch/internal/Dispatcher.cpp
@@ -12,6 +12,16 @@
 // Longest sleep between two ticks.
 constexpr base::Duration MaxSleep = std::chrono::milliseconds(20);
 
+// Callers get 30xx (not run) or 31xx (outcome unknown), never a code of the way
+// to the target, and never one that says more than is known.
+base::ResultCode codeForCaller(const AttemptOutcome &outcome) {
+  auto hundreds = base::numberOf(outcome.Code) / 100;
+  if (outcome.MayHaveRun)
+    return hundreds == 31 ? outcome.Code
+                          : base::ResultCode::OutcomeUnknownTargetLost;
+  return hundreds == 30 ? outcome.Code : base::ResultCode::NotRunTargetRefused;
+}
+
 template <typename T> void append(std::vector<T> &to, std::vector<T> &&from) {
   std::ranges::move(from, std::back_inserter(to));
 }
@@ -133,10 +143,7 @@
       append(actions.Start, std::move(again.Start));
       append(actions.End, std::move(again.End));
     } else {
-      base::ResultCode code = outcome.Code;
-      if (code == base::ResultCode::Ok)
-        code = outcome.MayHaveRun ? base::ResultCode::OutcomeUnknownTargetLost
-                                  : base::ResultCode::NotRunTargetRefused;
+      base::ResultCode code = codeForCaller(outcome);
       actions.End.push_back(
           {id, {code, std::string(base::nameOf(code)), outcome.RetryAfterMs}});
     }
--- a/packages/dispatch/internal/Router.cpp
+++ b/packages/dispatch/internal/Router.cpp
@@ -14,6 +14,9 @@
 // When a refused caller may come back.
 constexpr std::uint32_t RetryAfterMs = 500;
 
+// Attempts of an idempotent request whose dispatching VM was lost.
+constexpr std::uint32_t MaxIdempotentAttempts = 3;
+
 bool canAnotherRouteMend(base::ResultCode code) {
   using enum base::ResultCode;
   return code == NotRunNotOwner || code == NotRunLeaseLost ||
@@ -61,7 +64,10 @@
   Pending &pending = it->second;
   --Outstanding[pending.At];
   pending.At = {};
-  if (!canAnotherRouteMend(failure.Code)) {
+  bool mayRepeat = pending.Info.Idempotent &&
+                   failure.Code == base::ResultCode::OutcomeUnknownPeerLost &&
+                   pending.Attempts < MaxIdempotentAttempts;
+  if (!mayRepeat && !canAnotherRouteMend(failure.Code)) {
     actions.End.push_back({id, failure});
     Requests.erase(it);
     return actions;
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -184,6 +184,16 @@
     REQUIRE(actions.End[0].Failure.Code ==
             base::ResultCode::OutcomeUnknownTargetLost);
   }
+  SECTION("the caller gets a code that says no more than is known") {
+    auto id = bench.Subject.submit(bench.request(Keyless), bench.Now)
+                  .Start[0]
+                  .Request;
+    outcome.MayHaveRun = true;
+    outcome.Code = base::ResultCode::TargetTimeout;
+    auto actions = bench.Subject.finish(id, outcome, bench.Now);
+    REQUIRE(actions.End[0].Failure.Code ==
+            base::ResultCode::OutcomeUnknownTargetLost);
+  }
   SECTION("one that surely did not run goes to the other target") {
     auto first =
         bench.Subject.submit(bench.request(Keyless), bench.Now).Start[0];
--- a/tests/cluster/LocalCluster.cpp
+++ b/tests/cluster/LocalCluster.cpp
@@ -149,6 +149,11 @@
       fmt::format(R"({{"value":{},"expected_version":0}})", value));
   if (answer.Status != 200)
     throw std::runtime_error("cannot create the team: " + answer.Body);
+  // Each VM checks access by the settings that it has in force.
+  for (const auto &vm : Vms)
+    waitUntil("the team is known at " + vm.Name, [&] {
+      return api(vm.Name, "/settings/admin/teams/roads").Status == 200;
+    });
 }
 
 HttpAnswer LocalCluster::set(const std::string &vm, const std::string &path,
