settings: target rules hold only with their own team's service

A rule outlives its service in the tree. After a restore it stood in the view without the service, or with the service of another team that had taken the name: views of a restored and a running VM differed. Found by review; the random logs did not draw target rules, now they do, and a section shows it.

Also: a bootstrap with one bad VM takes the others; a full tree is refused with ValueInvalid; the controller paces homes and groups apart and plans homes only when they are due.

millctl: a refusal by an entry VM (say an unknown token) after a lost answer leaves the outcome unknown; only answers that hold for all attempts end it.

--- a/apps/millctl/ApiClient.cpp
+++ b/apps/millctl/ApiClient.cpp
@@ -23,6 +23,7 @@
   case ResultCode::NotLeader:
   case ResultCode::ProposalDropped:
   case ResultCode::ChangeOutcomeUnknown:
+  case ResultCode::RateLimited:
   case ResultCode::NotRunNotReady:
   case ResultCode::RingFull:
   case ResultCode::Stopping:
@@ -38,6 +39,28 @@
          code == ResultCode::ChangeOutcomeUnknown;
 }
 
+/// The answer holds for all attempts under the change id, because the
+/// replicated state machine gave it or because it lies in the change itself.
+bool isDecided(ResultCode code) {
+  switch (code) {
+  case ResultCode::PathUnknown:
+  case ResultCode::PathInvalid:
+  case ResultCode::ValueInvalid:
+  case ResultCode::ValueTooLarge:
+  case ResultCode::VersionConflict:
+  case ResultCode::ChangeIdReused:
+  case ResultCode::ChangeIdExpired:
+    return true;
+  default:
+    return false;
+  }
+}
+
+base::Error describeUnknown(const base::Error &last) {
+  return {ResultCode::ChangeOutcomeUnknown,
+          fmt::format("the change may have been made ({})", last.Message)};
+}
+
 } // namespace
 
 base::Result<json::value> ApiClient::get(const std::string &target) {
@@ -56,6 +79,7 @@
   if (!Config.Token.empty())
     signedcall.Headers.emplace_back("Authorization", "Bearer " + Config.Token);
   bool unknown = false;
+  const bool ischange = call.Method != "GET";
   base::Error last{ResultCode::PeerUnreachable, "no endpoint is given"};
   for (unsigned round = 0; round < Config.Rounds; ++round) {
     if (round > 0)
@@ -66,16 +90,18 @@
       auto value = answer ? readAnswer(answer.value())
                           : base::Result<json::value>(
                                 base::fail(std::move(answer.error())));
-      if (value || !isRetryable(value.error().Code))
+      if (value || isDecided(value.error().Code))
         return value;
+      if (!isRetryable(value.error().Code))
+        return unknown && ischange ? base::Result<json::value>(base::fail(
+                                         describeUnknown(value.error())))
+                                   : value;
       unknown = unknown || isOutcomeUnknown(value.error().Code);
       last = value.error();
     }
   }
-  if (unknown && call.Method != "GET")
-    return base::fail(
-        ResultCode::ChangeOutcomeUnknown,
-        fmt::format("the change may have been made ({})", last.Message));
+  if (unknown && ischange)
+    return base::fail(describeUnknown(last));
   return base::fail(std::move(last));
 }
 
--- a/apps/millctl/Commands.cpp
+++ b/apps/millctl/Commands.cpp
@@ -132,6 +132,7 @@
   out << "millctl drives magnoliamill by its settings.\n\n"
          "usage: millctl [flags] COMMAND ...\n\ncommands:\n";
   std::vector<std::vector<std::string>> rows;
+  rows.reserve(Table.size());
   for (const auto &info : Table)
     rows.push_back({"  " + std::string(info.Usage), std::string(info.Summary)});
   printTable(out, rows);
--- a/apps/millctl/tests/MillctlTest.cpp
+++ b/apps/millctl/tests/MillctlTest.cpp
@@ -235,6 +235,15 @@
     REQUIRE(set.Code == ExitOk);
     REQUIRE(changeIds(server.seen()) == changeIds(other.seen()));
   }
+  SECTION("stays unknown when another endpoint refuses to look at it") {
+    lose = 100;
+    TinyServer other([](const Request &) -> TinyServer::Answer {
+      return {403, R"({"code":4001,"message":"the token is unknown"})"};
+    });
+    auto set = run({"delete", Path, "--expect=7", "--endpoint",
+                    server.endpoint() + "," + other.endpoint()});
+    REQUIRE(set.Err.find("ChangeOutcomeUnknown") != std::string::npos);
+  }
   SECTION("is reported as unknown, with the way to repeat it") {
     lose = 100;
     auto set =
--- a/packages/settings/HomeController.h
+++ b/packages/settings/HomeController.h
@@ -70,6 +70,14 @@
     ReplicaReport Report;
     base::MonoTime At;
   };
+  /// Gives commands out once for each state of the settings, and again when
+  /// nothing came of them.
+  struct Pace {
+    consensus::LogIndex Index = 0;
+    base::MonoTime At;
+    /// True when commands may be given out; notes that they were.
+    bool take(const View &view, base::MonoTime now, base::Duration retry);
+  };
   using Reports = std::vector<ReplicaReport>;
 
   Reports freshReports(const base::DataCentreId &centre,
@@ -85,9 +93,8 @@
   // Since when the first candidate of a data centre without a group has been
   // waiting, or its group has been without a quorum.
   std::map<base::DataCentreId, base::MonoTime> WaitingSince;
-  consensus::LogIndex LastIndex = 0;
-  // When commands were last given out for LastIndex.
-  base::MonoTime LastCommands;
+  Pace GroupPace;
+  Pace HomePace;
 };
 
 /// Stamps any command with the proposer's wall clock.
--- a/packages/settings/internal/HomeController.cpp
+++ b/packages/settings/internal/HomeController.cpp
@@ -192,17 +192,23 @@
   LastReports[report.Replica.Vm] = {report, now};
 }
 
+bool HomeController::Pace::take(const View &view, base::MonoTime now,
+                                base::Duration retry) {
+  if (view.Index == Index && now - At < retry)
+    return false;
+  Index = view.Index;
+  At = now;
+  return true;
+}
+
 std::vector<Command> HomeController::step(const View &view,
                                           base::MonoTime now) {
   std::vector<Command> out;
   planGroups(view, now, out);
-  planHomes(view, out);
-  bool waiting =
-      view.Index == LastIndex && now - LastCommands < Config.RetryInterval;
-  if (out.empty() || waiting)
-    return {};
-  LastIndex = view.Index;
-  LastCommands = now;
+  if (!out.empty() && !GroupPace.take(view, now, Config.RetryInterval))
+    out.clear();
+  if (HomePace.take(view, now, Config.RetryInterval))
+    planHomes(view, out);
   if (out.size() > Config.MaxCommands)
     out.resize(Config.MaxCommands);
   return out;
--- a/packages/settings/internal/InForceCheck.cpp
+++ b/packages/settings/internal/InForceCheck.cpp
@@ -62,8 +62,7 @@
 
 FaultList check(const SettingsState &state, const SettingsPath &path,
                 const TargetRule & /*rule*/) {
-  auto it = state.Current.Services.find(base::ServiceId(path.Name));
-  if (it != state.Current.Services.end() && it->second.Team == path.Team)
+  if (state.ownsService(path))
     return {};
   return {{ResultCode::ValueInvalid, "",
            fmt::format("team '{}' has no service '{}'", path.Team, path.Name)}};
--- a/packages/settings/internal/OperatorCommands.cpp
+++ b/packages/settings/internal/OperatorCommands.cpp
@@ -61,9 +61,9 @@
   if (!checked.Faults.empty())
     return refuseValue(std::move(checked.Faults));
   if (current == 0 && state.Tree.size() >= state.Limits.MaxPaths)
-    return refuse(ResultCode::RateLimited,
-                  fmt::format("the tree holds {} paths, its limit",
-                              state.Limits.MaxPaths));
+    return refuseValue({{ResultCode::OutOfRange, "",
+                         fmt::format("the tree holds {} paths, its limit",
+                                     state.Limits.MaxPaths)}});
   state.put(path, checked, to.Index);
   ChangeOutcome outcome;
   outcome.Version = to.Index;
--- a/packages/settings/internal/SettingsState.cpp
+++ b/packages/settings/internal/SettingsState.cpp
@@ -56,12 +56,19 @@
     installService(std::get<ServiceView>(value));
     return;
   case PathKind::Target:
-    Current.TargetRules[base::ServiceId(path.Name)][path.Target] =
-        std::get<TargetRule>(value);
+    // Rules outlive their service in the tree, but hold only with it.
+    if (ownsService(path))
+      Current.TargetRules[base::ServiceId(path.Name)][path.Target] =
+          std::get<TargetRule>(value);
     return;
   }
 }
 
+bool SettingsState::ownsService(const SettingsPath &path) const {
+  auto it = Current.Services.find(base::ServiceId(path.Name));
+  return it != Current.Services.end() && it->second.Team == path.Team;
+}
+
 void SettingsState::installService(const ServiceView &service) {
   bool fresh = !Current.Services.contains(service.Id);
   Current.Services[service.Id] = service;
@@ -97,7 +104,7 @@
     break;
   }
   auto rules = Current.TargetRules.find(service);
-  if (rules == Current.TargetRules.end())
+  if (rules == Current.TargetRules.end() || !ownsService(path))
     return;
   rules->second.erase(path.Target);
   if (rules->second.empty())
--- a/packages/settings/internal/SettingsState.h
+++ b/packages/settings/internal/SettingsState.h
@@ -46,6 +46,9 @@
   std::uint64_t versionOf(std::string_view path) const;
   /// The value of \p path with secrets redacted, "" when nothing is set there.
   std::string redactedAt(const SettingsPath &path) const;
+  /// True when the service that \p path names is in force and belongs to the
+  /// path's team.
+  bool ownsService(const SettingsPath &path) const;
 
   void auditOperator(AuditEntry entry);
   void auditSystem(AuditEntry entry);
--- a/packages/settings/internal/VmCommands.cpp
+++ b/packages/settings/internal/VmCommands.cpp
@@ -78,12 +78,13 @@
   if (state.Bootstrapped)
     return {};
   state.Bootstrapped = true;
+  ChangeOutcome first;
   for (const auto &vm : boot.Vms) {
     auto outcome = writeVm(to, vm, boot.WhenMs, "bootstrap_vms");
-    if (!outcome.accepted())
-      return outcome;
+    if (!outcome.accepted() && first.accepted())
+      first = std::move(outcome);
   }
-  return {};
+  return first;
 }
 
 ChangeOutcome applyCommand(ApplyContext to, const RegisterVm &add) {
--- a/packages/settings/tests/StateMachineTest.cpp
+++ b/packages/settings/tests/StateMachineTest.cpp
@@ -94,6 +94,16 @@
     it.set(Barnstock, keyedService(), 0, "b");
     REQUIRE(it.Settings.viewNow()->TargetRules == rules);
   }
+  SECTION("does not hold for a service of another team, also after a restart") {
+    auto service = it.set(Barnstock, keyedService(), 0, "a");
+    it.set(Path, R"({"state":"leaving"})", 0, "t");
+    it.run(DeleteValue{origin("d"), Barnstock, service.Version});
+    it.set("/teams/brazos/services/barnstock", keyedService(), 0, "b");
+    REQUIRE(it.Settings.viewNow()->TargetRules.empty());
+    Machine other;
+    REQUIRE(other.Settings.restore(it.Settings.snapshot()).has_value());
+    REQUIRE(*other.Settings.viewNow() == *it.Settings.viewNow());
+  }
 }
 
 TEST_CASE("A resend after a lost answer", "[settings]") {
@@ -215,24 +225,41 @@
 /// resends and reuses are frequent. Versions are given relative to the last.
 SetValue drawSet() {
   const auto service = *rc::gen::inRange(0, 3);
-  const auto version = *rc::gen::inRange(0, 12);
+  const auto version =
+      *rc::gen::arbitrary<bool>() ? 0 : *rc::gen::inRange(1, 20);
   const auto id = *rc::gen::inRange(0, 25);
   const auto deadline = *rc::gen::inRange(0, 3);
   return {origin(fmt::format("id{}", id),
                  *rc::gen::element<std::string>("team/salzhof", "admin")),
-          fmt::format("/teams/salzhof/services/s{}", service),
+          fmt::format("/teams/{}/services/s{}",
+                      *rc::gen::element("salzhof", "salzhof", "brazos"),
+                      service),
           fmt::format(R"({{"keyed":true,"slots":4,"data_centres":["basel"],)"
                       R"("default_deadline_ms":{}}})",
                       deadline),
           static_cast<std::uint64_t>(version)};
 }
 
+/// The services s0 and s1 are wanted by two teams.
+SetValue drawTargetRule() {
+  auto set = drawSet();
+  auto team = *rc::gen::element("salzhof", "brazos");
+  set.Path = fmt::format("/teams/{}/targets/s{}/t{}", team,
+                         *rc::gen::inRange(0, 2), *rc::gen::inRange(0, 2));
+  set.Value =
+      *rc::gen::element(R"({"state":"leaving"})", R"({"state":"active"})");
+  return set;
+}
+
 Command drawCommand() {
-  switch (*rc::gen::inRange(0, 6)) {
+  switch (*rc::gen::inRange(0, 8)) {
   case 0: {
-    auto set = drawSet();
+    auto set = *rc::gen::arbitrary<bool>() ? drawSet() : drawTargetRule();
     return DeleteValue{set.Origin, set.Path, set.ExpectedVersion};
   }
+  case 3:
+  case 4:
+    return drawTargetRule();
   case 1:
     return AssignHomes{
         0, base::ServiceId("s0"),
