--- a/packages/ownership/DispatchReport.h
+++ b/packages/ownership/DispatchReport.h
@@ -26,6 +26,8 @@
   consensus::LogIndex InForce = 0;
   /// Targets that took their last grant.
   std::vector<base::TargetInstanceId> Ready;
+  /// Targets that did not answer last time, but may still hold a grant.
+  std::vector<base::TargetInstanceId> Failing;
   /// Targets that do not answer and whose grants have run out.
   std::vector<base::TargetInstanceId> Lost;
   /// Slots that are at no target of this VM any more: it never again grants
--- a/packages/ownership/internal/DispatchAgent.cpp
+++ b/packages/ownership/internal/DispatchAgent.cpp
@@ -238,6 +238,8 @@
       report.Lost.push_back(instance);
     else if (link.isReady(now))
       report.Ready.push_back(instance);
+    if (!link.isLost() && link.isFailing())
+      report.Failing.push_back(instance);
   }
   report.Released.assign(Released.begin(), Released.end());
   report.Relieved.assign(Relieved.begin(), Relieved.end());
--- a/packages/ownership/internal/DispatchReport.cpp
+++ b/packages/ownership/internal/DispatchReport.cpp
@@ -39,6 +39,7 @@
   return json::serialize(
       json::object{{"in_force", report.InForce},
                    {"ready", encodeNames(report.Ready)},
+                   {"failing", encodeNames(report.Failing)},
                    {"lost", encodeNames(report.Lost)},
                    {"released", internal::encodeSlots(report.Released)},
                    {"relieved", std::move(relieved)}});
@@ -52,6 +53,7 @@
   DispatchReport it;
   it.InForce = reader.number("in_force");
   it.Ready = readNames(reader, "ready");
+  it.Failing = readNames(reader, "failing");
   it.Lost = readNames(reader, "lost");
   it.Released = internal::readSlots(reader, "released");
   for (const auto &element : reader.list("relieved")) {
--- a/packages/ownership/internal/DispatcherPlanner.cpp
+++ b/packages/ownership/internal/DispatcherPlanner.cpp
@@ -5,7 +5,13 @@
 
 namespace magnoliamill::ownership::internal {
 
+namespace {
+/// How long a VM that reached none of its targets is given no other ones.
+constexpr base::Duration AvoidCutOff = std::chrono::seconds(10);
+} // namespace
+
 void DispatcherPlanner::plan() {
+  planCutOff();
   countLoads();
   for (const auto &[instance, target] : Context.Ownership.Targets)
     if (isFree(target))
@@ -13,6 +19,19 @@
   planBalance();
 }
 
+void DispatcherPlanner::planCutOff() {
+  for (const auto &holder : Context.Leases.listCandidates(Context.Now)) {
+    if (!Context.isCutOff(holder))
+      continue;
+    Context.Leases.avoid(holder, Context.Now + AvoidCutOff);
+    for (const auto &[instance, target] : Context.Ownership.Targets)
+      if (dispatcherOf(target) == holder)
+        Context.Out.propose(
+            instance.Value, target.DispatchToken,
+            BeginDispatchRelease{target.Instance, target.DispatchToken});
+  }
+}
+
 void DispatcherPlanner::countLoads() {
   for (const auto &holder : Context.Leases.listCandidates(Context.Now))
     Loads[holder] = 0;
--- a/packages/ownership/internal/DispatcherPlanner.h
+++ b/packages/ownership/internal/DispatcherPlanner.h
@@ -15,6 +15,8 @@
   void plan();
 
 private:
+  /// Takes all targets from a VM that reaches none of them.
+  void planCutOff();
   void countLoads();
   /// Gives a target that nobody may dispatch to any more to a new VM.
   void planTarget(const TargetView &target);
--- a/packages/ownership/internal/LeaseTable.cpp
+++ b/packages/ownership/internal/LeaseTable.cpp
@@ -46,11 +46,15 @@
   std::vector<LeaseHolderId> candidates;
   for (const auto &[id, holder] : Holders)
     if (holder.Granted && now < *holder.Granted + LeaseDuration &&
-        !holder.Leaving && isLatest(id))
+        !holder.Leaving && now >= holder.AvoidUntil && isLatest(id))
       candidates.push_back(id);
   return candidates;
 }
 
+void LeaseTable::avoid(const LeaseHolderId &holder, base::MonoTime until) {
+  Holders[holder].AvoidUntil = until;
+}
+
 const DispatchReport *
 LeaseTable::findReport(const LeaseHolderId &holder) const {
   auto it = Holders.find(holder);
--- a/packages/ownership/internal/LeaseTable.h
+++ b/packages/ownership/internal/LeaseTable.h
@@ -34,6 +34,8 @@
   bool mayBeHeld(const LeaseHolderId &holder, base::MonoTime now) const;
   /// Holders that may be given targets.
   std::vector<LeaseHolderId> listCandidates(base::MonoTime now) const;
+  /// Gives \p holder no targets for a while.
+  void avoid(const LeaseHolderId &holder, base::MonoTime until);
   /// What \p holder reported in this term; empty when nothing.
   const DispatchReport *findReport(const LeaseHolderId &holder) const;
 
@@ -53,6 +55,7 @@
     DispatchReport Report;
     /// The index that the holder must have in force.
     consensus::LogIndex Required = 0;
+    base::MonoTime AvoidUntil{};
   };
   struct Taking {
     LeaseHolderId Holder;
--- a/packages/ownership/internal/PlanContext.cpp
+++ b/packages/ownership/internal/PlanContext.cpp
@@ -48,6 +48,26 @@
          std::ranges::find(report->Lost, target.Instance) != report->Lost.end();
 }
 
+bool PlanContext::isCutOff(const LeaseHolderId &holder) const {
+  const auto *report = Leases.findReport(holder);
+  if (report == nullptr || report->Lost.empty())
+    return false;
+  std::size_t silent = 0;
+  bool doOthersReach = false;
+  for (const auto &[instance, target] : Ownership.Targets) {
+    if (target.State == TargetState::Lost)
+      continue;
+    if (dispatcherOf(target) != holder)
+      doOthersReach = doOthersReach || isReady(target);
+    else if (isLost(target) || std::ranges::find(report->Failing, instance) !=
+                                   report->Failing.end())
+      ++silent;
+    else
+      return false;
+  }
+  return silent >= 2 && doOthersReach;
+}
+
 base::MonoTime
 PlanContext::lastHeard(const base::TargetInstanceId &instance) const {
   auto it = Announcements.find(instance);
--- a/packages/ownership/internal/PlanContext.h
+++ b/packages/ownership/internal/PlanContext.h
@@ -41,6 +41,10 @@
   const DispatchReport *reportOn(const TargetView &target) const;
   bool isReady(const TargetView &target) const;
   bool isLost(const TargetView &target) const;
+  /// True when a VM with several targets gets no answer from any of them, while
+  /// other VMs reach theirs: then rather the VM is cut off than the targets are
+  /// gone.
+  bool isCutOff(const LeaseHolderId &holder) const;
   /// When the target last announced itself, as far as this leader can know.
   base::MonoTime lastHeard(const base::TargetInstanceId &instance) const;
 };
--- a/packages/ownership/internal/SlotPlanner.cpp
+++ b/packages/ownership/internal/SlotPlanner.cpp
@@ -101,7 +101,8 @@
                          const SlotView &slot) const {
   if (!slot.Owner.empty()) {
     const auto *owner = findTarget(slot.Owner);
-    return owner != nullptr && isReleased(id, *owner);
+    return owner != nullptr && isReleased(id, *owner) &&
+           !Context.isCutOff(dispatcherOf(*owner));
   }
   if (slot.Token.Index != 0)
     return true;
--- a/packages/ownership/internal/TargetLink.h
+++ b/packages/ownership/internal/TargetLink.h
@@ -43,6 +43,7 @@
   /// to it can be valid any more.
   bool becomesLost(base::MonoTime now);
   bool isLost() const { return Lost; }
+  bool isFailing() const { return Failures > 0; }
   /// True while the target has acknowledged a grant that is still valid, or
   /// does not know grants.
   bool isReady(base::MonoTime now) const;
--- a/packages/ownership/internal/TargetPlanner.cpp
+++ b/packages/ownership/internal/TargetPlanner.cpp
@@ -71,7 +71,9 @@
 }
 
 TargetState TargetPlanner::wantedState(const TargetView &target) const {
-  if (Context.isLost(target) || isSilentUnchecked(target))
+  const bool isLost =
+      Context.isLost(target) && !Context.isCutOff(dispatcherOf(target));
+  if (isLost || isSilentUnchecked(target))
     return TargetState::Lost;
   const bool staysLost =
       target.State == TargetState::Lost &&
--- a/packages/ownership/tests/World.h
+++ b/packages/ownership/tests/World.h
@@ -52,6 +52,7 @@
   std::unique_ptr<Controller> Leader;
   std::unique_ptr<DispatchAgent> Agent;
   std::size_t Applied = 0;
+  bool ReachesTargets = true;
 };
 
 struct FakeTarget : Process {
@@ -95,6 +96,8 @@
   std::size_t addTarget();
   void killTarget(std::size_t n);
   void killVm(std::size_t n);
+  void restartTarget(std::size_t n) { startTarget(Targets[n]); }
+  void stopVm(std::size_t n) { stepAgent(Vms[n], Stopping{}); }
   void elect(std::size_t n);
   void setSettings(settings::View view);
 
@@ -113,6 +116,8 @@
   std::uint64_t Term = 0;
   /// What went against the promises, with the true time in milliseconds.
   std::vector<std::string> Violations;
+  /// What leaders told the settings group to be free here.
+  std::set<base::SlotId> HomesReleased;
   /// Slots that changed owner from one target to another.
   std::size_t Moves = 0;
   std::uint64_t Writes = 0;
