--- a/packages/gateway/HttpGateway.h
+++ b/packages/gateway/HttpGateway.h
@@ -17,7 +17,7 @@
 namespace magnoliamill::gateway {
 
 struct HttpLimits {
-  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxHeaderBytes = 16u << 10;
   std::size_t MaxBodyBytes = 1u << 20;
   std::size_t MaxConnections = 4096;
   /// From the first byte of a request to the end of its header.
@@ -25,6 +25,8 @@
   /// From the end of the header to the end of the body.
   base::Duration BodyTimeout = std::chrono::seconds(30);
   base::Duration IdleTimeout = std::chrono::seconds(60);
+  /// How long an idle connection may still bring a request while draining.
+  base::Duration DrainIdleTime = std::chrono::milliseconds(500);
   /// For one chunk of an answer to be taken by the caller.
   base::Duration WriteTimeout = std::chrono::seconds(30);
 };
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -59,7 +59,7 @@
   base::Duration MaxIdleForUnsafe = std::chrono::milliseconds(500);
   base::Duration MaxIdle = std::chrono::seconds(20);
   std::size_t MaxConnectionsPerTarget = 130;
-  std::size_t ChunkBytes = 64 * 1024;
+  std::size_t ChunkBytes = 64u << 10;
 };
 
 /// All methods and hooks on the duty's thread.
--- a/packages/gateway/internal/AnswerWriter.cpp
+++ b/packages/gateway/internal/AnswerWriter.cpp
@@ -89,8 +89,8 @@
     Message.insert(header.Name, header.Value);
   if (!Head->Length && IsEnded && !Form.HeadOnly)
     Head->Length = Pending.size();
-  const bool mayHaveLength = Head->Status != 204 && Head->Status != 304;
-  if (Head->Length && mayHaveLength)
+  const bool MayHaveLength = Head->Status != 204 && Head->Status != 304;
+  if (Head->Length && MayHaveLength)
     Message.content_length(*Head->Length);
   else if (!IsBodyless && Form.Version >= 11)
     Message.chunked(true);
--- a/packages/gateway/internal/ConnectionPool.cpp
+++ b/packages/gateway/internal/ConnectionPool.cpp
@@ -83,8 +83,8 @@
              !isQuiet(connection->Socket);
     });
     // Generations matter only to connections in use.
-    const bool isUnused = entry.Idle.empty() && entry.InUse == 0;
-    it = isUnused ? Entries.erase(it) : std::next(it);
+    const bool IsUnused = entry.Idle.empty() && entry.InUse == 0;
+    it = IsUnused ? Entries.erase(it) : std::next(it);
   }
 }
 
--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -14,11 +14,9 @@
 namespace {
 
 /// Bytes of further requests that are read ahead while one is answered.
-constexpr std::size_t MaxReadAhead = 64 * 1024;
+constexpr std::size_t MaxReadAhead = 64u << 10;
 /// How long the caller may take to close after its last answer.
 constexpr auto LingerTime = std::chrono::seconds(1);
-/// How long an idle connection may still bring a request while draining.
-constexpr auto DrainIdleTime = std::chrono::milliseconds(500);
 
 ResultCode codeOfParseError(boost::system::error_code ec) {
   if (ec == http::error::header_limit)
@@ -202,14 +200,14 @@
     return onDisconnect();
   if (State == Phase::Lingering)
     return readMore();
-  const bool isFirst = State == Phase::Receiving && !IsHeaderSeen &&
+  const bool IsFirst = State == Phase::Receiving && !IsHeaderSeen &&
                        Received.size() == 0 && !RequestParser->got_some();
   const auto target = Received.prepare(n);
   boost::asio::buffer_copy(target, boost::asio::buffer(ReadArea, n));
   Received.commit(n);
   if (State != Phase::Receiving)
     return readMore();
-  if (isFirst)
+  if (IsFirst)
     setLimit(Server->limits().HeaderTimeout);
   parse();
 }
@@ -224,8 +222,8 @@
 void HttpConnection::onOverdue() {
   if (State == Phase::Answering)
     return abort();
-  const bool isIdle = State == Phase::Receiving && !RequestParser->got_some();
-  if (State == Phase::Lingering || isIdle)
+  const bool IsIdle = State == Phase::Receiving && !RequestParser->got_some();
+  if (State == Phase::Lingering || IsIdle)
     return State == Phase::Lingering ? close() : linger();
   refuse({ResultCode::RequestTimeout, "the request did not come in time", 0});
 }
@@ -234,7 +232,7 @@
   if (State == Phase::Answering && Writer)
     Writer->endKeepAlive();
   if (State == Phase::Receiving && !RequestParser->got_some())
-    setLimit(DrainIdleTime);
+    setLimit(Server->limits().DrainIdleTime);
 }
 
 void HttpConnection::abort() {
--- a/packages/gateway/internal/Routes.cpp
+++ b/packages/gateway/internal/Routes.cpp
@@ -35,9 +35,9 @@
 std::string decodePercent(std::string_view text) {
   std::string decoded;
   for (std::size_t i = 0; i < text.size(); ++i) {
-    const bool isEscape = text[i] == '%' && i + 2 < text.size();
-    const int high = isEscape ? readHexDigit(text[i + 1]) : -1;
-    const int low = isEscape ? readHexDigit(text[i + 2]) : -1;
+    const bool IsEscape = text[i] == '%' && i + 2 < text.size();
+    const int high = IsEscape ? readHexDigit(text[i + 1]) : -1;
+    const int low = IsEscape ? readHexDigit(text[i + 2]) : -1;
     if (high < 0 || low < 0) {
       decoded.push_back(text[i]);
       continue;
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 /// How much of the text of a refusal is kept for its message.
-constexpr std::size_t MaxRefusalBytes = 4 * 1024;
-constexpr std::size_t FirstReadBytes = 8 * 1024;
+constexpr std::size_t MaxRefusalBytes = 4u << 10;
+constexpr std::size_t FirstReadBytes = 8u << 10;
 
 } // namespace
 
@@ -109,12 +109,12 @@
     return fail(ResultCode::NotRunLeaseLost,
                 "the dispatcher may not write to the target any more");
   // Set before the write: a call that ends in between counts as written.
-  const bool wasWritten = std::exchange(IsWritten, true);
+  const bool WasWritten = std::exchange(IsWritten, true);
   http::async_write(
       Connection->Socket, Message,
-      [self = shared_from_this(), wasWritten](ErrorCode ec, std::size_t n) {
+      [self = shared_from_this(), WasWritten](ErrorCode ec, std::size_t n) {
         if (ec && n == 0)
-          self->IsWritten = wasWritten;
+          self->IsWritten = WasWritten;
         self->onWritten(ec, n);
       });
 }
@@ -158,17 +158,17 @@
     std::string chunk;
     if (!parseSome(chunk))
       break;
-    const bool isComplete = Parser->is_done();
-    const bool isStarved = Connection->Buffer.size() == 0;
+    const bool IsComplete = Parser->is_done();
+    const bool IsStarved = Connection->Buffer.size() == 0;
     if (!chunk.empty())
       deliver(std::move(chunk));
     if (IsFinished)
       break;
-    if (isComplete) {
+    if (IsComplete) {
       complete();
       break;
     }
-    if (isStarved && !IsAwaitingMore) {
+    if (IsStarved && !IsAwaitingMore) {
       readMore();
       break;
     }
@@ -271,8 +271,8 @@
 }
 
 void TargetExchange::onLost(ErrorCode ec) {
-  const bool isSilent = !Parser || !Parser->got_some();
-  if (isSilent && Connection->IsReused && Call.Idempotent && retryFresh())
+  const bool IsSilent = !Parser || !Parser->got_some();
+  if (IsSilent && Connection->IsReused && Call.Idempotent && retryFresh())
     return;
   if (IsRefused)
     return complete();
@@ -303,9 +303,9 @@
     outcome.Message = RefusalText;
     outcome.RetryAfterMs = readRetryAfterMs(Parser->get());
   }
-  const bool isReusable = Parser->is_done() && Parser->keep_alive() &&
+  const bool IsReusable = Parser->is_done() && Parser->keep_alive() &&
                           Connection->Buffer.size() == 0;
-  releaseConnection(isReusable);
+  releaseConnection(IsReusable);
   finish(std::move(outcome));
   if (!IsRefused)
     Sink.End();
