settings: the test of a cancelled move shows what the new epoch is for

A trial mutation that kept the old epoch on cancel survived: the late confirmation was refused only because nothing was moving. The section now starts a second move first; the confirmation of the first must not end it.

--- a/packages/settings/tests/HomesTest.cpp
+++ b/packages/settings/tests/HomesTest.cpp
@@ -89,16 +89,21 @@
     REQUIRE(it.Settings.viewNow()->Homes.at(Service)[1].Epoch > before);
   }
   SECTION("stay when the data centre comes back before it confirmed") {
-    auto gone =
-        it.set(Barnstock, keyedService(6, R"("basel")"), set.Version, "b");
+    it.set(Barnstock, keyedService(6, R"("basel")"), set.Version, "b");
     decide(it, controller, at(2));
     auto moving = it.Settings.viewNow()->Homes.at(Service)[1];
     REQUIRE(moving.MovingTo);
     it.run(CancelHomeMove{0, {Service, 1}, moving.Epoch});
-    SECTION("and a late confirmation is refused") {
+    SECTION("and a late confirmation does not end a later move") {
+      auto kept = it.Settings.viewNow()->Homes.at(Service)[1];
+      REQUIRE(kept.Epoch > moving.Epoch);
+      it.run(BeginHomeMove{
+          0, {Service, 1}, kept.Epoch, base::DataCentreId("basel")});
+      REQUIRE(it.Settings.viewNow()->Homes.at(Service)[1].MovingTo);
       auto late = it.run(FinishHomeMove{
           0, {Service, 1}, moving.Epoch, base::DataCentreId("chur")});
       REQUIRE(late.Code == ResultCode::VersionConflict);
+      REQUIRE(it.Settings.viewNow()->Homes.at(Service)[1].Home.Value == "chur");
     }
   }
   SECTION("are taken from a data centre only after an operator's word") {
