--- a/packages/settings/tests/StateMachineTest.cpp
+++ b/packages/settings/tests/StateMachineTest.cpp
@@ -229,15 +229,15 @@
       *rc::gen::arbitrary<bool>() ? 0 : *rc::gen::inRange(1, 20);
   const auto id = *rc::gen::inRange(0, 25);
   const auto deadline = *rc::gen::inRange(0, 3);
-  return {origin(fmt::format("id{}", id),
-                 *rc::gen::element<std::string>("team/salzhof", "admin")),
-          fmt::format("/teams/{}/services/s{}",
-                      *rc::gen::element("salzhof", "salzhof", "brazos"),
-                      service),
-          fmt::format(R"({{"keyed":true,"slots":4,"data_centres":["basel"],)"
-                      R"("default_deadline_ms":{}}})",
-                      deadline),
-          static_cast<std::uint64_t>(version)};
+  return {
+      origin(fmt::format("id{}", id),
+             *rc::gen::element<std::string>("team/salzhof", "admin")),
+      fmt::format("/teams/{}/services/s{}",
+                  *rc::gen::element("salzhof", "salzhof", "brazos"), service),
+      fmt::format(R"({{"keyed":true,"slots":4,"data_centres":["basel","chur"],)"
+                  R"("default_deadline_ms":{}}})",
+                  deadline),
+      static_cast<std::uint64_t>(version)};
 }
 
 /// The services s0 and s1 are wanted by two teams.
@@ -252,7 +252,7 @@
 }
 
 Command drawCommand() {
-  switch (*rc::gen::inRange(0, 8)) {
+  switch (*rc::gen::inRange(0, 9)) {
   case 0: {
     auto set = *rc::gen::arbitrary<bool>() ? drawSet() : drawTargetRule();
     return DeleteValue{set.Origin, set.Path, set.ExpectedVersion};
@@ -260,6 +260,10 @@
   case 3:
   case 4:
     return drawTargetRule();
+  case 5: {
+    auto port = static_cast<std::uint16_t>(*rc::gen::inRange(1, 3) * 100);
+    return BootstrapVms{0, {vm("b1", "basel", port), vm("c1", "chur", 500)}};
+  }
   case 1:
     return AssignHomes{
         0, base::ServiceId("s0"),
