Gateway: judge a deadline by the clock, not by the latency

Cause: 'Deadlines and cancellation close the connection' failed 10 of 60 runs on a busy machine (95 >= 99). Latency counts from the start of the call, which comes some ms after the test fixed the deadline: the check was wrong. Ruled out: a lower bound in ms, which would only fail less often. The new check is as strict: the call may not end before its deadline. Conclusion: the client's timer was right.

--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -304,11 +304,13 @@
   });
   auto call = makeCall(bench.Server.address(), "POST");
   SECTION("the deadline") {
-    call.Deadline = base::readMonotonic() + std::chrono::milliseconds(100);
+    const auto deadline =
+        base::readMonotonic() + std::chrono::milliseconds(100);
+    call.Deadline = deadline;
     const auto answer = bench.run(std::move(call));
+    CHECK(base::readMonotonic() >= deadline);
     CHECK(answer.outcome().Code == ResultCode::TargetTimeout);
     CHECK(answer.outcome().MayHaveRun);
-    CHECK(base::toMs(answer.outcome().Latency) >= 99);
     CHECK(base::toMs(answer.outcome().Latency) < 2000);
   }
   SECTION("the caller, from another thread") {
