--- a/packages/node/DataCentrePart.h
+++ b/packages/node/DataCentrePart.h
@@ -32,6 +32,8 @@
       AnnounceAt;
   std::function<bool(const base::VmId &)> IsAlive;
   std::function<void(ownership::ViewPtr)> OnView;
+  /// The data centre's first group ever starts while this VM runs.
+  std::function<void()> OnFirstGroup;
   /// Tells the settings group that slots moving elsewhere are released here.
   std::function<void(settings::FinishHomeMove)> ReleaseHome;
 };
@@ -71,7 +73,7 @@
   void handOverLeadership();
 
 private:
-  void startGroup(std::uint64_t epoch, const consensus::Membership &first);
+  void startGroup(const settings::DataCentreGroupView &group);
   void startRunner(const consensus::Membership &members);
   void startFollower();
   std::string applyEntry(const consensus::Entry &entry);
--- a/packages/node/DispatchFlow.h
+++ b/packages/node/DispatchFlow.h
@@ -5,6 +5,7 @@
 #include "base/DutyThread.h"
 #include "dispatch/Dispatcher.h"
 #include "gateway/TargetClient.h"
+#include "node/RequestRecords.h"
 #include "ownership/DispatchAgent.h"
 #include "protocol/Messages.h"
 
@@ -21,10 +22,12 @@
   std::function<void(protocol::LeaseRequest,
                      protocol::Reply<protocol::LeaseReply>)>
       RenewLease;
+  RequestRecordsHooks Records;
 };
 
 struct DispatchFlowConfig {
   base::VmId Self;
+  base::DataCentreId DataCentre;
   std::uint64_t Incarnation = 0;
   gateway::TargetClientConfig Targets;
 };
@@ -41,6 +44,12 @@
                               protocol::AnswerSink sink);
   void setSettings(settings::ViewPtr view);
   void setOwnership(ownership::ViewPtr view);
+  /// Another VM's step in the life of an idempotency key.
+  void handleLedger(protocol::LedgerRequest request,
+                    protocol::Reply<protocol::LedgerReply> reply);
+  void answerLedgerKeys(protocol::Reply<protocol::QueryReply> reply);
+  /// The data centre's first group started while this VM ran.
+  void onFirstGroup();
   /// Hands all targets over; \p done is called when they are and nothing is in
   /// flight any more.
   void beginStopping(std::function<void()> done);
@@ -59,10 +68,24 @@
     std::uint32_t Attempt = 0;
     // True between the start and the end of an attempt.
     bool Running = false;
+    // Set while the request's idempotency key is recorded; the answer is kept
+    // for repeats as long as it is small.
+    bool Recorded = false;
+    bool MayHaveRun = false;
+    protocol::AnswerHead KeptHead;
+    std::string KeptBody;
+    bool KeptTooLarge = false;
   };
   using OpenPtr = std::shared_ptr<Open>;
 
   void admit(const OpenPtr &open);
+  void record(const OpenPtr &open, dispatch::RequestInfo info);
+  void onRecorded(const OpenPtr &open, dispatch::RequestInfo info,
+                  dispatch::RecordVerdict verdict,
+                  const std::optional<protocol::LedgerReply> &stored);
+  void replay(const OpenPtr &open, const protocol::LedgerReply &stored);
+  void keepChunk(const OpenPtr &open, const std::string &chunk) const;
+  void settleRecord(const OpenPtr &open, bool answered);
   void perform(dispatch::DispatchActions actions);
   void perform(ownership::AgentActions actions);
   void stepAgent(const ownership::AgentEvent &event);
@@ -86,6 +109,7 @@
   ownership::DispatchAgent Agent;
   dispatch::Dispatcher Dispatcher;
   gateway::TargetClient Targets;
+  RequestRecords Records;
   settings::ViewPtr Settings;
   ownership::ViewPtr Ownership;
   boost::asio::steady_timer Timer;
--- a/packages/node/SettingsPart.h
+++ b/packages/node/SettingsPart.h
@@ -94,6 +94,8 @@
       std::string command, std::uint32_t triesLeft,
       std::function<void(base::Result<settings::ChangeOutcome>)> reply);
   void lead();
+  /// A VM that joins, or comes back with another address, says so once.
+  void registerSelf();
   void keepMembership();
 
   base::DutyThread &Duty;
@@ -118,6 +120,7 @@
   std::map<base::VmId, SeenReport> Reports;
   std::vector<WaitingFetch> Waiting;
   bool BootstrapProposed = false;
+  bool RegisterProposed = false;
   base::MonoTime LastMembershipChange{};
 };
 
--- a/packages/node/internal/DataCentrePart.cpp
+++ b/packages/node/internal/DataCentrePart.cpp
@@ -29,12 +29,13 @@
   Settings = std::move(view);
   auto group = Settings->Groups.find(Node.DataCentre);
   if (group != Settings->Groups.end() && group->second.Epoch > Epoch)
-    startGroup(group->second.Epoch, group->second.FirstMembers);
+    startGroup(group->second);
   stepController(ownership::SettingsChanged{Settings});
 }
 
-void DataCentrePart::startGroup(std::uint64_t epoch,
-                                const consensus::Membership &first) {
+void DataCentrePart::startGroup(const settings::DataCentreGroupView &group) {
+  const std::uint64_t epoch = group.Epoch;
+  const consensus::Membership &first = group.FirstMembers;
   base::logInfo("data-centre", "group starts", {{"epoch", epoch}});
   bool heldOther = Epoch != 0;
   Epoch = epoch;
@@ -55,6 +56,9 @@
   consensus::ReplicaId self{Node.Vm, Incarnation};
   bool isFirstMember =
       std::ranges::find(first.Voters, self) != first.Voters.end();
+  // A first member was running when the group was founded.
+  if (isFirstMember && group.PreviousEpoch == 0)
+    Hooks.OnFirstGroup();
   startRunner(isFirstMember ? first : consensus::Membership{});
 }
 
@@ -219,6 +223,9 @@
   // An empty replica that waits to be taken in holds nothing yet.
   bool holds = Runner && !Runner->core().membership().Voters.empty();
   report.HeldEpoch = holds ? Epoch : 0;
+  report.KnownEpoch = Epoch;
+  if (holds)
+    report.Voters = Runner->core().membership().Voters;
   return report;
 }
 
--- a/packages/node/internal/DispatchFlow.cpp
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -23,6 +23,7 @@
                         return Agent.mayWrite(instance, slot, now);
                       }}),
       Targets(duty, Config.Targets),
+      Records(duty, Config.Self, Config.DataCentre, Hooks.Records),
       Settings(std::make_shared<settings::View>()),
       Ownership(std::make_shared<ownership::View>()), Timer(duty.context()) {
   boost::asio::post(Duty.context(), [this] { armTimer(); });
@@ -31,6 +32,7 @@
 void DispatchFlow::setSettings(settings::ViewPtr view) {
   Duty.postReply([this, view = std::move(view)] {
     Settings = view;
+    Records.setSettings(view);
     perform(Dispatcher.setSettings(view, base::readMonotonic()));
   });
 }
@@ -73,7 +75,10 @@
   open->Idempotent = info.value().Idempotent;
   if (info.value().Slot)
     open->Slot = base::SlotId{open->Request.Service, *info.value().Slot};
-  perform(Dispatcher.submit(std::move(info.value()), now));
+  if (info.value().NeedsRecord)
+    record(open, std::move(info.value()));
+  else
+    perform(Dispatcher.submit(std::move(info.value()), now));
 }
 
 void DispatchFlow::perform(dispatch::DispatchActions actions) {
@@ -142,9 +147,12 @@
   sink.Head = [open](protocol::AnswerHead head) {
     open->HeadSent = true;
     head.ServedBy = open->Target.Value;
+    if (open->Recorded)
+      open->KeptHead = head;
     open->Sink.Head(std::move(head));
   };
   sink.Chunk = [this, open](std::string chunk, std::function<void()> more) {
+    keepChunk(open, chunk);
     // The receiver asks for more from its own thread.
     open->Sink.Chunk(std::move(chunk),
                      [this, more = std::move(more)] { Duty.postReply(more); });
@@ -168,9 +176,11 @@
   decided.Code = outcome.Code;
   decided.RetryAfterMs = outcome.RetryAfterMs;
   decided.Latency = outcome.Latency;
+  open->MayHaveRun = open->MayHaveRun || outcome.MayHaveRun;
   base::RequestId id = open->Request.Id;
   if (outcome.Answered) {
     Requests.erase(id);
+    settleRecord(open, true);
     stepAgent(ownership::TargetAnswered{open->Target});
   }
   perform(Dispatcher.finish(id, decided, base::readMonotonic()));
@@ -185,6 +195,7 @@
                 {{"request", ended.Request.Value},
                  {"result", base::numberOf(ended.Failure.Code)},
                  {"target", node.mapped()->Target.Value}});
+  settleRecord(node.mapped(), false);
   node.mapped()->Sink.Fail(ended.Failure);
 }
 
@@ -222,7 +233,9 @@
 
 void DispatchFlow::cancel(const base::RequestId &id) {
   perform(Dispatcher.cancel(id, base::readMonotonic()));
-  Requests.erase(id);
+  auto node = Requests.extract(id);
+  if (!node.empty())
+    settleRecord(node.mapped(), false);
 }
 
 } // namespace magnoliamill::node
--- /dev/null
+++ b/packages/node/internal/DispatchFlowRecords.cpp
@@ -0,0 +1,113 @@
+// The dispatch duty's part for requests with an idempotency key.
+#include "node/DispatchFlow.h"
+
+namespace magnoliamill::node {
+namespace {
+
+// Answers up to this size are kept for repeats.
+constexpr std::size_t MaxKeptBytes = 64 * 1024;
+// When a caller may come back while the record is not available.
+constexpr std::uint32_t UnavailableRetryMs = 1000;
+
+} // namespace
+
+void DispatchFlow::record(const OpenPtr &open, dispatch::RequestInfo info) {
+  Records.begin(open->Request,
+                [this, open, info = std::move(info)](
+                    dispatch::RecordVerdict verdict,
+                    const std::optional<protocol::LedgerReply> &stored) {
+                  onRecorded(open, info, verdict, stored);
+                });
+}
+
+void DispatchFlow::onRecorded(
+    const OpenPtr &open, dispatch::RequestInfo info,
+    dispatch::RecordVerdict verdict,
+    const std::optional<protocol::LedgerReply> &stored) {
+  // The caller may have gone away meanwhile.
+  bool gone = !Requests.contains(open->Request.Id);
+  if (verdict == dispatch::RecordVerdict::MayRun && !gone) {
+    open->Recorded = true;
+    perform(Dispatcher.submit(std::move(info), base::readMonotonic()));
+    return;
+  }
+  Requests.erase(open->Request.Id);
+  switch (verdict) {
+  case dispatch::RecordVerdict::Replay:
+    replay(open, *stored);
+    return;
+  case dispatch::RecordVerdict::Unknown:
+    open->Sink.Fail({base::ResultCode::RepeatInProgress,
+                     "a request with this Idempotency-Key was begun before",
+                     UnavailableRetryMs});
+    return;
+  default:
+    Records.forget(open->Request);
+    open->Sink.Fail({base::ResultCode::NotRunLedgerUnavailable,
+                     "the key could not be recorded at a second VM",
+                     UnavailableRetryMs});
+  }
+}
+
+void DispatchFlow::replay(const OpenPtr &open,
+                          const protocol::LedgerReply &stored) {
+  protocol::AnswerHead head;
+  head.Status = stored.Status;
+  head.Headers = stored.Headers;
+  head.Headers.push_back({"Mill-Replayed", "1"});
+  head.Length = stored.Body.size();
+  open->Sink.Head(std::move(head));
+  if (stored.Body.empty()) {
+    open->Sink.End();
+    return;
+  }
+  auto sink = open->Sink;
+  sink.Chunk(stored.Body, [sink] { sink.End(); });
+}
+
+void DispatchFlow::keepChunk(const OpenPtr &open,
+                             const std::string &chunk) const {
+  if (!open->Recorded || open->KeptTooLarge)
+    return;
+  if (open->KeptBody.size() + chunk.size() > MaxKeptBytes) {
+    open->KeptTooLarge = true;
+    open->KeptBody.clear();
+    return;
+  }
+  open->KeptBody += chunk;
+}
+
+void DispatchFlow::settleRecord(const OpenPtr &open, bool answered) {
+  if (!open->Recorded)
+    return;
+  open->Recorded = false;
+  if (answered) {
+    // Status 0 says that it ran and that its answer is not kept.
+    std::uint16_t status = open->KeptTooLarge ? 0 : open->KeptHead.Status;
+    Records.finish(open->Request, status, open->KeptHead.Headers,
+                   std::move(open->KeptBody));
+  } else if (!open->MayHaveRun) {
+    Records.forget(open->Request);
+  }
+}
+
+void DispatchFlow::handleLedger(protocol::LedgerRequest request,
+                                protocol::Reply<protocol::LedgerReply> reply) {
+  bool posted = Duty.tryPost([this, request = std::move(request), reply] {
+    Records.handle(request, reply);
+  });
+  if (!posted)
+    reply(base::fail(base::ResultCode::RingFull, "dispatch is overloaded"));
+}
+
+void DispatchFlow::answerLedgerKeys(
+    protocol::Reply<protocol::QueryReply> reply) {
+  Duty.postReply(
+      [this, reply = std::move(reply)] { reply(Records.renderKeys()); });
+}
+
+void DispatchFlow::onFirstGroup() {
+  Duty.postReply([this] { Records.onFirstGroup(); });
+}
+
+} // namespace magnoliamill::node
--- a/packages/node/internal/Node.cpp
+++ b/packages/node/internal/Node.cpp
@@ -51,8 +51,10 @@
       });
   Dispatch = std::make_unique<DispatchFlow>(
       DispatchDuty,
-      DispatchFlowConfig{
-          .Self = Settings.Vm, .Incarnation = Incarnation, .Targets = {}},
+      DispatchFlowConfig{.Self = Settings.Vm,
+                         .DataCentre = Settings.DataCentre,
+                         .Incarnation = Incarnation,
+                         .Targets = {}},
       makeDispatchHooks());
   Requests = std::make_unique<RequestFlow>(
       FrontDuty,
--- a/packages/node/internal/NodeWiring.cpp
+++ b/packages/node/internal/NodeWiring.cpp
@@ -4,6 +4,12 @@
 #include "base/Log.h"
 
 namespace magnoliamill::node {
+namespace {
+
+// A key that is not recorded by then is refused.
+constexpr base::Duration LedgerTimeout = std::chrono::milliseconds(300);
+
+} // namespace
 
 template <typename T>
 void Node::State::postToState(base::Task task,
@@ -68,9 +74,9 @@
                  reply] { answerQuery(request, reply); },
                 reply);
   };
-  handlers.OnLedger = [](protocol::LedgerRequest,
-                         protocol::Reply<protocol::LedgerReply> reply) {
-    reply(base::fail(base::ResultCode::PeerRefused, "no ledger yet"));
+  handlers.OnLedger = [this](protocol::LedgerRequest request,
+                             protocol::Reply<protocol::LedgerReply> reply) {
+    Dispatch->handleLedger(std::move(request), std::move(reply));
   };
   handlers.OnForward = [this](protocol::ForwardRequest request,
                               protocol::AnswerSink sink) {
@@ -162,6 +168,7 @@
     Requests->setOwnership(view);
     Dispatch->setOwnership(view);
   };
+  hooks.OnFirstGroup = [this] { Dispatch->onFirstGroup(); };
   hooks.ReleaseHome = [this](const settings::FinishHomeMove &finish) {
     SettingsGroup->propose(finish, [](const auto &) {});
   };
@@ -191,6 +198,16 @@
                  reply] { Centre->renewLease(request, reply); },
                 reply);
   };
+  hooks.Records.LedgerAt =
+      [this](const base::VmId &to, protocol::LedgerRequest request,
+             protocol::Reply<protocol::LedgerReply> reply) {
+        Peers->ledger(to, std::move(request), LedgerTimeout, std::move(reply));
+      };
+  hooks.Records.QueryAt = [this](const base::VmId &to,
+                                 protocol::QueryRequest request,
+                                 protocol::Reply<protocol::QueryReply> reply) {
+    Peers->query(to, std::move(request), ControlTimeout, std::move(reply));
+  };
   return hooks;
 }
 
@@ -213,6 +230,10 @@
     reply(protocol::QueryReply{Api->renderStatus(index)});
     return;
   }
+  if (request.What == "ledger-keys") {
+    Dispatch->answerLedgerKeys(reply);
+    return;
+  }
   reply(base::fail(base::ResultCode::PeerProtocol, "unknown question"));
 }
 
--- a/packages/node/internal/OperatorApi.cpp
+++ b/packages/node/internal/OperatorApi.cpp
@@ -103,7 +103,8 @@
     }
     respond(document({{"path", stored.value().Path},
                       {"value", boost::json::parse(stored.value().Value)},
-                      {"version", stored.value().Version}}));
+                      {"version", stored.value().Version},
+                      {"index", Settings.inForce()}}));
     return;
   }
   settings::ChangeOrigin origin{request.ChangeId, principal.who(),
--- a/packages/node/internal/SettingsPart.cpp
+++ b/packages/node/internal/SettingsPart.cpp
@@ -266,8 +266,22 @@
     Homes->report(report.DataCentreReplica, base::readMonotonic());
 }
 
+void SettingsPart::registerSelf() {
+  if (!Ready || RegisterProposed || View->Vms.empty())
+    return;
+  RegisterProposed = true;
+  auto own = std::ranges::find(Node.Seeds, Node.Vm, &settings::VmView::Id);
+  auto known = View->Vms.find(Node.Vm);
+  bool isKnown = known != View->Vms.end() && own != Node.Seeds.end() &&
+                 known->second == *own;
+  if (own == Node.Seeds.end() || isKnown)
+    return;
+  propose(settings::RegisterVm{base::readWallMs(), *own}, [](const auto &) {});
+}
+
 void SettingsPart::tick() {
   answerWaiting();
+  registerSelf();
   if (!isLeader()) {
     Homes.reset();
     return;
--- a/packages/node/internal/StateTypes.cpp
+++ b/packages/node/internal/StateTypes.cpp
@@ -17,6 +17,11 @@
   out["replica_incarnation"] = replica.Replica.Incarnation;
   out["candidate"] = replica.Candidate;
   out["held_epoch"] = replica.HeldEpoch;
+  out["known_epoch"] = replica.KnownEpoch;
+  boost::json::array voters;
+  for (const auto &voter : replica.Voters)
+    voters.push_back({voter.Vm.Value, voter.Incarnation});
+  out["voters"] = std::move(voters);
   return boost::json::serialize(out);
 }
 
@@ -40,6 +45,11 @@
                        in.at("replica_incarnation").to_number<std::uint64_t>()};
     replica.Candidate = in.at("candidate").as_bool();
     replica.HeldEpoch = in.at("held_epoch").to_number<std::uint64_t>();
+    replica.KnownEpoch = in.at("known_epoch").to_number<std::uint64_t>();
+    for (const auto &voter : in.at("voters").as_array())
+      replica.Voters.push_back(
+          {base::VmId(boost::json::value_to<std::string>(voter.at(0))),
+           voter.at(1).to_number<std::uint64_t>()});
     return report;
   } catch (const std::exception &error) {
     return base::fail(base::ResultCode::PeerProtocol, error.what());
--- a/packages/settings/View.h
+++ b/packages/settings/View.h
@@ -91,6 +91,8 @@
 struct DataCentreGroupView {
   std::uint64_t Epoch = 0;
   consensus::Membership FirstMembers;
+  /// Epoch of the group that this one replaced after its loss; 0 for the first.
+  std::uint64_t PreviousEpoch = 0;
   bool operator==(const DataCentreGroupView &) const = default;
 };
 
--- a/packages/settings/internal/Snapshot.cpp
+++ b/packages/settings/internal/Snapshot.cpp
@@ -60,6 +60,7 @@
     out.push_back(
         json::object{{"data_centre", centre.Value},
                      {"epoch", group.Epoch},
+                     {"previous_epoch", group.PreviousEpoch},
                      {"members", writeReplicas(group.FirstMembers.Voters)}});
   return out;
 }
@@ -176,6 +177,7 @@
     DataCentreGroupView group;
     base::DataCentreId centre(readText(in, "data_centre"));
     group.Epoch = readNumber(in, "epoch");
+    group.PreviousEpoch = readNumber(in, "previous_epoch");
     forEach(in, "members", [&group](ObjectReader &member) {
       auto vm = base::VmId(readText(member, "vm"));
       group.FirstMembers.Voters.push_back(
--- a/packages/settings/internal/VmCommands.cpp
+++ b/packages/settings/internal/VmCommands.cpp
@@ -117,7 +117,7 @@
   if (!areMembersFit(view, start))
     return refuse(ResultCode::MemberUnknown,
                   "the members are not VMs of the data centre");
-  view.Groups[start.DataCentre] = {to.Index, {start.Members, {}}};
+  view.Groups[start.DataCentre] = {to.Index, {start.Members, {}}, epoch};
   to.State.touch(to.Index);
   auto entry = startEntry(to, start.WhenMs, "start_data_centre_group",
                           "/admin/data_centres/" + start.DataCentre.Value);
