--- a/packages/node/SettingsPart.h
+++ b/packages/node/SettingsPart.h
@@ -84,6 +84,8 @@
     protocol::Reply<protocol::FetchReply> Reply;
   };
 
+  /// Writes the first membership of a new installation to \p opened.
+  base::Result<void> found(consensus::OpenedStorage &opened) const;
   void startRunner(consensus::OpenedStorage opened);
   void startFollower();
   void afterApply();
--- a/packages/node/internal/SettingsPart.cpp
+++ b/packages/node/internal/SettingsPart.cpp
@@ -40,16 +40,28 @@
       std::filesystem::path(Node.DataFolder) / "settings", fresh);
   if (!opened)
     return base::fail(opened.error());
+  if (bootstrap && opened.value().IsNew) {
+    auto founded = found(opened.value());
+    if (!founded)
+      return founded;
+  }
   startRunner(std::move(opened.value()));
   return base::ok();
 }
 
+base::Result<void> SettingsPart::found(consensus::OpenedStorage &opened) const {
+  consensus::Membership members;
+  for (const auto &seed : Node.Seeds)
+    if (seed.HasDisk)
+      members.Voters.push_back({seed.Id, FirstIncarnation});
+  opened.Restored.Members = members;
+  // The first membership stands in no log entry, so it must be on disk before
+  // the replica takes part.
+  return opened.Store->writeSnapshot({0, 0, members, ""});
+}
+
 void SettingsPart::startRunner(consensus::OpenedStorage opened) {
   Incarnation = opened.Incarnation;
-  if (opened.IsNew && Incarnation == FirstIncarnation)
-    for (const auto &seed : Node.Seeds)
-      if (seed.HasDisk)
-        opened.Restored.Members.Voters.push_back({seed.Id, FirstIncarnation});
   consensus::CoreConfig core;
   core.Self = {Node.Vm, Incarnation};
   core.Seed = base::hash64(Node.Vm.Value, Incarnation);
