consensus: names as the linter wants them

Cause: clang-tidy refused camelBack parameters and locals of more than one word, and products of int that become sizes. Ruled out: switching checks off. Also says in Storage.h how the founders of a group store the start membership.

--- a/packages/consensus/LogWindow.h
+++ b/packages/consensus/LogWindow.h
@@ -12,9 +12,9 @@
 
 class LogWindow {
 public:
-  /// Keeps entries up to \p maxBytes in sum of their commands, always at least
+  /// Keeps entries up to \p limit in sum of their commands, always at least
   /// the last one.
-  explicit LogWindow(std::size_t maxBytes) : MaxBytes(maxBytes) {}
+  explicit LogWindow(std::size_t limit) : MaxBytes(limit) {}
 
   /// The state machine was replaced by a snapshot up to \p index (also at
   /// start): older entries are forgotten.
@@ -35,9 +35,9 @@
     std::vector<Entry> Entries;
     LogIndex Commit = 0;
   };
-  /// Entries after \p after, up to \p maxBytes but at least one if there is
+  /// Entries after \p after, up to \p limit but at least one if there is
   /// one.
-  Part readAfter(LogIndex after, std::size_t maxBytes) const;
+  Part readAfter(LogIndex after, std::size_t limit) const;
 
 private:
   std::size_t MaxBytes;
--- a/packages/consensus/ReplicaCore.h
+++ b/packages/consensus/ReplicaCore.h
@@ -23,7 +23,7 @@
   base::Duration ElectionTimeoutMax = std::chrono::milliseconds(700);
   /// Bound for the rate difference of two clocks, in parts of a thousand.
   std::uint32_t ClockDriftPerMille = 20;
-  std::size_t MaxAppendBytes = 256 * 1024;
+  std::size_t MaxAppendBytes = std::size_t{256} * 1024;
   std::size_t MaxPendingProposals = 4096;
   std::uint64_t Seed = 1;
 };
--- a/packages/consensus/Storage.h
+++ b/packages/consensus/Storage.h
@@ -30,13 +30,17 @@
   std::uint64_t Incarnation = 0;
 };
 
+// A founding replica of a new group first writes a snapshot with index 0 that
+// holds the start membership, and puts the same into Restored.Members; all
+// others start with an empty membership and are added as learners.
+
 /// Opens or creates the folder. A torn tail is cut; damage before the end is
 /// LogDamaged or SnapshotDamaged and nothing is changed.
-/// \p freshIncarnation is used when the folder is new.
+/// \p FreshIncarnation is used when the folder is new.
 base::Result<OpenedStorage> openDiskStorage(const std::filesystem::path &folder,
-                                            std::uint64_t freshIncarnation);
+                                            std::uint64_t FreshIncarnation);
 
 /// Storage of a replica without a disk: it keeps nothing.
-OpenedStorage openMemoryStorage(std::uint64_t freshIncarnation);
+OpenedStorage openMemoryStorage(std::uint64_t FreshIncarnation);
 
 } // namespace magnoliamill::consensus
--- a/packages/consensus/internal/DiskStorage.cpp
+++ b/packages/consensus/internal/DiskStorage.cpp
@@ -61,7 +61,7 @@
 
 base::Result<OpenedStorage>
 DiskStorage::open(const std::filesystem::path &folder,
-                  std::uint64_t freshIncarnation) {
+                  std::uint64_t FreshIncarnation) {
   std::error_code ec;
   std::filesystem::create_directories(folder, ec);
   if (ec)
@@ -72,11 +72,11 @@
     return base::fail(locked.error());
   OpenedStorage out;
   out.IsNew = !std::filesystem::exists(store->pathOf(IncarnationFile));
-  auto incarnation =
-      out.IsNew ? store->create(freshIncarnation) : store->readIncarnation();
-  if (!incarnation)
-    return base::fail(incarnation.error());
-  out.Incarnation = incarnation.value();
+  auto number =
+      out.IsNew ? store->create(FreshIncarnation) : store->readIncarnation();
+  if (!number)
+    return base::fail(number.error());
+  out.Incarnation = number.value();
   if (auto read = store->readSnapshot(out.Restored); !read)
     return base::fail(read.error());
   const auto loaded = store->readLog(out.Restored);
@@ -102,7 +102,7 @@
   return base::ok();
 }
 
-base::Result<std::uint64_t> DiskStorage::create(std::uint64_t incarnation) {
+base::Result<std::uint64_t> DiskStorage::create(std::uint64_t Incarnation) {
   // A crash while the folder was created leaves at most an empty log.
   const auto log = pathOf(LogFile);
   if (std::filesystem::exists(pathOf(SnapshotFile)))
@@ -116,7 +116,7 @@
   if (auto made = replaceFile(log, makeFileHead(LogFile)); !made)
     return base::fail(made.error());
   std::string content = makeFileHead(IncarnationFile);
-  addFrame(content, std::to_string(incarnation));
+  addFrame(content, std::to_string(Incarnation));
   if (auto made = replaceFile(pathOf(IncarnationFile), content); !made)
     return base::fail(made.error());
   if (auto synced =
@@ -124,7 +124,7 @@
                                                   : Folder.parent_path());
       !synced)
     return base::fail(synced.error());
-  return incarnation;
+  return Incarnation;
 }
 
 base::Result<std::uint64_t> DiskStorage::readIncarnation() const {
@@ -174,7 +174,7 @@
   return LoadedLog{file.IntactSize, state.Entries.size() != count};
 }
 
-base::Result<void> DiskStorage::openLog(std::uint64_t intactSize) {
+base::Result<void> DiskStorage::openLog(std::uint64_t IntactSize) {
   const auto path = pathOf(LogFile);
   Log = FileHandle(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
   if (!Log.isOpen())
@@ -182,10 +182,10 @@
   struct stat info = {};
   if (::fstat(Log.get(), &info) != 0)
     return base::fail(describeErrno("cannot stat", path));
-  LogSize = intactSize;
-  if (static_cast<std::uint64_t>(info.st_size) == intactSize)
+  LogSize = IntactSize;
+  if (static_cast<std::uint64_t>(info.st_size) == IntactSize)
     return base::ok();
-  if (::ftruncate(Log.get(), static_cast<off_t>(intactSize)) != 0)
+  if (::ftruncate(Log.get(), static_cast<off_t>(IntactSize)) != 0)
     return base::fail(describeErrno("cannot cut", path));
   return Log.sync();
 }
@@ -287,15 +287,15 @@
 } // namespace
 
 base::Result<OpenedStorage> openDiskStorage(const std::filesystem::path &folder,
-                                            std::uint64_t freshIncarnation) {
-  return internal::DiskStorage::open(folder, freshIncarnation);
+                                            std::uint64_t FreshIncarnation) {
+  return internal::DiskStorage::open(folder, FreshIncarnation);
 }
 
-OpenedStorage openMemoryStorage(std::uint64_t freshIncarnation) {
+OpenedStorage openMemoryStorage(std::uint64_t FreshIncarnation) {
   OpenedStorage out;
   out.Store = std::make_unique<MemoryStorage>();
   out.IsNew = true;
-  out.Incarnation = freshIncarnation;
+  out.Incarnation = FreshIncarnation;
   return out;
 }
 
--- a/packages/consensus/internal/DiskStorage.h
+++ b/packages/consensus/internal/DiskStorage.h
@@ -13,7 +13,7 @@
 class DiskStorage : public Storage {
 public:
   static base::Result<OpenedStorage> open(const std::filesystem::path &folder,
-                                          std::uint64_t freshIncarnation);
+                                          std::uint64_t FreshIncarnation);
 
   base::Result<void> write(const PersistRequest &request) override;
   base::Result<void>
@@ -24,7 +24,7 @@
       : Folder(std::move(folder)) {}
 
   base::Result<void> lock();
-  base::Result<std::uint64_t> create(std::uint64_t incarnation);
+  base::Result<std::uint64_t> create(std::uint64_t Incarnation);
   base::Result<std::uint64_t> readIncarnation() const;
   base::Result<void> readSnapshot(DurableState &state) const;
   struct LoadedLog {
@@ -33,7 +33,7 @@
     bool IsOutdated = false;
   };
   base::Result<LoadedLog> readLog(DurableState &state) const;
-  base::Result<void> openLog(std::uint64_t intactSize);
+  base::Result<void> openLog(std::uint64_t IntactSize);
   base::Result<void> appendFrame(const PersistRequest &request);
   base::Result<void> installSnapshot(const PersistRequest &request);
   base::Result<void> replaceLog(const DurableState &state);
--- a/packages/consensus/internal/Election.cpp
+++ b/packages/consensus/internal/Election.cpp
@@ -25,12 +25,12 @@
   requestVotes(false, transfer);
 }
 
-void Replica::requestVotes(bool preVote, bool transfer) {
-  const VoteRequest body{Log.lastIndex(), Log.lastTerm(), preVote, transfer};
+void Replica::requestVotes(bool PreVote, bool transfer) {
+  const VoteRequest body{Log.lastIndex(), Log.lastTerm(), PreVote, transfer};
   for (const ReplicaId &id : Log.membership().Voters) {
     if (id == Config.Self)
       continue;
-    if (!preVote) {
+    if (!PreVote) {
       sendAfterPersist(id, body);
       continue;
     }
--- a/packages/consensus/internal/LogWindow.cpp
+++ b/packages/consensus/internal/LogWindow.cpp
@@ -25,8 +25,7 @@
   }
 }
 
-LogWindow::Part LogWindow::readAfter(LogIndex after,
-                                     std::size_t maxBytes) const {
+LogWindow::Part LogWindow::readAfter(LogIndex after, std::size_t limit) const {
   Part out;
   out.Commit = Last;
   out.NeedsSnapshot = after < startIndex();
@@ -35,7 +34,7 @@
   std::size_t bytes = 0;
   for (std::size_t n = after - startIndex(); n < Kept.size(); ++n) {
     bytes += Kept[n].Command.size();
-    if (!out.Entries.empty() && bytes > maxBytes)
+    if (!out.Entries.empty() && bytes > limit)
       break;
     out.Entries.push_back(Kept[n]);
   }
--- a/packages/consensus/internal/MembershipCodec.cpp
+++ b/packages/consensus/internal/MembershipCodec.cpp
@@ -31,11 +31,11 @@
     if (vm == nullptr || !vm->is_string() || number == nullptr)
       return false;
     boost::system::error_code ec;
-    const auto incarnation = number->to_number<std::uint64_t>(ec);
+    const auto Incarnation = number->to_number<std::uint64_t>(ec);
     if (ec)
       return false;
     const std::string_view name = vm->get_string();
-    out.push_back({base::VmId(name), incarnation});
+    out.push_back({base::VmId(name), Incarnation});
   }
   return true;
 }
--- a/packages/consensus/internal/RaftLog.cpp
+++ b/packages/consensus/internal/RaftLog.cpp
@@ -31,13 +31,13 @@
   return Entries[index - BaseIndex - 1];
 }
 
-std::vector<Entry> RaftLog::read(LogIndex first, std::size_t maxBytes) const {
+std::vector<Entry> RaftLog::read(LogIndex first, std::size_t limit) const {
   std::vector<Entry> out;
   std::size_t bytes = 0;
   for (LogIndex n = first; n <= lastIndex(); ++n) {
     const Entry &entry = at(n);
     bytes += entry.Command.size();
-    if (!out.empty() && bytes > maxBytes)
+    if (!out.empty() && bytes > limit)
       break;
     out.push_back(entry);
   }
@@ -70,14 +70,14 @@
   return Memberships.front().Members;
 }
 
-void RaftLog::compact(SnapshotImage image, std::size_t trailBytes) {
+void RaftLog::compact(SnapshotImage image, std::size_t trail) {
   const LogIndex index = image.Index;
   Image = std::make_shared<SnapshotImage>(std::move(image));
   std::size_t bytes = 0;
   LogIndex keep = index;
   while (keep > BaseIndex) {
     bytes += at(keep).Command.size() + sizeof(Entry);
-    if (bytes > trailBytes)
+    if (bytes > trail)
       break;
     --keep;
   }
--- a/packages/consensus/internal/RaftLog.h
+++ b/packages/consensus/internal/RaftLog.h
@@ -26,8 +26,8 @@
   /// Nothing when \p index lies outside of the kept part.
   std::optional<TermNumber> termAt(LogIndex index) const;
   const Entry &at(LogIndex index) const;
-  /// Entries from \p first on, at least one if there is one, up to \p maxBytes.
-  std::vector<Entry> read(LogIndex first, std::size_t maxBytes) const;
+  /// Entries from \p first on, at least one if there is one, up to \p limit.
+  std::vector<Entry> read(LogIndex first, std::size_t limit) const;
   /// The first kept index that has the term of the entry at \p index.
   LogIndex firstIndexOfTermAt(LogIndex index) const;
 
@@ -41,8 +41,8 @@
 
   const std::shared_ptr<const SnapshotImage> &snapshot() const { return Image; }
   /// Takes a snapshot of the own state machine, cuts entries below it but keeps
-  /// up to \p trailBytes of them for replicas that lag.
-  void compact(SnapshotImage image, std::size_t trailBytes);
+  /// up to \p trail of them for replicas that lag.
+  void compact(SnapshotImage image, std::size_t trail);
   /// Replaces the log up to the snapshot's index. Entries behind it stay only
   /// if the entry at that index was the same. True when entries were dropped.
   bool install(SnapshotImage image);
--- a/packages/consensus/internal/RecordFile.cpp
+++ b/packages/consensus/internal/RecordFile.cpp
@@ -114,7 +114,7 @@
   if (!file.isOpen())
     return base::fail(describeErrno("cannot open", path));
   std::string out;
-  std::vector<char> buf(256 * 1024);
+  std::vector<char> buf(std::size_t{256} * 1024);
   while (true) {
     const ssize_t n = ::read(file.get(), buf.data(), buf.size());
     if (n < 0 && errno == EINTR)
--- a/packages/consensus/internal/Replica.cpp
+++ b/packages/consensus/internal/Replica.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// How much of the log below a snapshot is kept for replicas that lag.
-constexpr std::size_t TrailBytes = 1024 * 1024;
+constexpr std::size_t TrailBytes = std::size_t{1024} * 1024;
 
 } // namespace
 
--- a/packages/consensus/internal/Replica.h
+++ b/packages/consensus/internal/Replica.h
@@ -89,7 +89,7 @@
   // Election.
   void startPreVote();
   void startElection(bool transfer);
-  void requestVotes(bool preVote, bool transfer);
+  void requestVotes(bool PreVote, bool transfer);
   void answerPreVote(const Message &message, const VoteRequest &body);
   void recordVote(const ReplicaId &voter);
   bool isHoldingVotes() const;
--- a/packages/consensus/tests/Cluster.cpp
+++ b/packages/consensus/tests/Cluster.cpp
@@ -132,22 +132,22 @@
 }
 
 bool Cluster::canLose(std::size_t vm) const {
-  std::vector<Membership> inForce{CommittedMembers.back()};
-  const auto addUncommitted = [&](const Membership &members) {
+  std::vector<Membership> InForce{CommittedMembers.back()};
+  const auto AddUncommitted = [&](const Membership &members) {
     if (std::find(CommittedMembers.begin(), CommittedMembers.end(), members) ==
         CommittedMembers.end())
-      inForce.push_back(members);
+      InForce.push_back(members);
   };
   for (const Vm &it : Vms) {
     if (it.Core) {
-      addUncommitted(it.Core->membership());
+      AddUncommitted(it.Core->membership());
       continue;
     }
     for (const Entry &entry : it.Disk.Entries)
       if (entry.Kind == EntryKind::Membership)
-        addUncommitted(decodeMembership(entry.Command).value());
+        AddUncommitted(decodeMembership(entry.Command).value());
   }
-  for (const Membership &members : inForce) {
+  for (const Membership &members : InForce) {
     std::size_t lost = 0;
     for (const ReplicaId &id : members.Voters)
       if (Vms[vmOf(id)].Id != id || vmOf(id) == vm)
@@ -488,7 +488,7 @@
     Vms[n].PausedUntil = 0;
     restart(n);
   }
-  const auto isSettled = [&] {
+  const auto IsSettled = [&] {
     const auto leader = findLeader();
     if (!leader)
       return false;
@@ -502,11 +502,11 @@
         return false;
     return true;
   };
-  for (int n = 0; n < 100 && !isSettled(); ++n) {
+  for (int n = 0; n < 100 && !IsSettled(); ++n) {
     repairMembership();
-    runUntil(isSettled, std::chrono::milliseconds(300));
+    runUntil(IsSettled, std::chrono::milliseconds(300));
   }
-  return isSettled();
+  return IsSettled();
 }
 
 void Cluster::judgeLeaders() {
--- a/packages/consensus/tests/CoreTest.cpp
+++ b/packages/consensus/tests/CoreTest.cpp
@@ -8,8 +8,7 @@
 using namespace magnoliamill;
 using namespace magnoliamill::consensus;
 using namespace magnoliamill::consensus::tests;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -221,12 +220,12 @@
 
 TEST_CASE("A group of three", "[consensus]") {
   Cluster cluster(makeCalm(4, 3, 4));
-  const auto hasLeader = [&] {
+  const auto HasLeader = [&] {
     const auto leader = cluster.findLeader();
     return leader &&
            cluster.core(*leader).hasLeaderLease(cluster.clockOf(*leader));
   };
-  REQUIRE(cluster.runUntil(hasLeader, 5s));
+  REQUIRE(cluster.runUntil(HasLeader, 5s));
   const std::size_t leader = *cluster.findLeader();
 
   SECTION("goes on without a leader that was cut off, which steps down") {
--- a/packages/consensus/tests/Linearizability.h
+++ b/packages/consensus/tests/Linearizability.h
@@ -56,20 +56,20 @@
 
 private:
   bool search(int value) {
-    const std::int64_t firstEnd = findFirstEnd();
-    if (firstEnd == Operation::Never)
+    const std::int64_t FirstEnd = findFirstEnd();
+    if (FirstEnd == Operation::Never)
       return true;
     if (!Seen.emplace(DoneHash, value).second)
       return false;
     for (std::size_t n = 0; n < History.size(); ++n) {
-      if (History[n].Start > firstEnd)
+      if (History[n].Start > FirstEnd)
         break;
       // What fits now and changes nothing can only fit worse later.
       if (!Done[n] && isObservation(History[n]) && apply(History[n], value))
         return searchBehind(n, value);
     }
     for (std::size_t n = 0; n < History.size(); ++n) {
-      if (History[n].Start > firstEnd)
+      if (History[n].Start > FirstEnd)
         break;
       const auto next = Done[n] ? std::nullopt : apply(History[n], value);
       if (next && searchBehind(n, *next))
--- a/packages/consensus/tests/ScheduleTest.cpp
+++ b/packages/consensus/tests/ScheduleTest.cpp
@@ -7,9 +7,7 @@
 
 using namespace magnoliamill::consensus;
 using namespace magnoliamill::consensus::tests;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
-using std::chrono_literals::operator""us;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -117,7 +115,7 @@
   cluster.run(500ms);
 }
 
-void doWork(Cluster &cluster, int &lastValue) {
+void doWork(Cluster &cluster, int &LastValue) {
   Operation op;
   switch (cluster.pick(4)) {
   case 0:
@@ -126,28 +124,28 @@
     return cluster.readUnderLease();
   case 2:
     op.Kind = OperationKind::CompareAndSet;
-    op.Expected = lastValue - static_cast<int>(cluster.pick(3));
+    op.Expected = LastValue - static_cast<int>(cluster.pick(3));
     break;
   default:
     op.Kind = OperationKind::Write;
   }
-  op.Value = ++lastValue;
+  op.Value = ++LastValue;
   cluster.propose(op);
 }
 
 /// Restarts what is down, or crashes something.
-void doCrash(Cluster &cluster, bool diskToo) {
+void doCrash(Cluster &cluster, bool DiskToo) {
   const std::size_t vm = cluster.pick(cluster.size());
   if (!cluster.isUp(vm))
     return cluster.restart(vm);
-  if (diskToo && cluster.canLose(vm)) {
+  if (DiskToo && cluster.canLose(vm)) {
     cluster.wipe(vm);
     if (cluster.chance() < 0.5)
       cluster.restart(vm);
     return;
   }
-  const bool keepsLog = cluster.hasDisk(vm);
-  if (!diskToo && (keepsLog || cluster.canLose(vm))) {
+  const bool KeepsLog = cluster.hasDisk(vm);
+  if (!DiskToo && (KeepsLog || cluster.canLose(vm))) {
     cluster.crash(vm);
     if (cluster.chance() < 0.7)
       cluster.restart(vm);
@@ -232,12 +230,12 @@
 
 std::vector<std::string> runSchedule(std::uint64_t seed, const Mix &mix) {
   Cluster cluster(pickOptions(seed, mix));
-  int lastValue = 0;
+  int LastValue = 0;
   cluster.run(1500ms);
   for (std::size_t n = 0; n < mix.Actions && cluster.faults().empty(); ++n) {
     const auto choice = cluster.pick(20);
     if (choice < static_cast<std::size_t>(mix.Work))
-      doWork(cluster, lastValue);
+      doWork(cluster, LastValue);
     else
       doFault(cluster, mix);
     if (cluster.chance() < 0.2)
