--- a/packages/consensus/internal/Election.cpp
+++ b/packages/consensus/internal/Election.cpp
@@ -25,12 +25,12 @@
   requestVotes(false, transfer);
 }
 
-void Replica::requestVotes(bool preVote, bool transfer) {
-  const VoteRequest body{Log.lastIndex(), Log.lastTerm(), preVote, transfer};
+void Replica::requestVotes(bool PreVote, bool transfer) {
+  const VoteRequest body{Log.lastIndex(), Log.lastTerm(), PreVote, transfer};
   for (const ReplicaId &id : Log.membership().Voters) {
     if (id == Config.Self)
       continue;
-    if (!preVote) {
+    if (!PreVote) {
       sendAfterPersist(id, body);
       continue;
     }
@@ -102,7 +102,7 @@
 }
 
 void Replica::receive(const Message &message, const TimeoutNow &) {
-  if (message.Term != Term || CurrentRole == Role::Leader || !isVoter())
+  if (message.Term != Term || CurrentRole == Role::Leader || !mayCampaign())
     return;
   startElection(true);
 }
