--- a/packages/ownership/Announcement.h
+++ b/packages/ownership/Announcement.h
@@ -41,6 +41,6 @@
                    std::span<const std::string> allowed);
 
 /// JSON in the form that parseAnnouncement reads.
-std::string encodeAnnouncement(const Announcement &announcement);
+std::string encodeAnnouncement(const Announcement &target);
 
 } // namespace magnoliamill::ownership
--- a/packages/ownership/internal/Announcement.cpp
+++ b/packages/ownership/internal/Announcement.cpp
@@ -108,20 +108,20 @@
   return allowed.empty() || std::ranges::any_of(allowed, holds);
 }
 
-std::string encodeAnnouncement(const Announcement &announcement) {
+std::string encodeAnnouncement(const Announcement &target) {
   return boost::json::serialize(
-      boost::json::object{{"instance", announcement.Instance.Value},
-                          {"name", announcement.Name},
-                          {"service", announcement.Service.Value},
-                          {"data_centre", announcement.DataCentre.Value},
-                          {"host", announcement.Host},
-                          {"port", announcement.Port},
-                          {"slots", announcement.Slots},
-                          {"checks_tokens", announcement.ChecksTokens},
-                          {"cancel", announcement.CanCancel},
-                          {"deadlines", announcement.HonoursDeadlines},
-                          {"clock", announcement.ClockMs},
-                          {"leaving", announcement.Leaving}});
+      boost::json::object{{"instance", target.Instance.Value},
+                          {"name", target.Name},
+                          {"service", target.Service.Value},
+                          {"data_centre", target.DataCentre.Value},
+                          {"host", target.Host},
+                          {"port", target.Port},
+                          {"slots", target.Slots},
+                          {"checks_tokens", target.ChecksTokens},
+                          {"cancel", target.CanCancel},
+                          {"deadlines", target.HonoursDeadlines},
+                          {"clock", target.ClockMs},
+                          {"leaving", target.Leaving}});
 }
 
 } // namespace magnoliamill::ownership
--- a/packages/ownership/internal/CommandApplier.cpp
+++ b/packages/ownership/internal/CommandApplier.cpp
@@ -61,14 +61,14 @@
       (known->Service != it.Service || known->Name != it.Name))
     return NotAllowed;
   if (known != nullptr) {
-    bool isChanged = takeOver(*known, it);
+    bool IsChanged = takeOver(*known, it);
     if (it.Leaving && known->State == TargetState::Active) {
       known->State = TargetState::Leaving;
-      isChanged = true;
+      IsChanged = true;
     }
-    if (isChanged)
+    if (IsChanged)
       known->AnnouncedClockMs = it.ClockMs;
-    return isChanged ? ChangedOne : InForceAlready;
+    return IsChanged ? ChangedOne : InForceAlready;
   }
   // A restart: the earlier run's grants have to run out before its slots move.
   for (auto &[instance, other] : Present.Targets)
@@ -206,8 +206,8 @@
 }
 
 base::Token CommandApplier::nextToken(base::Token previous,
-                                      std::uint64_t homeEpoch) const {
-  return {std::max({previous.Epoch, homeEpoch, Present.Epoch}), Index};
+                                      std::uint64_t HomeEpoch) const {
+  return {std::max({previous.Epoch, HomeEpoch, Present.Epoch}), Index};
 }
 
 } // namespace magnoliamill::ownership::internal
--- a/packages/ownership/internal/CommandApplier.h
+++ b/packages/ownership/internal/CommandApplier.h
@@ -32,7 +32,7 @@
   bool ownsSlots(const TargetView &target) const;
   bool hasSuccessor(const TargetView &target) const;
   /// The token of a slot whose owner or dispatcher changes at this index.
-  base::Token nextToken(base::Token previous, std::uint64_t homeEpoch) const;
+  base::Token nextToken(base::Token previous, std::uint64_t HomeEpoch) const;
 
   View &Present;
   consensus::LogIndex Index;
--- a/packages/ownership/internal/Controller.cpp
+++ b/packages/ownership/internal/Controller.cpp
@@ -103,11 +103,11 @@
         ResultCode::TargetNotAllowed,
         fmt::format("service {} is not in the settings", it.Service.Value)};
   const auto &centres = service->second.DataCentres;
-  const bool isHere =
+  const bool IsHere =
       it.DataCentre == Config.DataCentre &&
       (centres.empty() ||
        std::ranges::find(centres, it.DataCentre) != centres.end());
-  if (!isHere)
+  if (!IsHere)
     return base::Error{ResultCode::TargetNotAllowed,
                        fmt::format("service {} does not run in data centre {} "
                                    "by way of this VM",
--- a/packages/ownership/internal/DispatchAgent.cpp
+++ b/packages/ownership/internal/DispatchAgent.cpp
@@ -87,10 +87,10 @@
 void DispatchAgent::State::operator()(const ViewChanged &event,
                                       base::MonoTime now) {
   const auto &next = event.Ownership;
-  const bool isOlder =
+  const bool IsOlder =
       next->Epoch < Present->Epoch ||
       (next->Epoch == Present->Epoch && next->Index < Present->Index);
-  if (isOlder)
+  if (IsOlder)
     return;
   Present = next;
   Owned = internal::sortByOwner(*Present);
@@ -107,26 +107,26 @@
   for (const auto &[instance, target] : Present->Targets) {
     if (!isMine(target))
       continue;
-    auto [it, isNew] = Links.try_emplace(instance, target, now);
-    if (!isNew)
+    auto [it, IsNew] = Links.try_emplace(instance, target, now);
+    if (!IsNew)
       it->second.setTarget(target, now);
   }
 }
 
 void DispatchAgent::State::forgetSettled() {
-  auto isSettled = [&](const SlotExpectation &it) {
+  auto IsSettled = [&](const SlotExpectation &it) {
     const auto *slot = internal::findSlot(*Present, it.Slot);
     return slot == nullptr || slot->Token != it.ExpectedToken;
   };
   for (auto *slots : {&DrainAsked, &Drained, &Released})
-    std::erase_if(*slots, isSettled);
-  auto isHandedOver = [&](const RelievedTarget &it) {
+    std::erase_if(*slots, IsSettled);
+  auto IsHandedOver = [&](const RelievedTarget &it) {
     auto target = Present->Targets.find(it.Instance);
     return target == Present->Targets.end() ||
            target->second.DispatchToken != it.Token;
   };
-  std::erase_if(ReliefAsked, isHandedOver);
-  std::erase_if(Relieved, isHandedOver);
+  std::erase_if(ReliefAsked, IsHandedOver);
+  std::erase_if(Relieved, IsHandedOver);
 }
 
 void DispatchAgent::State::operator()(const GrantReplied &event,
@@ -172,8 +172,8 @@
   SlotTokens wanted;
   for (const auto &slot : slotsOf(link.target().Instance)) {
     const auto id = idOf(link, slot);
-    const bool isLeaving = mustRelease(link, slot) && Drained.contains(id);
-    if (!link.isLost() && !isLeaving && !Released.contains(id))
+    const bool IsLeaving = mustRelease(link, slot) && Drained.contains(id);
+    if (!link.isLost() && !IsLeaving && !Released.contains(id))
       wanted[slot.Slot] = slot.Token;
   }
   return wanted;
@@ -212,8 +212,8 @@
     if (!link.isLost() && DrainAsked.insert(id).second)
       actions.DrainSlots.push_back(
           {id.Slot, link.target().Instance, slot.Token});
-    const bool isDone = link.isLost() || Drained.contains(id);
-    if (isDone && link.isFreeOf(slot.Slot, now))
+    const bool IsDone = link.isLost() || Drained.contains(id);
+    if (IsDone && link.isFreeOf(slot.Slot, now))
       Released.insert(id);
   }
 }
--- a/packages/ownership/internal/DispatcherPlanner.cpp
+++ b/packages/ownership/internal/DispatcherPlanner.cpp
@@ -41,11 +41,11 @@
         Context.Out.findDispatcher(instance.Value, target.DispatchToken);
     if (pending)
       holder = {pending->Vm, pending->Incarnation};
-    const bool isLeaving = isHandingOver(target);
-    if (!pending && isLeaving)
+    const bool IsLeaving = isHandingOver(target);
+    if (!pending && IsLeaving)
       ++Moving;
-    const bool isKept = pending || (!isLeaving && !isFree(target));
-    if (auto it = Loads.find(holder); it != Loads.end() && isKept)
+    const bool IsKept = pending || (!IsLeaving && !isFree(target));
+    if (auto it = Loads.find(holder); it != Loads.end() && IsKept)
       ++it->second;
   }
 }
@@ -99,9 +99,9 @@
       return;
     auto holder = Loads.find(dispatcherOf(target));
     const auto least = *pickLeastLoaded();
-    const bool isCrowded =
+    const bool IsCrowded =
         holder != Loads.end() && holder->second >= Loads[least] + 2;
-    if (!isCrowded || isHandingOver(target) || isFree(target) ||
+    if (!IsCrowded || isHandingOver(target) || isFree(target) ||
         Context.Out.findDispatcher(instance.Value, target.DispatchToken))
       continue;
     --holder->second;
--- a/packages/ownership/internal/LeaseTable.cpp
+++ b/packages/ownership/internal/LeaseTable.cpp
@@ -16,10 +16,10 @@
   // Requests may overtake each other; what was reported once stays true.
   if (request.Report.InForce >= holder.Report.InForce)
     holder.Report = request.Report;
-  const bool isBeingTaken = std::ranges::any_of(
+  const bool IsBeingTaken = std::ranges::any_of(
       Takings, [&](const auto &entry) { return entry.second.Holder == id; });
   const auto required = std::max(holder.Required, TermIndex);
-  if (isBeingTaken || request.Report.InForce < required || !isLatest(id))
+  if (IsBeingTaken || request.Report.InForce < required || !isLatest(id))
     return false;
   holder.Granted = now;
   return true;
--- a/packages/ownership/internal/PlanContext.cpp
+++ b/packages/ownership/internal/PlanContext.cpp
@@ -25,10 +25,10 @@
   if (known == nullptr)
     return false;
   const auto &centres = known->DataCentres;
-  const bool isHere =
+  const bool IsHere =
       centres.empty() ||
       std::ranges::find(centres, Config.DataCentre) != centres.end();
-  return isHere && isHostAllowed(host, known->TargetHosts);
+  return IsHere && isHostAllowed(host, known->TargetHosts);
 }
 
 const DispatchReport *PlanContext::reportOn(const TargetView &target) const {
@@ -53,19 +53,19 @@
   if (report == nullptr || report->Lost.empty())
     return false;
   std::size_t silent = 0;
-  bool doOthersReach = false;
+  bool DoOthersReach = false;
   for (const auto &[instance, target] : Ownership.Targets) {
     if (target.State == TargetState::Lost)
       continue;
     if (dispatcherOf(target) != holder)
-      doOthersReach = doOthersReach || isReady(target);
+      DoOthersReach = DoOthersReach || isReady(target);
     else if (isLost(target) || std::ranges::find(report->Failing, instance) !=
                                    report->Failing.end())
       ++silent;
     else
       return false;
   }
-  return silent >= 2 && doOthersReach;
+  return silent >= 2 && DoOthersReach;
 }
 
 base::MonoTime
--- a/packages/ownership/internal/Proposals.cpp
+++ b/packages/ownership/internal/Proposals.cpp
@@ -8,11 +8,11 @@
 void Proposals::begin(std::uint64_t term, base::MonoTime now) {
   Term = term;
   Now = now;
-  auto isOld = [&](base::MonoTime at) { return now >= at + Retry; };
-  std::erase_if(Commands, [&](const auto &it) { return isOld(it.second.At); });
-  std::erase_if(Releases, [&](const auto &it) { return isOld(it.second); });
+  auto IsOld = [&](base::MonoTime at) { return now >= at + Retry; };
+  std::erase_if(Commands, [&](const auto &it) { return IsOld(it.second.At); });
+  std::erase_if(Releases, [&](const auto &it) { return IsOld(it.second); });
   std::erase_if(Assignments,
-                [&](const auto &it) { return isOld(it.second.At); });
+                [&](const auto &it) { return IsOld(it.second.At); });
 }
 
 void Proposals::propose(const std::string &subject, base::Token expected,
--- a/packages/ownership/internal/SlotPlanner.cpp
+++ b/packages/ownership/internal/SlotPlanner.cpp
@@ -28,11 +28,11 @@
 
 void SlotPlanner::findReceivers() {
   for (const auto &[instance, target] : Context.Ownership.Targets) {
-    const bool isReceiver =
+    const bool IsReceiver =
         target.Service == Service.Id && target.State == TargetState::Active &&
         Context.isReady(target) && !mustLeaveNow(Context, target) &&
         Context.ruleFor(target).LeaveByMs == 0;
-    if (isReceiver)
+    if (IsReceiver)
       Receivers[instance] = {};
   }
 }
@@ -52,17 +52,17 @@
   if (homes == Context.Settings.Homes.end() || n >= homes->second.size())
     return;
   const auto &home = homes->second[n];
-  const bool isHere = home.Home == Context.Config.DataCentre;
-  if (isHere && !home.MovingTo)
+  const bool IsHere = home.Home == Context.Config.DataCentre;
+  if (IsHere && !home.MovingTo)
     sortLocalSlot(id, slot, home.Epoch);
   else
-    sortForeignSlot(id, slot, isHere);
+    sortForeignSlot(id, slot, IsHere);
 }
 
 void SlotPlanner::sortLocalSlot(const SlotExpectation &id, const SlotView &slot,
-                                std::uint64_t homeEpoch) {
+                                std::uint64_t HomeEpoch) {
   if (isFree(id, slot))
-    Free.push_back({id.Slot, id.ExpectedToken, slot.Owner, homeEpoch});
+    Free.push_back({id.Slot, id.ExpectedToken, slot.Owner, HomeEpoch});
   else if (slot.Releasing || Context.Out.isReleasing(id))
     ++Moving;
   else if (!slot.Owner.empty())
@@ -86,13 +86,13 @@
 }
 
 void SlotPlanner::sortForeignSlot(const SlotExpectation &id,
-                                  const SlotView &slot, bool isMovingAway) {
+                                  const SlotView &slot, bool IsMovingAway) {
   if (!slot.Owner.empty()) {
     if (isFree(id, slot))
       Context.Out.assign({id.Slot, id.ExpectedToken, {}, 0});
     else if (!slot.Releasing)
       Context.Out.release(id);
-  } else if (isMovingAway && isFree(id, slot)) {
+  } else if (IsMovingAway && isFree(id, slot)) {
     HomesReleased.push_back(id.Slot);
   }
 }
@@ -131,10 +131,10 @@
     const auto *target = findTarget(entry.first);
     // On equal numbers a slot goes back to its owner, then to the owner's
     // restarted process.
-    const bool isSame = entry.first == preferred;
-    const bool isRestart =
+    const bool IsSame = entry.first == preferred;
+    const bool IsRestart =
         former != nullptr && target != nullptr && former->Name == target->Name;
-    return std::tuple(entry.second.Count, !isSame, !isRestart);
+    return std::tuple(entry.second.Count, !IsSame, !IsRestart);
   };
   return std::ranges::min_element(Receivers, {}, rank);
 }
--- a/packages/ownership/internal/SlotPlanner.h
+++ b/packages/ownership/internal/SlotPlanner.h
@@ -33,9 +33,9 @@
   void findReceivers();
   void sortSlot(base::SlotNumber n);
   void sortLocalSlot(const SlotExpectation &id, const SlotView &slot,
-                     std::uint64_t homeEpoch);
+                     std::uint64_t HomeEpoch);
   void sortForeignSlot(const SlotExpectation &id, const SlotView &slot,
-                       bool isMovingAway);
+                       bool IsMovingAway);
   void sortOwnedSlot(const SlotExpectation &id, const SlotView &slot);
   void assignFree();
   void releaseLeaving();
--- a/packages/ownership/internal/TargetLink.cpp
+++ b/packages/ownership/internal/TargetLink.cpp
@@ -32,10 +32,10 @@
       PredecessorUntil(now + boundAbove(GrantTtl)) {}
 
 void TargetLink::setTarget(const TargetView &target, base::MonoTime now) {
-  const bool turnsLost =
+  const bool TurnsLost =
       target.State == TargetState::Lost && Target.State != TargetState::Lost;
   Target = target;
-  if (turnsLost && !Target.ChecksTokens) {
+  if (TurnsLost && !Target.ChecksTokens) {
     Failures = FailuresUntilLost;
     FirstFailure = now;
   }
@@ -46,9 +46,9 @@
                                                base::MonoTime now) {
   if (!Target.ChecksTokens || Pending)
     return std::nullopt;
-  const bool hasNews =
+  const bool HasNews =
       Clock && !Lost && Failures == 0 && wanted != Acknowledged;
-  if (now < NextSend && !hasNews)
+  if (now < NextSend && !HasNews)
     return std::nullopt;
   return send(vm, wanted, now);
 }
--- a/packages/ownership/internal/TargetPlanner.cpp
+++ b/packages/ownership/internal/TargetPlanner.cpp
@@ -32,9 +32,9 @@
 
 bool mustLeaveNow(const PlanContext &context, const TargetView &target) {
   const auto rule = context.ruleFor(target);
-  const bool isDue =
+  const bool IsDue =
       rule.LeaveByMs > 0 && context.WallMs >= rule.LeaveByMs - LeaveMarginMs;
-  return rule.Leaving || isDue ||
+  return rule.Leaving || IsDue ||
          !context.isAllowed(target.Service, target.Host);
 }
 
@@ -71,15 +71,15 @@
 }
 
 TargetState TargetPlanner::wantedState(const TargetView &target) const {
-  const bool isLost =
+  const bool IsLost =
       Context.isLost(target) && !Context.isCutOff(dispatcherOf(target));
-  if (isLost || isSilentUnchecked(target))
+  if (IsLost || isSilentUnchecked(target))
     return TargetState::Lost;
-  const bool staysLost =
+  const bool StaysLost =
       target.State == TargetState::Lost &&
       (!Context.isReady(target) || hasSuccessor(Context.Ownership, target) ||
        Context.Now > Context.lastHeard(target.Instance) + PresentWithin);
-  if (staysLost)
+  if (StaysLost)
     return TargetState::Lost;
   return mustLeave(target) ? TargetState::Leaving : TargetState::Active;
 }
@@ -95,11 +95,11 @@
 }
 
 bool TargetPlanner::isSilentUnchecked(const TargetView &target) const {
-  auto isSilent = [&](const TargetView &it) {
+  auto IsSilent = [&](const TargetView &it) {
     return Context.Now >
            Context.lastHeard(it.Instance) + Context.Config.SilentUncheckedLost;
   };
-  if (target.ChecksTokens || !isSilent(target))
+  if (target.ChecksTokens || !IsSilent(target))
     return false;
   // Many silent at once: rather the way of the announcements is broken.
   std::size_t silent = 0;
@@ -108,7 +108,7 @@
     if (other.ChecksTokens || other.Service != target.Service)
       continue;
     ++all;
-    silent += isSilent(other) ? 1 : 0;
+    silent += IsSilent(other) ? 1 : 0;
   }
   return silent == 1 || 2 * silent <= all;
 }
--- a/packages/ownership/tests/CodecTest.cpp
+++ b/packages/ownership/tests/CodecTest.cpp
@@ -78,24 +78,24 @@
   REQUIRE(apply(1, BeginTerm{}) == ResultCode::Ok);
   REQUIRE(apply(1, TargetUp{makeTarget("i1")}) == ResultCode::Ok);
   REQUIRE(apply(1, AssignSlots{{{slot, {}, first, 7}}}) == ResultCode::Ok);
-  auto slotNow = [&] { return machine.viewNow()->Slots.at(slot.Service)[2]; };
-  REQUIRE(slotNow().Token == base::Token{7, 3});
+  auto SlotNow = [&] { return machine.viewNow()->Slots.at(slot.Service)[2]; };
+  REQUIRE(SlotNow().Token == base::Token{7, 3});
 
   SECTION("a repeated assignment has no effect") {
     REQUIRE(apply(1, AssignSlots{{{slot, {}, first, 7}}}) ==
             ResultCode::GrantStale);
-    REQUIRE(slotNow().Token == base::Token{7, 3});
+    REQUIRE(SlotNow().Token == base::Token{7, 3});
   }
   SECTION("a deposed leader's command has no effect") {
     REQUIRE(apply(2, BeginTerm{}) == ResultCode::Ok);
     REQUIRE(apply(1, BeginRelease{{{slot, {7, 3}}}}) == ResultCode::GrantStale);
     REQUIRE(apply(1, BeginTerm{}) == ResultCode::GrantStale);
-    REQUIRE_FALSE(slotNow().Releasing);
+    REQUIRE_FALSE(SlotNow().Releasing);
   }
   SECTION("a new dispatcher raises the tokens of target and slots") {
     REQUIRE(apply(1, SetDispatcher{first, {}, base::VmId("vm1"), 1}) ==
             ResultCode::Ok);
-    REQUIRE(slotNow().Token == base::Token{7, 4});
+    REQUIRE(SlotNow().Token == base::Token{7, 4});
     REQUIRE(machine.viewNow()->Targets.at(first).DispatchToken ==
             base::Token{5, 4});
     REQUIRE(apply(1, SetDispatcher{first, {}, base::VmId("vm2"), 1}) ==
@@ -104,7 +104,7 @@
   SECTION("a restarted target makes its earlier run lost, not its slots free") {
     REQUIRE(apply(1, TargetUp{makeTarget("i2")}) == ResultCode::Ok);
     REQUIRE(machine.viewNow()->Targets.at(first).State == TargetState::Lost);
-    REQUIRE(slotNow().Owner == first);
+    REQUIRE(SlotNow().Owner == first);
     REQUIRE(apply(1, TargetGone{first, {}}) == ResultCode::GrantStale);
   }
   SECTION("a snapshot holds everything; a damaged one changes nothing") {
--- a/packages/ownership/tests/HandoverTest.cpp
+++ b/packages/ownership/tests/HandoverTest.cpp
@@ -79,8 +79,8 @@
 
 TEST_CASE("Slots move no more than needed", "[ownership]") {
   World world({.Seed = 7, .Vms = 3, .Targets = 4, .Slots = 16});
-  auto isServed = [&] { return world.isAllServed(); };
-  REQUIRE(world.runUntil(isServed, 4000 * Ms));
+  auto IsServed = [&] { return world.isAllServed(); };
+  REQUIRE(world.runUntil(IsServed, 4000 * Ms));
   world.run(2000 * Ms);
   const auto before = world.Moves;
 
@@ -93,7 +93,7 @@
   SECTION("those of a lost target, spread evenly") {
     world.killTarget(1);
     world.run(3000 * Ms);
-    REQUIRE(isServed());
+    REQUIRE(IsServed());
     REQUIRE(world.Moves == before + 4);
     const auto owned = world.countOwned();
     REQUIRE(std::ranges::all_of(owned, [](const auto &it) {
@@ -103,7 +103,7 @@
   SECTION("one share to a target that joins") {
     const auto joined = world.addTarget();
     world.run(3000 * Ms);
-    REQUIRE(isServed());
+    REQUIRE(IsServed());
     REQUIRE(countAt(world, world.Targets[joined].Self.Instance) == 3);
     REQUIRE(world.Moves == before + 3);
   }
@@ -112,7 +112,7 @@
     SECTION("stopping") { world.stopVm(1); }
     SECTION("cut off") { findBusyVm(world).ReachesTargets = false; }
     world.run(3000 * Ms);
-    REQUIRE(isServed());
+    REQUIRE(IsServed());
     REQUIRE(world.Moves == before);
   }
   REQUIRE(world.Violations == std::vector<std::string>{});
@@ -171,3 +171,66 @@
   }
   REQUIRE(world.Violations == std::vector<std::string>{});
 }
+
+TEST_CASE("A lease is tied to what its holder knows", "[ownership]") {
+  // Windows of a few milliseconds, which random schedules rarely meet.
+  namespace own = magnoliamill::ownership;
+  own::StateMachine machine(1);
+  own::ControllerConfig config;
+  config.DataCentre = base::DataCentreId("dc1");
+  own::Controller leader(config);
+  MonoTime now(Duration(std::chrono::seconds(100)));
+  consensus::LogIndex index = 0;
+  auto step = [&](const own::ControllerEvent &event) {
+    return leader.step(event, now);
+  };
+  auto commit = [&](const own::ControllerActions &actions) {
+    for (const auto &command : actions.Propose)
+      machine.apply(++index, own::encodeCommand(command));
+  };
+  auto renew = [&](const char *vm, std::uint64_t run) {
+    own::DispatchReport report;
+    report.InForce = machine.viewNow()->Index;
+    return own::LeaseRenewed{base::VmId(vm), run, false, report};
+  };
+  const World settings({.Seed = 1});
+  step(own::SettingsChanged{
+      std::make_shared<const settings::View>(settings.Settings)});
+  commit(step(own::BecameLeader{1}));
+  step(own::ViewChanged{machine.viewNow()});
+  REQUIRE(step(renew("vm1", 1)).LeaseGranted);
+  auto target = settings.Targets.front().Self;
+  now += std::chrono::seconds(1);
+  REQUIRE(step(renew("vm1", 1)).LeaseGranted);
+  commit(step(own::Announced{target}));
+  commit(step(own::ViewChanged{machine.viewNow()}));
+  step(own::ViewChanged{machine.viewNow()});
+  const auto given = machine.viewNow()->Targets.at(target.Instance);
+  REQUIRE(given.Dispatcher == base::VmId("vm1"));
+
+  // vm1 falls silent for longer than its lease; vm2 takes its place.
+  now += std::chrono::seconds(1);
+  const auto stale = renew("vm1", 1);
+  auto taking = step(renew("vm2", 1));
+  REQUIRE(taking.Propose.size() == 1);
+
+  SECTION("it is refused while the target is being taken away") {
+    REQUIRE_FALSE(step(stale).LeaseGranted);
+  }
+  SECTION("it is refused until the holder knows that the target is gone") {
+    commit(taking);
+    step(own::ViewChanged{machine.viewNow()});
+    REQUIRE_FALSE(step(stale).LeaseGranted);
+    REQUIRE(step(renew("vm1", 1)).LeaseGranted);
+  }
+  SECTION("a restarted VM does not go on with what its earlier run had") {
+    own::DispatchAgent agent({base::VmId("vm1"), 2}, now);
+    auto actions = agent.step(own::ViewChanged{machine.viewNow()}, now);
+    agent.step(
+        own::LeaseReplied{actions.Lease->SentAtUs, own::LeaseDuration, true},
+        now);
+    REQUIRE(agent.hasLease(now));
+    REQUIRE(agent.step(own::AgentTick{}, now).Grants.empty());
+    REQUIRE_FALSE(step(renew("vm1", 1)).LeaseGranted);
+  }
+}
--- a/packages/ownership/tests/ScheduleTest.cpp
+++ b/packages/ownership/tests/ScheduleTest.cpp
@@ -19,11 +19,11 @@
   World world(config);
   world.run(FaultTime);
   world.heal();
-  const bool isServed =
+  const bool IsServed =
       world.runUntil([&] { return world.isAllServed(); }, HealedWithin);
   if (!world.Violations.empty())
     RC_FAIL(fmt::format("seed {}: {}", config.Seed, world.Violations.front()));
-  if (!isServed)
+  if (!IsServed)
     RC_FAIL(fmt::format("seed {}: not served again", config.Seed));
 }
 
--- a/packages/ownership/tests/World.cpp
+++ b/packages/ownership/tests/World.cpp
@@ -63,12 +63,12 @@
 }
 
 void World::send(Process &from, Process &to, std::function<void()> act,
-                 bool mayDouble) {
+                 bool MayDouble) {
   // A process that froze just before sending sends when it goes on.
   const auto hold = std::max<TrueTime>(0, from.FrozenUntil - Now);
   if (Faults && chance(Config.LossPercent))
     return;
-  if (mayDouble && Faults && chance(Config.LatePercent))
+  if (MayDouble && Faults && chance(Config.LatePercent))
     reach(to, hold + drawDelay(), act);
   reach(to, hold + drawDelay(), std::move(act));
 }
@@ -218,19 +218,18 @@
 
 void World::sendLease(Vm &vm, const SendLease &lease) {
   auto &leader = Vms[LeaderVm];
-  const auto incarnation = vm.Run;
-  send(vm, leader, [this, &leader, &vm, lease, incarnation] {
-    onLease(leader, vm, lease, incarnation);
-  });
+  const auto run = vm.Run;
+  send(vm, leader,
+       [this, &leader, &vm, lease, run] { onLease(leader, vm, lease, run); });
 }
 
 void World::onLease(Vm &leader, Vm &from, const SendLease &lease,
-                    std::uint64_t incarnation) {
+                    std::uint64_t run) {
   // Stands for ReplicaCore::hasLeaderLease.
   if (&leader != &Vms[LeaderVm] || ElectionAt != 0)
     return;
   const auto report = parseReport(lease.Report);
-  const LeaseRenewed event{from.Id, incarnation, lease.Leaving, report.value()};
+  const LeaseRenewed event{from.Id, run, lease.Leaving, report.value()};
   const auto actions = leader.Leader->step(event, leader.Clock.read(Now));
   for (const auto &command : actions.Propose)
     after(drawDelay(), [this, text = encodeCommand(command)] { append(text); });
@@ -294,16 +293,16 @@
 }
 
 void World::watchLeader() {
-  auto isUp = [&](const Vm &vm) { return !vm.Dead && Now >= vm.FrozenUntil; };
-  const bool isSpontaneous =
+  auto IsUp = [&](const Vm &vm) { return !vm.Dead && Now >= vm.FrozenUntil; };
+  const bool IsSpontaneous =
       Faults && Config.CrashPercent > 0 && draw(200) == 0;
-  if (ElectionAt == 0 && (!isUp(Vms[LeaderVm]) || isSpontaneous))
+  if (ElectionAt == 0 && (!IsUp(Vms[LeaderVm]) || IsSpontaneous))
     ElectionAt = Now + ElectionDelay;
   if (ElectionAt != 0 && Now >= ElectionAt) {
     const auto start = draw(Vms.size());
     for (std::size_t k = 0; k < Vms.size(); ++k) {
       const auto n = (start + k) % Vms.size();
-      if (isUp(Vms[n])) {
+      if (IsUp(Vms[n])) {
         auto &old = Vms[LeaderVm];
         if (n != LeaderVm)
           reach(old, 0, [this, &old] { stepLeader(old, LostLeadership{}); });
@@ -371,11 +370,11 @@
         vm.Agent->mayWrite(seen.Owner, base::SlotId{Service, slot},
                            vm.Clock.read(Now)))
       after(drawDelay(), [this, &target = *it, slot, seen] {
-        const bool isTaken = target.holds(slot, Now) &&
+        const bool IsTaken = target.holds(slot, Now) &&
                              Now >= target.FrozenUntil &&
                              target.Self.Instance == seen.Owner &&
                              seen.Token >= target.HighestSlot[slot];
-        if (!isTaken)
+        if (!IsTaken)
           return;
         ++Writes;
         if (seen.Token < RanUnder[slot])
@@ -398,7 +397,7 @@
 
 void World::judgeWriters(const Vm &vm) {
   const auto &view = *vm.Replica->viewNow();
-  auto mayWrite = [&](const Vm &it, const base::TargetInstanceId &target) {
+  auto MayWrite = [&](const Vm &it, const base::TargetInstanceId &target) {
     const auto &seen = *it.Replica->viewNow();
     auto slots = seen.Slots.find(Service);
     if (it.Dead || slots == seen.Slots.end())
@@ -410,10 +409,10 @@
     return it.Agent->mayWrite(target, std::nullopt, it.Clock.read(Now));
   };
   for (const auto &[instance, target] : view.Targets) {
-    if (!mayWrite(vm, instance))
+    if (!MayWrite(vm, instance))
       continue;
     for (const auto &other : Vms)
-      if (&other != &vm && mayWrite(other, instance))
+      if (&other != &vm && MayWrite(other, instance))
         accuse(fmt::format("{} and {} may write to {}", vm.Id.Value,
                            other.Id.Value, instance.Value));
   }
@@ -427,10 +426,10 @@
   for (std::size_t n = 0; n < old->second.size(); ++n) {
     const auto &was = old->second[n];
     const auto &is = now->second[n];
-    const bool isMoved = was.Owner != is.Owner;
-    if (is.Token < was.Token || (isMoved && is.Token == was.Token))
+    const bool IsMoved = was.Owner != is.Owner;
+    if (is.Token < was.Token || (IsMoved && is.Token == was.Token))
       accuse(fmt::format("token of slot {} did not rise", n));
-    Moves += isMoved && !was.Owner.empty() ? 1 : 0;
+    Moves += IsMoved && !was.Owner.empty() ? 1 : 0;
   }
   for (const auto &[instance, target] : before.Targets) {
     auto it = after.Targets.find(instance);
@@ -452,11 +451,11 @@
     return false;
   for (base::SlotNumber n = 0; n < Config.Slots; ++n) {
     const auto &owner = slots->second[n].Owner;
-    const bool isServed = std::ranges::any_of(Vms, [&](const Vm &vm) {
+    const bool IsServed = std::ranges::any_of(Vms, [&](const Vm &vm) {
       return !vm.Dead && vm.Agent->mayWrite(owner, base::SlotId{Service, n},
                                             vm.Clock.read(Now));
     });
-    if (!isServed)
+    if (!IsServed)
       return false;
   }
   return true;
--- a/packages/ownership/tests/World.h
+++ b/packages/ownership/tests/World.h
@@ -139,7 +139,7 @@
   void reach(Process &process, TrueTime delay, std::function<void()> act);
   /// Sends over the network, with its faults.
   void send(Process &from, Process &to, std::function<void()> act,
-            bool mayDouble = true);
+            bool MayDouble = true);
   TrueTime drawDelay();
   void maybeFreeze(Process &process);
 
@@ -150,8 +150,7 @@
   void stepAgent(Vm &vm, const AgentEvent &event);
   void stepLeader(Vm &vm, const ControllerEvent &event);
   void sendLease(Vm &vm, const SendLease &lease);
-  void onLease(Vm &leader, Vm &from, const SendLease &lease,
-               std::uint64_t incarnation);
+  void onLease(Vm &leader, Vm &from, const SendLease &lease, std::uint64_t run);
   void sendGrant(Vm &vm, const SendGrant &grant);
   std::string onGrant(FakeTarget &target, const std::string &body);
   void announce(FakeTarget &target);
