--- a/packages/peer/tests/BodyTest.cpp
+++ b/packages/peer/tests/BodyTest.cpp
@@ -175,10 +175,10 @@
 TEST_CASE("A slow answer is not held back", "[peer]") {
   PeerHandlers handlers;
   protocol::AnswerSink sink;
-  std::atomic<bool> isTaken{false};
+  std::atomic<bool> taken{false};
   handlers.OnForward = [&](auto, auto given) -> protocol::CancelHook {
     sink = given;
-    isTaken = true;
+    taken = true;
     return [] {};
   };
   PeerNode b("vm-b", handlers);
@@ -188,7 +188,7 @@
   REQUIRE(a.connect(b.address()));
   RecordedAnswer answer;
   a.Links.forward(b.Vm, makeRequest(), answer.makeSink());
-  REQUIRE(waitFor([&] { return isTaken.load(); }));
+  REQUIRE(waitFor([&] { return taken.load(); }));
   sink.Head({200, {}, std::nullopt, "vm-b"});
   sink.Chunk("first", [] {});
   REQUIRE(answer.waitForBytes(5));
--- a/packages/peer/tests/FailureTest.cpp
+++ b/packages/peer/tests/FailureTest.cpp
@@ -217,13 +217,13 @@
     a.Links.forward(b.Vm, makeRequest(std::string(512u << 10, 'x')),
                     answers.back()->makeSink());
   }
-  auto countRefused = [&] {
+  auto CountRefused = [&] {
     return std::ranges::count_if(answers, [](auto &answer) {
       return answer->code() == ResultCode::NotRunQueueFull;
     });
   };
-  REQUIRE(waitFor([&] { return mute.Taken + countRefused() == Count; }));
-  REQUIRE(countRefused() > 0);
+  REQUIRE(waitFor([&] { return mute.Taken + CountRefused() == Count; }));
+  REQUIRE(CountRefused() > 0);
   REQUIRE(mute.Taken > 0);
   // A refused request was not taken by the peer: it was not run.
   b.Links.stop();
