--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -136,6 +136,6 @@
   export MILL_TOKEN=$DEMO_TEAM_TOKEN
   $MILL_BUILD/apps/millctl/millctl --endpoint 127.0.0.1:$(http_port a1) owners barnstock barn-7
   $MILL_BUILD/apps/millctl/millctl --endpoint 127.0.0.1:$(http_port a1) get /teams/roads/services/barnstock
-  $MILL_BUILD/apps/millctl/millctl --endpoint 127.0.0.1:$(http_port a1) drain barnstock barn-a1
+  $MILL_BUILD/apps/millctl/millctl --endpoint 127.0.0.1:$(http_port a1) drain roads barnstock barn-a1
 TEXT
 }
