Metrics of the three measures per service, and of each partner

Ruled out: a label for whatever partner a caller names (labels without bound); counting on the leader only (lost at each change). Conclusion: imbalance counts slots, not requests.

--- a/packages/node/DispatchFlow.h
+++ b/packages/node/DispatchFlow.h
@@ -5,6 +5,7 @@
 #include "base/DutyThread.h"
 #include "dispatch/Dispatcher.h"
 #include "gateway/TargetClient.h"
+#include "node/PartnerCounters.h"
 #include "node/RequestRecords.h"
 #include "ownership/DispatchAgent.h"
 #include "protocol/Messages.h"
@@ -58,6 +59,7 @@
   struct Open {
     protocol::ForwardRequest Request;
     protocol::AnswerSink Sink;
+    base::MonoTime Began;
     base::MonoTime Deadline;
     bool Idempotent = false;
     std::optional<base::SlotId> Slot;
@@ -94,6 +96,9 @@
   void finishAttempt(const OpenPtr &open, std::uint32_t attempt,
                      const gateway::TargetOutcome &outcome);
   void endRequest(const dispatch::EndRequest &ended);
+  /// Fails a request and counts it for its partner.
+  void fail(const OpenPtr &open, const protocol::RequestFailure &failure);
+  void countEnd(const Open &open, base::ResultCode code);
   void abandon(const base::RequestId &id);
   void abandonTarget(const base::TargetInstanceId &instance);
   void cancel(const base::RequestId &id);
@@ -110,6 +115,7 @@
   dispatch::Dispatcher Dispatcher;
   gateway::TargetClient Targets;
   RequestRecords Records;
+  PartnerCounters Partners;
   settings::ViewPtr Settings;
   ownership::ViewPtr Ownership;
   boost::asio::steady_timer Timer;
--- a/packages/node/internal/DispatchFlow.cpp
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -62,13 +62,14 @@
 
 void DispatchFlow::admit(const OpenPtr &open) {
   base::MonoTime now = base::readMonotonic();
+  open->Began = now;
   auto info = describeRequest(*Settings, open->Request, now);
   if (!info) {
-    open->Sink.Fail({info.error().Code, info.error().Message, 0});
+    fail(open, {info.error().Code, info.error().Message, 0});
     return;
   }
   if (!Requests.try_emplace(open->Request.Id, open).second) {
-    open->Sink.Fail({base::ResultCode::Internal, "request id in use", 0});
+    fail(open, {base::ResultCode::Internal, "request id in use", 0});
     return;
   }
   open->Deadline = info.value().Deadline;
@@ -180,6 +181,7 @@
   base::RequestId id = open->Request.Id;
   if (outcome.Answered) {
     Requests.erase(id);
+    countEnd(*open, base::ResultCode::Ok);
     settleRecord(open, true);
     stepAgent(ownership::TargetAnswered{open->Target});
   }
@@ -196,7 +198,18 @@
                  {"result", base::numberOf(ended.Failure.Code)},
                  {"target", node.mapped()->Target.Value}});
   settleRecord(node.mapped(), false);
-  node.mapped()->Sink.Fail(ended.Failure);
+  fail(node.mapped(), ended.Failure);
+}
+
+void DispatchFlow::fail(const OpenPtr &open,
+                        const protocol::RequestFailure &failure) {
+  countEnd(*open, failure.Code);
+  open->Sink.Fail(failure);
+}
+
+void DispatchFlow::countEnd(const Open &open, base::ResultCode code) {
+  Partners.count(*Settings, open.Request.Service, open.Request.Partner, code,
+                 base::readMonotonic() - open.Began);
 }
 
 void DispatchFlow::abandon(const base::RequestId &id) {
--- a/packages/node/internal/DispatchFlowRecords.cpp
+++ b/packages/node/internal/DispatchFlowRecords.cpp
@@ -37,15 +37,15 @@
     replay(open, *stored);
     return;
   case dispatch::RecordVerdict::Unknown:
-    open->Sink.Fail({base::ResultCode::RepeatInProgress,
-                     "a request with this Idempotency-Key was begun before",
-                     UnavailableRetryMs});
+    fail(open, {base::ResultCode::RepeatInProgress,
+                "a request with this Idempotency-Key was begun before",
+                UnavailableRetryMs});
     return;
   default:
     Records.forget(open->Request);
-    open->Sink.Fail({base::ResultCode::NotRunLedgerUnavailable,
-                     "the key could not be recorded at a second VM",
-                     UnavailableRetryMs});
+    fail(open,
+         {base::ResultCode::NotRunLedgerUnavailable,
+          "the key could not be recorded at a second VM", UnavailableRetryMs});
   }
 }
 
@@ -56,6 +56,7 @@
   head.Headers = stored.Headers;
   head.Headers.push_back({"Mill-Replayed", "1"});
   head.Length = stored.Body.size();
+  countEnd(*open, base::ResultCode::Ok);
   open->Sink.Head(std::move(head));
   if (stored.Body.empty()) {
     open->Sink.End();
--- a/packages/node/internal/Node.cpp
+++ b/packages/node/internal/Node.cpp
@@ -210,6 +210,31 @@
   Refused.Set(static_cast<double>(
       FrontDuty.countRefused() + DispatchDuty.countRefused() +
       StateDuty.countRefused() + StorageDuty.countRefused()));
+  publishMeasures();
+}
+
+void Node::State::publishMeasures() {
+  std::map<base::ServiceId, std::vector<std::uint32_t>> homes;
+  for (const auto &[service, slots] : SettingsGroup->view()->Homes)
+    for (std::uint32_t i = 0; i < slots.size(); ++i)
+      if (slots[i].Home == Settings.DataCentre)
+        homes[service].push_back(i);
+  Measures.update(*Centre->view(), homes, base::readMonotonic());
+  for (const auto &[service, measured] : Measures.services()) {
+    base::MetricLabels label{{"service", service.Value}};
+    base::gauge("mill_service_imbalance",
+                "Slots of the busiest active target by the mean.", label)
+        .Set(measured.Imbalance);
+    base::gauge("mill_service_owner_changes",
+                "Slots that got another owner since the start.", label)
+        .Set(static_cast<double>(measured.OwnerChanges));
+    base::gauge("mill_service_unserved_slots",
+                "Slots at home here that no target serves.", label)
+        .Set(measured.UnservedSlots);
+    base::gauge("mill_service_unserved_slot_seconds",
+                "Time of all slots without a target that serves them.", label)
+        .Set(measured.UnservedSeconds);
+  }
 }
 
 void Node::State::beginStop(std::function<void()> done) {
--- a/packages/node/internal/NodeState.h
+++ b/packages/node/internal/NodeState.h
@@ -4,6 +4,7 @@
 #include "node/DispatchFlow.h"
 #include "node/Node.h"
 #include "node/OperatorApi.h"
+#include "node/OwnershipMeasures.h"
 #include "node/RequestFlow.h"
 
 #include <atomic>
@@ -32,6 +33,7 @@
   void onReportAnswer(const base::Result<protocol::QueryReply> &answer);
   void updateReadiness();
   void publishMetrics();
+  void publishMeasures();
   std::string describeUnready() const;
   void drainGateway();
   void finishStop();
@@ -59,6 +61,7 @@
 
   boost::asio::steady_timer StateTimer;
   base::MonoTime LastReport{};
+  OwnershipMeasures Measures;
   std::atomic<bool> SettingsReady{false};
   std::atomic<bool> CentreReady{false};
   std::atomic<bool> IsStopping{false};
