bench: mill-load and scripts/bench, not yet run

Cause: nothing measured the whole path. mill-load sends by a schedule that the seed fixes, so a slow answer delays no later request; latencies count from when a request was due.

--- /dev/null
+++ b/bench/load/LoadClient.h
@@ -0,0 +1,61 @@
+// Sends the planned requests at their times over kept connections.
+#pragma once
+
+#include "bench/load/LoadPlan.h"
+#include "bench/load/LoadReport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnoliamill::bench {
+
+struct ClientConfig {
+  std::vector<boost::asio::ip::tcp::endpoint> Endpoints;
+  /// Path of every request.
+  std::string Path = "/";
+  std::uint32_t DeadlineMs = 0;
+  /// Makes idempotency keys differ between runs.
+  std::string RunName;
+};
+
+/// A request that is due while no connection is idle opens a new one; it never
+/// waits for another request.
+class LoadClient {
+public:
+  LoadClient(boost::asio::io_context &context, ClientConfig config,
+             std::vector<PlannedRequest> plan,
+             std::vector<std::string> partners, LoadReport &report);
+  ~LoadClient();
+  /// The context runs out of work when all requests have ended.
+  void start();
+
+private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void sendDue();
+  void send(std::size_t number);
+  void write(const ConnectionPtr &connection);
+  void read(const ConnectionPtr &connection);
+  void finish(const ConnectionPtr &connection);
+  void fail(const ConnectionPtr &connection, const char *reason);
+  void fill(Connection &connection) const;
+
+  boost::asio::io_context &Context;
+  ClientConfig Config;
+  std::vector<PlannedRequest> Plan;
+  std::vector<std::string> Partners;
+  LoadReport &Report;
+  boost::asio::steady_timer Timer;
+  std::chrono::steady_clock::time_point StartedAt;
+  std::size_t Next = 0;
+  // One list for each endpoint.
+  std::vector<std::vector<ConnectionPtr>> Idle;
+};
+
+} // namespace magnoliamill::bench
--- /dev/null
+++ b/bench/load/LoadPlan.h
@@ -0,0 +1,44 @@
+// When each request of a run is due and what it asks: fixed by the seed alone,
+// so that a slow answer never delays a later request.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliamill::bench {
+
+struct PartnerRate {
+  std::string Partner;
+  /// Requests per second.
+  double Rate = 0;
+};
+
+struct PlanConfig {
+  std::vector<PartnerRate> Partners;
+  std::chrono::duration<double> Length{5};
+  std::uint64_t Seed = 1;
+  std::uint32_t Keys = 1000;
+  /// Exponent of the Zipf distribution of keys; 0 is uniform.
+  double Zipf = 0.9;
+  /// Share of POST requests, 0 to 1.
+  double PostShare = 0;
+};
+
+struct PlannedRequest {
+  /// Since the start of the run.
+  std::chrono::nanoseconds Due{};
+  std::uint32_t Partner = 0;
+  std::uint32_t Key = 0;
+  bool IsPost = false;
+};
+
+/// Poisson arrivals of each partner, merged in order of time.
+std::vector<PlannedRequest> makePlan(const PlanConfig &config);
+
+/// Reads "brazos:100,salzhof:50"; empty when malformed.
+std::vector<PartnerRate> parsePartners(std::string_view text);
+
+} // namespace magnoliamill::bench
--- /dev/null
+++ b/bench/load/LoadReport.cpp
@@ -0,0 +1,97 @@
+// Tallies, exact percentiles, Jain's index.
+#include "bench/load/LoadReport.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnoliamill::bench {
+namespace {
+
+double percentile(std::vector<double> &sorted, double share) {
+  if (sorted.empty())
+    return 0;
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(sorted.size())));
+  return sorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+boost::json::object describeLatency(std::vector<double> samples) {
+  std::ranges::sort(samples);
+  boost::json::object document;
+  document["p50"] = percentile(samples, 0.5);
+  document["p99"] = percentile(samples, 0.99);
+  document["p999"] = percentile(samples, 0.999);
+  return document;
+}
+
+} // namespace
+
+double jainIndex(const std::vector<double> &shares) {
+  double sum = 0;
+  double squares = 0;
+  for (double share : shares) {
+    sum += share;
+    squares += share * share;
+  }
+  if (squares == 0)
+    return 1;
+  return sum * sum / (static_cast<double>(shares.size()) * squares);
+}
+
+LoadReport::LoadReport(std::vector<PartnerRate> partners)
+    : Partners(std::move(partners)), Tallies(Partners.size()) {}
+
+void LoadReport::add(std::uint32_t partner, Fate fate, std::string_view code,
+                     std::chrono::nanoseconds latency) {
+  const double ms = std::chrono::duration<double, std::milli>(latency).count();
+  Tally &tally = Tallies[partner];
+  if (fate == Fate::Answered) {
+    ++tally.Answered;
+    AnsweredMs.push_back(ms);
+    return;
+  }
+  ++(fate == Fate::NotRun ? tally.NotRun : tally.Unknown);
+  ++Codes[std::string(code)];
+  if (fate == Fate::NotRun)
+    RefusedMs.push_back(ms);
+}
+
+boost::json::object
+LoadReport::describe(std::size_t sent,
+                     std::chrono::duration<double> length) const {
+  Tally total;
+  std::vector<double> shares;
+  boost::json::object partners;
+  // Partners of the lowest rate are the equal ones; others flood.
+  const double lowest =
+      std::ranges::min_element(Partners, {}, &PartnerRate::Rate)->Rate;
+  for (std::size_t n = 0; n < Partners.size(); ++n) {
+    const Tally &tally = Tallies[n];
+    total.Answered += tally.Answered;
+    total.NotRun += tally.NotRun;
+    total.Unknown += tally.Unknown;
+    if (Partners[n].Rate <= lowest)
+      shares.push_back(static_cast<double>(tally.Answered));
+    partners[Partners[n].Partner] =
+        boost::json::object{{"rate", Partners[n].Rate},
+                            {"answered", tally.Answered},
+                            {"not_run", tally.NotRun}};
+  }
+  boost::json::object codes;
+  for (const auto &[code, count] : Codes)
+    codes[code] = count;
+  boost::json::object document;
+  document["sent"] = sent;
+  document["answered"] = total.Answered;
+  document["not_run"] = total.NotRun;
+  document["unknown"] = total.Unknown;
+  document["goodput"] = static_cast<double>(total.Answered) / length.count();
+  document["answered_ms"] = describeLatency(AnsweredMs);
+  document["refused_ms"] = describeLatency(RefusedMs);
+  document["jain"] = jainIndex(shares);
+  document["partners"] = std::move(partners);
+  document["codes"] = std::move(codes);
+  return document;
+}
+
+} // namespace magnoliamill::bench
--- /dev/null
+++ b/bench/load/LoadReport.h
@@ -0,0 +1,45 @@
+// Counts what became of the requests of a run and writes one JSON line.
+#pragma once
+
+#include "bench/load/LoadPlan.h"
+
+#include <boost/json/object.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace magnoliamill::bench {
+
+enum class Fate : std::uint8_t { Answered, NotRun, Unknown };
+
+class LoadReport {
+public:
+  explicit LoadReport(std::vector<PartnerRate> partners);
+
+  /// \p latency counts from when the request was due, not from its sending.
+  void add(std::uint32_t partner, Fate fate, std::string_view code,
+           std::chrono::nanoseconds latency);
+  boost::json::object describe(std::size_t sent,
+                               std::chrono::duration<double> length) const;
+
+private:
+  struct Tally {
+    std::size_t Answered = 0;
+    std::size_t NotRun = 0;
+    std::size_t Unknown = 0;
+  };
+
+  std::vector<PartnerRate> Partners;
+  std::vector<Tally> Tallies;
+  // Milliseconds.
+  std::vector<double> AnsweredMs;
+  std::vector<double> RefusedMs;
+  std::map<std::string, std::size_t> Codes;
+};
+
+/// Jain's fairness index, 1 when all shares are equal.
+double jainIndex(const std::vector<double> &shares);
+
+} // namespace magnoliamill::bench
--- /dev/null
+++ b/scripts/bench-lib.sh
@@ -0,0 +1,86 @@
+# A local system for scripts/bench: as many VMs and targets as a measurement
+# needs, and readings of our own processes. Sourced after demo-lib.sh.
+BENCH_CLOCK_HZ=$(getconf CLK_TCK)
+BENCH_REPLICAS=3
+
+# Ten ports for each data centre; four data centres below the HTTP ports.
+peer_port() { local letter=${1%?}; echo $((DEMO_PORT + ($(printf %d "'$letter") - 97) * 10 + ${1#?})); }
+
+# bench_start "VMS" "DISKS": founds a new system. The first VMs of each data
+# centre are replicas, the others follow.
+bench_start() {
+  DEMO_VMS=$1 DEMO_DISKS=$2
+  rm -rf "$DEMO_DIR"; mkdir -p "$DEMO_DIR"
+  trap demo_stop EXIT
+  local vm
+  for vm in $DEMO_VMS; do
+    write_settings "$vm"
+    [ "${vm#?}" -le $BENCH_REPLICAS ] || sed -i 's/"data_centre_replica":true/"data_centre_replica":false/' "$DEMO_DIR/$vm.json"
+    start_vm "$vm" $([ "$(has_disk "$vm")" = true ] && echo --bootstrap)
+  done
+  for vm in $DEMO_VMS; do wait_until 30 "$vm is ready" is_ready "$vm"; done
+  millctl --token "$DEMO_ADMIN_TOKEN" set --expect none /admin/teams/roads="{\"token_sha256\":\"$(sha256 $DEMO_TEAM_TOKEN)\"}" >/dev/null
+}
+
+bench_stop() { demo_stop; DEMO_PIDS=(); }
+
+# Changes and questions go to the first VM.
+millctl() {
+  "$MILL_BUILD/apps/millctl/millctl" --endpoint "127.0.0.1:$(http_port "${DEMO_VMS%% *}")" "$@"
+}
+
+# add_service NAME KEYED SLOTS: in all data centres that have VMs.
+add_service() {
+  local sites slots=""
+  sites=$(for vm in $DEMO_VMS; do echo "\"$(data_centre "$vm")\""; done | sort -u | paste -sd,)
+  [ "$2" = true ] && slots="\"slots\":$3,"
+  millctl --token "$DEMO_TEAM_TOKEN" set --expect none "/teams/roads/services/$1={\"keyed\":$2,$slots\"data_centres\":[$sites],\"default_deadline_ms\":1000,\"target_hosts\":[\"127.0.0.0/8\"]}" >/dev/null
+}
+
+is_answered_at() { curl -sf -m 2 -H "Mill-Key: $3" "http://127.0.0.1:$(http_port "$1")/s/$2/level"; }
+wait_for_service() {
+  local vm n
+  for vm in $DEMO_VMS; do
+    for n in 1 2 3 4 5 6 7 8; do wait_until 30 "$vm serves $1" is_answered_at "$vm" "$1" "key-$n"; done
+  done
+}
+
+# load LABEL flags...: prints the JSON line and keeps it.
+load() {
+  local label=$1; shift
+  "$MILL_BUILD/bench/load/mill-load" --label="$label" "$@"
+}
+
+# json_number FIELD: the first number of that name in standard input.
+json_number() { sed -n "s/.*\"$1\": *\([0-9.eE+-]*\).*/\1/p" | head -1; }
+# json_millis GROUP FIELD: a percentile of answered_ms or refused_ms.
+json_millis() { sed -n "s/.*\"$1\":{\([^}]*\)}.*/\1/p" | json_number "$2"; }
+# The reports write numbers like 1.2E0; awk reads them all.
+fixed() { awk -v value="$1" 'BEGIN { printf "%.2f", value }'; }
+
+# Clock ticks of processor time, resident kB, bytes written by write() (the peer
+# links and files; HTTP uses sendmsg and is not counted), context switches.
+cpu_ticks() { awk '{ sub(/.*\) /, ""); print $12 + $13 }' "/proc/$1/stat"; }
+resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
+written_bytes() { awk '/^wchar/ { print $2 }' "/proc/$1/io"; }
+switches() { cat /proc/"$1"/task/*/status | awk '/^voluntary_ctxt/ { n += $2 } END { print n }'; }
+metric() { curl -sf -m 2 "http://127.0.0.1:$(http_port "$1")/metrics" | awk -v name="$2" '$1 == name { print $2 }'; }
+
+# take_reading VM: ticks, kB, bytes, switches and peer calls on one line.
+take_reading() {
+  local pid=${DEMO_PIDS[$1]}
+  echo "$(cpu_ticks "$pid") $(resident_kb "$pid") $(written_bytes "$pid") $(switches "$pid") $(metric "$1" mill_peer_calls_total) $(metric "$1" mill_peer_group_messages_total)"
+}
+
+# idle_line LABEL SECONDS VM...: what each VM uses per second.
+idle_line() {
+  local label=$1 seconds=$2 vm; shift 2
+  declare -A before=()
+  for vm in "$@"; do before[$vm]=$(take_reading "$vm"); done
+  sleep "$seconds"
+  for vm in "$@"; do
+    echo "${before[$vm]} $(take_reading "$vm")" | awk -v label="$label" -v vm="$vm" -v s="$seconds" -v hz="$BENCH_CLOCK_HZ" \
+      '{ printf "{\"label\":\"%s\",\"vm\":\"%s\",\"cpu_percent\":%.2f,\"rss_kb\":%d,\"written_bytes_s\":%.0f,\"wakeups_s\":%.0f,\"calls_s\":%.1f,\"group_messages_s\":%.1f}\n",
+         label, vm, ($7 - $1) / hz / s * 100, $8, ($9 - $3) / s, ($10 - $4) / s, ($11 - $5) / s, ($12 - $6) / s }'
+  done
+}
