--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -8,6 +8,8 @@
 
 // Attempts at targets for one request, the first included.
 constexpr std::uint32_t MaxTries = 4;
+// Factor on a partner's wait by its own pace.
+constexpr std::int64_t PaceMargin = 3;
 // Latency assumed for a target that has not answered yet.
 constexpr base::Duration FirstLatency = std::chrono::milliseconds(5);
 
@@ -99,14 +101,15 @@
   // The request's own service time counts: it has to end before the deadline.
   if (ahead == 0 && running < capacity)
     return latency;
-  auto wait = latency * static_cast<std::int64_t>(ahead) / capacity;
+  // A margin for chance: a refusal now is worth more than one at the deadline.
+  auto wait = latency * static_cast<std::int64_t>(ahead) / capacity * 5 / 4;
   // Partners that keep coming take their share too, so a flooding partner's
-  // own pace can be slower than what waits now suggests.
+  // own pace can be slower than what waits now suggests. What the others leave
+  // to it varies much more than the whole.
   if (auto it = pool.Paces.find(info.Partner); it != pool.Paces.end())
-    wait = std::max(wait,
-                    it->second.estimateWait(pool.Queue.sizeOf(info.Partner)));
-  // A margin for chance: a refusal now is worth more than one at the deadline.
-  return wait + wait / 4 + 2 * latency;
+    wait = std::max(wait, PaceMargin * it->second.estimateWait(
+                                           pool.Queue.sizeOf(info.Partner)));
+  return wait + 2 * latency;
 }
 
 base::Duration Dispatcher::meanLatency(const Pool &pool) const {
