tests: promises on ownership and fate of requests, judged under load and failure

Cause: until now only the whole path was tested with real processes; nothing judged what callers were told against what targets ran while VMs and targets are lost.

--- /dev/null
+++ b/tests/cluster/LoadRecorder.cpp
@@ -0,0 +1,121 @@
+// Threads of blocking callers.
+#include "cluster/LoadRecorder.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace magnoliamill::tests {
+namespace {
+
+constexpr std::size_t CallersPerKey = 2;
+constexpr auto Pause = std::chrono::milliseconds(20);
+constexpr const char *DeadlineMs = "3000";
+constexpr auto CallLimit = std::chrono::milliseconds(3500);
+
+Fate fateOf(const HttpAnswer &answer) {
+  if (answer.outcome() == "answered")
+    return Fate::Answered;
+  if (answer.outcome() == "not-run")
+    return Fate::NotRun;
+  return answer.Status == 0 ? Fate::Nothing : Fate::Unknown;
+}
+
+std::string readMember(const boost::json::value &body, const char *name) {
+  const auto *object = body.if_object();
+  const auto *value = object ? object->if_contains(name) : nullptr;
+  return value && value->is_string() ? std::string(value->as_string())
+                                     : std::string();
+}
+
+} // namespace
+
+std::int64_t readMonotonicUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+CallRecord callRecorded(LocalCluster &cluster, const std::string &entry,
+                        const std::string &service, CallRecord call,
+                        HttpHeaders headers) {
+  call.Entry = entry;
+  call.Path = (call.IsPost ? "/release/" : "/level/") + call.Id;
+  headers["Mill-Key"] = call.Key;
+  headers["Mill-Deadline-Ms"] = DeadlineMs;
+  call.StartUs = readMonotonicUs();
+  auto answer = cluster.request(entry, call.IsPost ? "POST" : "GET", service,
+                                call.Path, headers, CallLimit);
+  call.EndUs = readMonotonicUs();
+  call.Told = fateOf(answer);
+  call.Status = answer.Status;
+  call.Code = answer.Headers["mill-code"];
+  boost::system::error_code ec;
+  auto body = boost::json::parse(answer.Body, ec);
+  if (!ec) {
+    call.AnsweredKey = readMember(body, "key");
+    call.AnsweredRequest = readMember(body, "request");
+  }
+  return call;
+}
+
+LoadRecorder::LoadRecorder(LocalCluster &cluster, LoadPlan plan)
+    : Cluster(cluster), Plan(std::move(plan)), StartUs(readMonotonicUs()) {
+  for (std::size_t i = 0; i < Plan.Keys.size() * CallersPerKey; ++i)
+    Callers.emplace_back([this, i] { runCaller(i); });
+}
+
+LoadRecorder::~LoadRecorder() { stop(); }
+
+void LoadRecorder::avoid(const std::string &entry) {
+  std::lock_guard guard(Lock);
+  Avoided.insert(entry);
+}
+
+std::vector<CallRecord> LoadRecorder::stop() {
+  Stopping = true;
+  for (auto &caller : Callers)
+    caller.join();
+  Callers.clear();
+  return Calls;
+}
+
+bool LoadRecorder::hasAnswers(std::int64_t sinceUs, std::size_t count) {
+  std::lock_guard guard(Lock);
+  return std::ranges::all_of(Plan.Keys, [&](const std::string &key) {
+    auto answers = std::ranges::count_if(Calls, [&](const CallRecord &call) {
+      return call.Key == key && call.Told == Fate::Answered &&
+             call.StartUs >= sinceUs;
+    });
+    return static_cast<std::size_t>(answers) >= count;
+  });
+}
+
+std::string LoadRecorder::chooseEntry(std::size_t caller) {
+  std::lock_guard guard(Lock);
+  std::size_t first = caller / CallersPerKey + caller % CallersPerKey;
+  for (std::size_t i = 0; i < Plan.Entries.size(); ++i) {
+    const auto &entry = Plan.Entries[(first + i) % Plan.Entries.size()];
+    if (!Avoided.contains(entry))
+      return entry;
+  }
+  return Plan.Entries.front();
+}
+
+void LoadRecorder::runCaller(std::size_t caller) {
+  for (std::size_t i = 0; !Stopping; ++i) {
+    CallRecord call;
+    call.Id = fmt::format("load-{}-{}", caller, i);
+    call.Key = Plan.Keys[caller / CallersPerKey];
+    call.IsPost = i % 2 == 0;
+    call = callRecorded(Cluster, chooseEntry(caller), Plan.Service,
+                        std::move(call));
+    {
+      std::lock_guard guard(Lock);
+      Calls.push_back(std::move(call));
+    }
+    std::this_thread::sleep_for(Pause);
+  }
+}
+
+} // namespace magnoliamill::tests
