Ready means that the data-centre group counts this VM as a voter

Cause: /readyz turned 200 as soon as the ownership state had arrived, while the VM's new incarnation was still a learner (seen in /v1/members at that moment: voters a1, a2 old, a3; learner a2 new). Whoever then stopped a second VM of three lost the quorum: every key was refused with 3003 for the 30 s that the test waits. Ruled out: the membership keeper (it promotes the learner within its 200 ms steps) and the lease table (no leader could be elected at all). Left: 'voter' is judged by the newest membership in this VM's log, committed or not. Also: the leaving case names the target rule by its right path.

--- a/packages/node/DataCentrePart.h
+++ b/packages/node/DataCentrePart.h
@@ -64,7 +64,8 @@
   settings::ReplicaReport replicaReport() const;
 
   ownership::ViewPtr view() const { return View; }
-  /// True when the ownership state in force is not the empty one of the start.
+  /// True when the ownership state in force is not the empty one of the start
+  /// and, on a replica, the group counts this VM as a voter.
   bool isReady() const;
   bool isLeader() const { return Runner && Runner->isLeader(); }
   base::VmId leader() const;
--- a/packages/node/internal/DataCentrePart.cpp
+++ b/packages/node/internal/DataCentrePart.cpp
@@ -262,7 +262,17 @@
   stepController(ownership::ControllerTick{base::readWallMs()});
 }
 
-bool DataCentrePart::isReady() const { return View->Index > 0; }
+bool DataCentrePart::isReady() const {
+  if (View->Index == 0)
+    return false;
+  if (!Runner)
+    return true;
+  // A learner does not count to the quorum yet: whoever waits for this VM
+  // before stopping the next one would lose the group.
+  const auto &voters = Runner->core().membership().Voters;
+  return std::ranges::find(voters, consensus::ReplicaId{
+                                       Node.Vm, Incarnation}) != voters.end();
+}
 
 base::VmId DataCentrePart::leader() const {
   if (!Runner || !Runner->core().leader())
--- a/tests/OwnershipFailureTest.cpp
+++ b/tests/OwnershipFailureTest.cpp
@@ -185,7 +185,7 @@
 
 TEST_CASE("A target that is set to leave gets no new work") {
   FaultBench bench("leaving", 22140);
-  auto set = bench.Cluster.set("a1", "/services/barnstock/targets/barn-2",
+  auto set = bench.Cluster.set("a1", "/targets/barnstock/barn-2",
                                R"({"state":"leaving"})", 0, "leave");
   REQUIRE(set.Status == 200);
   std::int64_t since = readMonotonicUs();
