--- /dev/null
+++ b/bench/failover/main.cpp
@@ -0,0 +1,102 @@
+// The program bench-failover: how long a key has no answered request when a VM
+// or a target is lost. One JSON line for each trial and one for each kind of
+// loss.
+#include "cluster/FaultBench.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <functional>
+#include <gflags/gflags.h>
+
+DEFINE_int32(trials, 20, "trials of each kind of loss");
+DEFINE_int32(port, 22800, "first port of the VMs");
+DEFINE_string(kind, "", "only this kind of loss; all when empty");
+
+namespace {
+
+using namespace magnoliamill::tests;
+
+struct Loss {
+  std::string Kind;
+  std::function<void(FaultBench &)> Apply;
+};
+
+std::vector<Loss> listLosses() {
+  return {
+      {"kill-dispatcher",
+       [](FaultBench &bench) { bench.kill(bench.findPlainDispatcher()); }},
+      {"kill-leader", [](FaultBench &bench) { bench.kill(bench.leader()); }},
+      {"freeze-leader",
+       [](FaultBench &bench) { bench.freeze(bench.leader()); }},
+      {"kill-target", [](FaultBench &bench) { bench.kill("barn-2"); }},
+      {"freeze-target", [](FaultBench &bench) { bench.freeze("barn-2"); }},
+      {"stop-vm",
+       [](FaultBench &bench) {
+         auto stopped = bench.findPlainDispatcher();
+         bench.Load->avoid(stopped);
+         bench.Cluster.vm(stopped).signal(SIGTERM);
+         bench.Cluster.vm(stopped).wait();
+       }},
+  };
+}
+
+void printLine(const boost::json::object &line) {
+  fmt::print("{}\n", boost::json::serialize(line));
+  std::fflush(stdout);
+}
+
+Verdict runTrial(const Loss &loss) {
+  FaultBench bench("bench-failover", static_cast<std::uint16_t>(FLAGS_port));
+  loss.Apply(bench);
+  bench.awaitAnswers("after the loss");
+  return bench.judge();
+}
+
+/// True when no trial failed and none broke a promise.
+bool measure(const Loss &loss) {
+  std::vector<std::int64_t> times;
+  std::size_t breaches = 0;
+  int failures = 0;
+  for (int trial = 0; trial < FLAGS_trials; ++trial) {
+    try {
+      auto verdict = runTrial(loss);
+      times.push_back(verdict.UnavailableUs / 1000);
+      breaches += verdict.Breaches.size();
+      printLine({{"kind", loss.Kind},
+                 {"trial", trial},
+                 {"unavailable_ms", times.back()},
+                 {"answered", verdict.Answered},
+                 {"not_run", verdict.NotRun},
+                 {"unknown", verdict.Unknown},
+                 {"nothing", verdict.Nothing},
+                 {"breaches", verdict.Breaches.size()}});
+    } catch (const std::exception &error) {
+      ++failures;
+      printLine({{"kind", loss.Kind}, {"trial", trial}, {"failed", error.what()}});
+    }
+  }
+  std::ranges::sort(times);
+  boost::json::object summary{{"kind", loss.Kind},
+                              {"trials", FLAGS_trials},
+                              {"failed_trials", failures},
+                              {"breaches", breaches}};
+  if (!times.empty()) {
+    summary["median_ms"] = times[times.size() / 2];
+    summary["worst_ms"] = times.back();
+  }
+  printLine(summary);
+  return failures == 0 && breaches == 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  bool isClean = true;
+  for (const auto &loss : listLosses())
+    if (FLAGS_kind.empty() || FLAGS_kind == loss.Kind)
+      isClean = measure(loss) && isClean;
+  return isClean ? 0 : 1;
+}
