A planned stop of a VM is graceful: the program waits until the node has stopped

Cause: main() left its io_context as soon as the handler of SIGTERM had returned, because nothing else kept the context at work; the node was then destroyed within 2 ms (log: 'planned stop', links closed 2 ms later, never 'stopped'). Nothing was handed over or drained. Ruled out: relief of targets and the drain of the gateway; both were never reached. The test is the planned stop of OwnershipFailureTest, which failed first.

--- a/apps/magnoliamilld/main.cpp
+++ b/apps/magnoliamilld/main.cpp
@@ -3,6 +3,7 @@
 #include "node/Node.h"
 #include "settings/NodeSettings.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
@@ -64,6 +65,8 @@
   base::setLogLevel(settings->LogLevel);
 
   boost::asio::io_context context;
+  // The stop goes on in the node's threads after the signal's handler is done.
+  auto untilStopped = boost::asio::make_work_guard(context);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   node::Node node(std::move(*settings), FLAGS_bootstrap);
   auto started = node.start();
