--- a/tests/OwnershipFailureTest.cpp
+++ b/tests/OwnershipFailureTest.cpp
@@ -41,10 +41,18 @@
 }
 
 TEST_CASE("A dispatcher that thaws after its leases starts nothing") {
-  FaultBench bench("freeze-dispatcher", 22040);
-  bench.freeze(bench.findPlainDispatcher());
-  bench.awaitAnswers("after the thaw");
-  requireKept(bench.judge());
+  SECTION("at targets that check grants") {
+    FaultBench bench("freeze-dispatcher", 22040);
+    bench.freeze(bench.findPlainDispatcher());
+    bench.awaitAnswers("after the thaw");
+    requireKept(bench.judge());
+  }
+  SECTION("at targets that check nothing") {
+    FaultBench bench("freeze-unchecked", 22200, {"--checks_tokens=false"});
+    bench.freeze(bench.findPlainDispatcher());
+    bench.awaitAnswers("after the thaw");
+    requireKept(bench.judge());
+  }
 }
 
 TEST_CASE("A leader that thaws confirms nothing that another has changed") {
@@ -75,7 +83,13 @@
     REQUIRE(bench.Cluster.target("barn-2").wait() == 0);
   }
   SECTION("of a VM") {
-    auto stopped = bench.dispatcherOf("barn-2");
+    auto stopped = bench.findPlainDispatcher();
+    bench.Load->avoid(stopped);
+    bench.Cluster.vm(stopped).signal(SIGTERM);
+    REQUIRE(bench.Cluster.vm(stopped).wait() == 0);
+  }
+  SECTION("of the leader's VM") {
+    auto stopped = bench.leader();
     bench.Load->avoid(stopped);
     bench.Cluster.vm(stopped).signal(SIGTERM);
     REQUIRE(bench.Cluster.vm(stopped).wait() == 0);
--- a/tests/cluster/FaultBench.cpp
+++ b/tests/cluster/FaultBench.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-FaultBench::FaultBench(const std::string &name, std::uint16_t port)
+FaultBench::FaultBench(const std::string &name, std::uint16_t port,
+                       const std::vector<std::string> &targetFlags)
     : Cluster(name, port,
               {{"a1", "dc-a", true},
                {"a2", "dc-a", false},
@@ -32,7 +33,7 @@
   if (set.Status != 200)
     throw std::runtime_error("cannot create the service: " + set.Body);
   for (const char *target : {"barn-1", "barn-2", "barn-3"})
-    Cluster.startTarget({target, "barnstock", "dc-a", {}});
+    Cluster.startTarget({target, "barnstock", "dc-a", targetFlags});
   waitUntil("each target owns slots and has a dispatcher", [this] {
     auto all = readTargets();
     return all.size() == 3 &&
