--- /dev/null
+++ b/tests/OwnershipFailureTest.cpp
@@ -0,0 +1,160 @@
+// The promises on ownership and on the fate of requests, under load, while VMs
+// and targets are killed, frozen, stopped and told to leave.
+#include "cluster/FaultBench.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace magnoliamill::tests;
+
+namespace {
+
+constexpr std::int64_t UsPerSecond = 1'000'000;
+// Stated targets: a key is served again, a leaving target gets no new work.
+constexpr std::int64_t UnavailableLimitUs = 2 * UsPerSecond;
+constexpr std::int64_t LeavingLimitUs = 3 * UsPerSecond;
+
+void requireKept(const Verdict &verdict) {
+  // Figures of each case, also of one that passes.
+  WARN(verdict.describe());
+  CHECK(verdict.Breaches.empty());
+  CHECK(verdict.UnavailableUs <= UnavailableLimitUs);
+}
+
+} // namespace
+
+TEST_CASE("A killed dispatcher's targets are served by another VM") {
+  FaultBench bench("kill-dispatcher", 22000);
+  // The leader's loss is a case of its own.
+  bench.kill(bench.findPlainDispatcher());
+  bench.awaitAnswers("after the kill");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("A killed leader of the data centre's group is followed by another") {
+  FaultBench bench("kill-leader", 22020);
+  bench.kill(bench.leader());
+  bench.awaitAnswers("after the kill");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("A dispatcher that thaws after its leases starts nothing") {
+  SECTION("at targets that check grants") {
+    FaultBench bench("freeze-dispatcher", 22040);
+    bench.freeze(bench.findPlainDispatcher());
+    bench.awaitAnswers("after the thaw");
+    requireKept(bench.judge());
+  }
+  SECTION("at targets that check nothing") {
+    FaultBench bench("freeze-unchecked", 22200, {"--checks_tokens=false"});
+    bench.freeze(bench.findPlainDispatcher());
+    bench.awaitAnswers("after the thaw");
+    requireKept(bench.judge());
+  }
+}
+
+TEST_CASE("A leader that thaws confirms nothing that another has changed") {
+  FaultBench bench("freeze-leader", 22060);
+  bench.freeze(bench.leader());
+  bench.awaitAnswers("after the thaw");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("A killed target's keys move to the others") {
+  FaultBench bench("kill-target", 22080);
+  bench.kill("barn-2");
+  bench.awaitAnswers("after the kill");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("A target that thaws runs nothing for keys that have moved") {
+  FaultBench bench("freeze-target", 22100);
+  bench.freeze("barn-2");
+  bench.awaitAnswers("after the thaw");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("Planned stops cut off no request") {
+  FaultBench bench("planned-stop", 22120);
+  SECTION("of a target") {
+    bench.Cluster.target("barn-2").signal(SIGTERM);
+    REQUIRE(bench.Cluster.target("barn-2").wait() == 0);
+  }
+  SECTION("of a VM") {
+    auto stopped = bench.findPlainDispatcher();
+    bench.Load->avoid(stopped);
+    bench.Cluster.vm(stopped).signal(SIGTERM);
+    REQUIRE(bench.Cluster.vm(stopped).wait() == 0);
+  }
+  SECTION("of the leader's VM") {
+    auto stopped = bench.leader();
+    bench.Load->avoid(stopped);
+    bench.Cluster.vm(stopped).signal(SIGTERM);
+    REQUIRE(bench.Cluster.vm(stopped).wait() == 0);
+  }
+  bench.awaitAnswers("after the stop");
+  auto verdict = bench.judge();
+  requireKept(verdict);
+  CHECK(verdict.NotRun + verdict.Unknown + verdict.Nothing == 0);
+}
+
+TEST_CASE("A target that is set to leave gets no new work") {
+  FaultBench bench("leaving", 22140);
+  auto set = bench.Cluster.set("a1", "/targets/barnstock/barn-2",
+                               R"({"state":"leaving"})", 0, "leave");
+  REQUIRE(set.Status == 200);
+  std::int64_t since = readMonotonicUs();
+  waitUntil("the limit is over", [&] {
+    return readMonotonicUs() > since + LeavingLimitUs + UsPerSecond;
+  });
+  bench.awaitAnswers("after the setting");
+  auto runs = bench.Cluster.runs();
+  auto verdict = bench.judge();
+  requireKept(verdict);
+  CHECK(verdict.NotRun + verdict.Unknown + verdict.Nothing == 0);
+  CHECK(std::ranges::count_if(runs, [&](const RunRecord &run) {
+          return run.Name == "barn-2" && run.StartUs > since + LeavingLimitUs;
+        }) == 0);
+}
+
+TEST_CASE("A second VM is lost right after the first has come back") {
+  FaultBench bench("second-loss", 22160);
+  bench.kill("a2");
+  bench.awaitAnswers("after the first kill");
+  bench.Cluster.startVm("a2");
+  waitUntil("a2 is ready again", [&] { return bench.Cluster.isReady("a2"); });
+  bench.kill("a3");
+  bench.awaitAnswers("after the second kill");
+  requireKept(bench.judge());
+}
+
+TEST_CASE("A repeat with the same idempotency key runs nothing again") {
+  FaultBench bench("repeat", 22180);
+  const HttpHeaders headers{{"Idempotency-Key", "release-77"}};
+  CallRecord call;
+  call.Id = "once";
+  call.Key = "barn-3";
+  call.IsPost = true;
+  auto first =
+      callRecorded(bench.Cluster, "a1", "barnstock", call, headers);
+  REQUIRE(first.Told == Fate::Answered);
+  auto repeat =
+      callRecorded(bench.Cluster, "a3", "barnstock", call, headers);
+  CHECK(repeat.Told != Fate::NotRun);
+  auto owner = bench.Cluster.api("a1", "/owners?service=barnstock&key=barn-3");
+  auto lost = std::string(
+      boost::json::parse(owner.Body).at("dispatcher").as_string());
+  bench.kill(lost);
+  bench.awaitAnswers("after the kill");
+  for (const char *vm : {"a1", "a2", "a3"}) {
+    if (vm == lost)
+      continue;
+    auto late = callRecorded(bench.Cluster, vm, "barnstock", call, headers);
+    CHECK(late.Told != Fate::NotRun);
+    if (late.Told == Fate::Answered)
+      CHECK(late.AnsweredRequest == first.AnsweredRequest);
+  }
+  requireKept(bench.judge());
+}
