--- a/packages/peer/tests/TcpRelay.cpp
+++ b/packages/peer/tests/TcpRelay.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <future>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -24,11 +26,14 @@
   // One connection through the relay; lives while one of its pumps runs.
   struct Pair : std::enable_shared_from_this<Pair> {
     Pair(State &state, tcp::socket near)
-        : Owner(state), Near(std::move(near)), Far(state.Context) {}
+        : Owner(state), Near(std::move(near)), Far(state.Context) {
+      ErrorCode ec;
+      From = Near.remote_endpoint(ec).address().to_string();
+    }
 
     void start() {
       ErrorCode ec;
-      Far.connect({asio::ip::address_v4::loopback(), Owner.Target}, ec);
+      Far.connect(Owner.Target, ec);
       if (ec)
         return close();
       Near.set_option(tcp::no_delay(true), ec);
@@ -74,6 +79,7 @@
     State &Owner;
     tcp::socket Near;
     tcp::socket Far;
+    std::string From;
     bool IsSwallowing = false;
     // True when the answers' pump waits for resume().
     bool IsParked = false;
@@ -81,9 +87,9 @@
     std::vector<char> Answers = std::vector<char>(65536);
   };
 
-  explicit State(std::uint16_t target)
-      : Target(target),
-        Acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {
+  State(tcp::endpoint target, std::uint16_t port)
+      : Target(std::move(target)),
+        Acceptor(Context, {asio::ip::address_v4::loopback(), port}) {
     accept();
     Thread = std::thread([this] { Context.run(); });
   }
@@ -98,7 +104,8 @@
         return;
       ++Accepted;
       auto pair = std::make_shared<Pair>(*this, std::move(socket));
-      pair->IsSwallowing = IsPartitioned;
+      pair->IsSwallowing =
+          IsPartitioned || PartitionedHosts.contains(pair->From);
       Pairs.push_back(pair);
       pair->start();
       accept();
@@ -119,19 +126,22 @@
         task(*pair);
   }
 
-  const std::uint16_t Target;
+  const tcp::endpoint Target;
   asio::io_context Context;
   tcp::acceptor Acceptor;
   std::vector<std::weak_ptr<Pair>> Pairs;
   bool IsPartitioned = false;
+  std::set<std::string> PartitionedHosts;
   bool IsHolding = false;
   std::atomic<std::size_t> Accepted{0};
   std::atomic<std::size_t> AnswerBytes{0};
   std::thread Thread;
 };
 
-TcpRelay::TcpRelay(std::uint16_t target)
-    : Self(std::make_unique<State>(target)) {}
+TcpRelay::TcpRelay(std::uint16_t target, const std::string &host,
+                   std::uint16_t port)
+    : Self(std::make_unique<State>(
+          tcp::endpoint(asio::ip::make_address(host), target), port)) {}
 
 TcpRelay::~TcpRelay() = default;
 
@@ -155,8 +165,21 @@
   });
 }
 
+void TcpRelay::partitionFrom(const std::string &host) {
+  Self->run([this, &host] {
+    Self->PartitionedHosts.insert(host);
+    Self->forEach([&host](auto &pair) {
+      if (pair.From == host)
+        pair.IsSwallowing = true;
+    });
+  });
+}
+
 void TcpRelay::heal() {
-  Self->run([this] { Self->IsPartitioned = false; });
+  Self->run([this] {
+    Self->IsPartitioned = false;
+    Self->PartitionedHosts.clear();
+  });
 }
 
 void TcpRelay::holdAnswers(bool hold) {
--- a/packages/peer/tests/TcpRelay.h
+++ b/packages/peer/tests/TcpRelay.h
@@ -5,15 +5,19 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace magnoliamill::peer::tests {
 
-/// Listens on a port of the system's choice and passes bytes to and from a
-/// port on loopback, on a thread of its own. Safe from any thread; each change
-/// is in force when its function returns.
+/// Listens on 127.0.0.1 and passes bytes to and from a port on loopback, on a
+/// thread of its own. Safe from any thread; each change is in force when its
+/// function returns.
 class TcpRelay {
 public:
-  explicit TcpRelay(std::uint16_t target);
+  /// Passes to \p target at \p host; listens on \p port, 0: the system's
+  /// choice.
+  explicit TcpRelay(std::uint16_t target, const std::string &host = "127.0.0.1",
+                    std::uint16_t port = 0);
   ~TcpRelay();
 
   std::uint16_t port() const;
@@ -24,6 +28,8 @@
   void swallowPresent();
   /// Present and new connections carry nothing; healing makes new ones work.
   void partition();
+  /// Like partition(), for those only who connect from the address \p host.
+  void partitionFrom(const std::string &host);
   void heal();
   /// Stops reading what comes from the target, so that its sending blocks.
   void holdAnswers(bool hold);
--- /dev/null
+++ b/tests/SettingsFailureTest.cpp
@@ -0,0 +1,414 @@
+// Settings and membership under failures of real processes: races of
+// operators, lost leaders, lost disks, long absences.
+#include "cluster/LocalCluster.h"
+#include "consensus/tests/Linearizability.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <map>
+#include <optional>
+
+using namespace magnoliamill::tests;
+using magnoliamill::consensus::tests::LinearizabilityChecker;
+using magnoliamill::consensus::tests::Operation;
+using magnoliamill::consensus::tests::OperationKind;
+
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds InForceLimit = seconds(6);
+constexpr milliseconds FailoverLimit = seconds(2);
+constexpr std::uint64_t VersionConflict = 4005;
+constexpr std::uint64_t NoQuorum = 4009;
+constexpr std::uint64_t ChangeOutcomeUnknown = 4010;
+
+const std::string Service =
+    R"({"keyed":true,"slots":4,"data_centres":["dc-a"]})";
+const std::string Active = R"({"state":"active"})";
+
+std::int64_t nowUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::uint64_t number(const HttpAnswer &answer, const char *name) {
+  boost::system::error_code ec;
+  auto body = json::parse(answer.Body, ec);
+  if (ec || !body.is_object() || !body.as_object().contains(name))
+    return 0;
+  return body.at(name).to_number<std::uint64_t>();
+}
+
+std::string targetPath(const std::string &name) {
+  return "/targets/barnstock/" + name;
+}
+
+/// Sends one change, again with its change id until the outcome is known.
+HttpAnswer setForSure(LocalCluster &cluster, const std::string &vm,
+                      const std::string &path, const std::string &value,
+                      std::uint64_t expected, const std::string &id) {
+  HttpAnswer answer;
+  waitUntil("the change " + id + " has an outcome", [&] {
+    answer = cluster.set(vm, path, value, expected, id);
+    return answer.Status == 200 || answer.Status == 409;
+  });
+  return answer;
+}
+
+/// The replica that says of itself that it leads.
+std::string settingsLeader(LocalCluster &cluster) {
+  std::string leader;
+  waitUntil("the settings group has a leader", [&] {
+    for (const char *vm : {"a1", "a2", "a3"})
+      if (cluster.leaderOf("settings_group", vm) == vm)
+        leader = vm;
+    return !leader.empty();
+  });
+  return leader;
+}
+
+/// The incarnation of \p vm among the "voters" or "learners".
+std::optional<std::uint64_t> incarnationOf(LocalCluster &cluster,
+                                           const std::string &askVm,
+                                           const char *list,
+                                           const std::string &vm) {
+  boost::system::error_code ec;
+  auto body = json::parse(cluster.api(askVm, "/members").Body, ec);
+  if (ec || !body.is_object() || !body.as_object().contains("settings_group"))
+    return std::nullopt;
+  const auto &group = body.at("settings_group").as_object();
+  const auto &members = group.at("members");
+  if (!members.is_object())
+    return std::nullopt;
+  for (const auto &replica : members.at(list).as_array())
+    if (replica.at("vm").as_string() == vm)
+      return replica.at("incarnation").to_number<std::uint64_t>();
+  return std::nullopt;
+}
+
+void requireInForce(LocalCluster &cluster, const std::string &path,
+                    std::uint64_t version,
+                    const std::vector<std::string> &vms) {
+  for (const auto &vm : vms)
+    waitUntil(
+        path + " is in force at " + vm,
+        [&] { return number(cluster.get(vm, path), "version") == version; },
+        InForceLimit);
+}
+
+/// Versions that were confirmed, by path.
+using Confirmed = std::map<std::string, std::uint64_t>;
+
+void requireAll(LocalCluster &cluster, const Confirmed &confirmed,
+                const std::vector<std::string> &vms) {
+  for (const auto &[path, version] : confirmed)
+    requireInForce(cluster, path, version, vms);
+}
+
+Confirmed confirmMany(LocalCluster &cluster, const std::string &vm,
+                      const std::string &prefix, int count) {
+  Confirmed out;
+  for (int n = 0; n < count; ++n) {
+    auto path = targetPath(fmt::format("{}-{}", prefix, n));
+    auto answer = setForSure(cluster, vm, path, Active, 0,
+                             fmt::format("{}-{}", prefix, n));
+    REQUIRE(answer.Status == 200);
+    out[path] = number(answer, "version");
+  }
+  return out;
+}
+
+std::vector<VmPlan> planThreeDisks() {
+  return {{"a1", "dc-a", true},
+          {"a2", "dc-a", true},
+          {"a3", "dc-a", true},
+          {"a4", "dc-a", false}};
+}
+
+const std::vector<std::string> AllVms{"a1", "a2", "a3", "a4"};
+
+std::vector<std::string> others(const std::string &without) {
+  auto out = AllVms;
+  std::erase(out, without);
+  return out;
+}
+
+void prepare(LocalCluster &cluster) {
+  cluster.bootstrap();
+  cluster.createTeam();
+  REQUIRE(
+      setForSure(cluster, "a1", "/services/barnstock", Service, 0, "service")
+          .Status == 200);
+}
+
+} // namespace
+
+TEST_CASE("Operators race with equal versions", "[settings-faults]") {
+  LocalCluster cluster("settings-race", 23000, planThreeDisks());
+  prepare(cluster);
+  constexpr int Rounds = 40;
+  std::vector<Operation> history;
+  std::uint64_t version = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    auto run = [&](const std::string &vm, const char *state) {
+      Operation op;
+      op.Kind = OperationKind::CompareAndSet;
+      op.Expected = static_cast<int>(version);
+      op.Start = nowUs();
+      auto answer = setForSure(cluster, vm, targetPath("raced"),
+                               fmt::format(R"({{"state":"{}"}})", state),
+                               version, fmt::format("race-{}-{}", round, vm));
+      op.End = nowUs();
+      op.Answer = answer.Status == 200 ? 1 : 0;
+      op.Value = static_cast<int>(number(answer, "version"));
+      return std::pair(op, answer);
+    };
+    auto first = std::async(std::launch::async, run,
+                            AllVms[static_cast<unsigned>(round) % 4], "active");
+    auto second =
+        std::async(std::launch::async, run,
+                   AllVms[static_cast<unsigned>(round + 1) % 4], "leaving");
+    auto one = first.get();
+    auto two = second.get();
+    REQUIRE(*one.first.Answer + *two.first.Answer == 1);
+    auto &won = *one.first.Answer == 1 ? one : two;
+    auto &lost = *one.first.Answer == 1 ? two : one;
+    REQUIRE(number(lost.second, "code") == VersionConflict);
+    REQUIRE(number(lost.second, "current_version") ==
+            number(won.second, "version"));
+    version = number(won.second, "version");
+    history.push_back(one.first);
+    history.push_back(two.first);
+  }
+  REQUIRE(LinearizabilityChecker(history).isLinearizable());
+  requireInForce(cluster, targetPath("raced"), version, AllVms);
+}
+
+TEST_CASE("A change that is sent again is applied once", "[settings-faults]") {
+  LocalCluster cluster("settings-resend", 23020, planThreeDisks());
+  prepare(cluster);
+  auto path = targetPath("once");
+  auto first = setForSure(cluster, "a4", path, Active, 0, "once");
+  REQUIRE(first.Status == 200);
+
+  auto leader = settingsLeader(cluster);
+  cluster.vm(leader).signal(SIGKILL);
+  cluster.vm(leader).wait();
+  auto again = setForSure(cluster, "a4", path, Active, 0, "once");
+  REQUIRE(again.Body == first.Body);
+
+  for (const auto &vm : others(leader)) {
+    cluster.vm(vm).signal(SIGKILL);
+    cluster.vm(vm).wait();
+  }
+  for (const auto &vm : AllVms)
+    cluster.startVm(vm);
+  for (const auto &vm : AllVms)
+    waitUntil(vm + " is ready", [&] { return cluster.isReady(vm); });
+  auto restarted = setForSure(cluster, "a2", path, Active, 0, "once");
+  REQUIRE(restarted.Body == first.Body);
+  requireInForce(cluster, path, number(first, "version"), AllVms);
+}
+
+TEST_CASE("The settings leader is killed in a stream of changes",
+          "[settings-faults]") {
+  LocalCluster cluster("settings-leader", 23040, planThreeDisks());
+  prepare(cluster);
+  auto confirmed = confirmMany(cluster, "a4", "before", 10);
+  for (int round = 0; round < 2; ++round) {
+    auto leader = settingsLeader(cluster);
+    auto start = nowUs();
+    cluster.vm(leader).signal(SIGKILL);
+    cluster.vm(leader).wait();
+    confirmed.merge(
+        confirmMany(cluster, "a4", fmt::format("round{}", round), 1));
+    auto gap = milliseconds((nowUs() - start) / 1000);
+    INFO("accepted again after " << gap.count() << " ms");
+    CHECK(gap <= FailoverLimit);
+    confirmed.merge(
+        confirmMany(cluster, "a4", fmt::format("more{}", round), 5));
+    cluster.startVm(leader);
+    waitUntil(leader + " is ready", [&] { return cluster.isReady(leader); });
+  }
+  requireAll(cluster, confirmed, AllVms);
+}
+
+TEST_CASE("A disk is lost, and then a second VM", "[settings-faults]") {
+  LocalCluster cluster("settings-disk", 23060, planThreeDisks());
+  prepare(cluster);
+  auto confirmed = confirmMany(cluster, "a4", "before", 20);
+  auto old = incarnationOf(cluster, "a1", "voters", "a2");
+  REQUIRE(old);
+  cluster.vm("a2").signal(SIGKILL);
+  cluster.vm("a2").wait();
+  std::filesystem::remove_all(cluster.dataFolder("a2"));
+  confirmed.merge(confirmMany(cluster, "a4", "without", 10));
+  cluster.startVm("a2");
+  waitUntil("a2 counts again, as a new member", [&] {
+    auto now = incarnationOf(cluster, "a1", "voters", "a2");
+    return now && *now > *old;
+  });
+  waitUntil("a2 is ready", [&] { return cluster.isReady("a2"); });
+  REQUIRE_FALSE(incarnationOf(cluster, "a1", "learners", "a2"));
+
+  cluster.vm("a1").signal(SIGKILL);
+  cluster.vm("a1").wait();
+  confirmed.merge(confirmMany(cluster, "a4", "after", 10));
+  requireAll(cluster, confirmed, others("a1"));
+}
+
+TEST_CASE("A VM without a disk misses 300 changes", "[settings-faults]") {
+  LocalCluster cluster("settings-absent", 23080, planThreeDisks());
+  prepare(cluster);
+  auto path = targetPath("counted");
+  auto version =
+      number(setForSure(cluster, "a1", path, Active, 0, "counted"), "version");
+  cluster.vm("a4").signal(SIGKILL);
+  cluster.vm("a4").wait();
+  for (int n = 0; n < 300; ++n) {
+    auto answer =
+        setForSure(cluster, AllVms[static_cast<unsigned>(n) % 3], path, Active,
+                   version, fmt::format("missed-{}", n));
+    REQUIRE(answer.Status == 200);
+    version = number(answer, "version");
+  }
+  cluster.startVm("a4");
+  waitUntil("a4 is ready", [&] {
+    // Ready is asked first: what is read after it must be up to date.
+    bool ready = cluster.isReady("a4");
+    auto answer = cluster.get("a4", path);
+    if (answer.Status == 200)
+      REQUIRE(number(answer, "version") == version);
+    return ready && answer.Status == 200;
+  });
+}
+
+TEST_CASE("A change's status names the VM that lacks it", "[settings-faults]") {
+  LocalCluster cluster("settings-status", 23100, planThreeDisks());
+  prepare(cluster);
+  cluster.vm("a4").signal(SIGSTOP);
+  auto answer =
+      setForSure(cluster, "a1", targetPath("x"), Active, 0, "frozen-vm");
+  REQUIRE(answer.Status == 200);
+  auto status = [&] {
+    auto got = cluster.api(
+        "a1", fmt::format("/status?index={}", number(answer, "index")));
+    boost::system::error_code ec;
+    auto body = json::parse(got.Body, ec);
+    return ec || got.Status != 200 ? json::array{json::value("?")}
+                                   : body.at("pending").as_array();
+  };
+  waitUntil(
+      "only the frozen VM lacks it",
+      [&] { return status() == json::array{json::value("a4")}; }, InForceLimit);
+  cluster.vm("a4").signal(SIGCONT);
+  waitUntil(
+      "no VM lacks it", [&] { return status().empty(); }, InForceLimit);
+  requireInForce(cluster, targetPath("x"), number(answer, "version"), AllVms);
+}
+
+TEST_CASE("Without a quorum changes are refused", "[settings-faults]") {
+  LocalCluster cluster("settings-quorum", 23120, planThreeDisks());
+  prepare(cluster);
+  // The leader and another replica freeze; what was sent to them may still be
+  // read by them when they return.
+  auto leader = settingsLeader(cluster);
+  std::string second = leader == "a1" ? "a2" : "a1";
+  std::string left = leader == "a3" || second == "a3" ? "a2" : "a3";
+  cluster.vm(leader).signal(SIGSTOP);
+  cluster.vm(second).signal(SIGSTOP);
+  auto refused = std::map<std::string, std::uint64_t>();
+  std::vector<std::future<HttpAnswer>> answers;
+  for (int n = 0; n < 8; ++n)
+    answers.push_back(std::async(std::launch::async, [&, n] {
+      return cluster.set(n % 2 == 0 ? "a4" : left,
+                         targetPath(fmt::format("refused-{}", n)), Active, 0,
+                         fmt::format("refused-{}", n));
+    }));
+  for (int n = 0; n < 8; ++n) {
+    auto answer = answers[static_cast<std::size_t>(n)].get();
+    auto code = number(answer, "code");
+    INFO(answer.Body);
+    CHECK((code == NoQuorum || code == ChangeOutcomeUnknown));
+    refused[targetPath(fmt::format("refused-{}", n))] = code;
+  }
+  cluster.vm(leader).signal(SIGCONT);
+  cluster.vm(second).signal(SIGCONT);
+  auto confirmed = confirmMany(cluster, "a4", "after", 3);
+  requireAll(cluster, confirmed, AllVms);
+  for (const auto &[path, code] : refused) {
+    INFO(path << " was answered with " << code);
+    if (code == NoQuorum)
+      CHECK(cluster.get(leader, path).Status == 404);
+  }
+}
+
+TEST_CASE("Access to settings", "[settings-faults]") {
+  LocalCluster cluster("settings-access", 23140,
+                       {{"a1", "dc-a", true}, {"a2", "dc-a", false}});
+  prepare(cluster);
+  auto call = [&](const std::string &path, const std::string &token) {
+    HttpHeaders headers;
+    if (!token.empty())
+      headers["Authorization"] = "Bearer " + token;
+    return callHttp(cluster.httpPort("a2"), "GET", "/v1" + path, headers);
+  };
+  auto service = std::string("/settings/teams/roads/services/barnstock");
+  REQUIRE(call(service, LocalCluster::TeamToken).Status == 200);
+  REQUIRE(call(service, "").Status == 403);
+  REQUIRE(call(service, "wrong").Status == 403);
+  REQUIRE(call("/settings/teams/rivals/services/x", LocalCluster::TeamToken)
+              .Status == 403);
+  REQUIRE(call("/list/teams/rivals", LocalCluster::TeamToken).Status == 403);
+  REQUIRE(call("/settings/admin/teams/roads", LocalCluster::TeamToken).Status ==
+          403);
+  auto refused = callHttp(
+      cluster.httpPort("a2"), "PUT", "/v1/settings/teams/rivals/services/x",
+      {{"Authorization", "Bearer " + LocalCluster::TeamToken},
+       {"Mill-Change-Id", "foreign"}},
+      R"({"value":{"keyed":false,"data_centres":["dc-a"]},"expected_version":0})");
+  REQUIRE(refused.Status == 403);
+  for (const char *path :
+       {"/settings/admin/teams/roads", "/audit", "/watch?after=0"}) {
+    auto shown = call(path, LocalCluster::AdminToken);
+    REQUIRE(shown.Status == 200);
+    REQUIRE(shown.Body.find("redacted") != std::string::npos);
+    REQUIRE_FALSE(
+        std::ranges::search(shown.Body, std::string("token_sha256")).empty());
+    auto at = shown.Body.find("token_sha256");
+    REQUIRE(shown.Body.substr(at, 40).find("redacted") != std::string::npos);
+  }
+}
+
+TEST_CASE("A log that is damaged in its middle", "[settings-faults]") {
+  LocalCluster cluster("settings-damage", 23160, {{"a1", "dc-a", true}});
+  prepare(cluster);
+  auto confirmed = confirmMany(cluster, "a1", "before", 10);
+  cluster.vm("a1").signal(SIGKILL);
+  cluster.vm("a1").wait();
+  auto log = cluster.dataFolder("a1") / "settings" / "log";
+  auto size = std::filesystem::file_size(log);
+  {
+    std::fstream file(log, std::ios::in | std::ios::out | std::ios::binary);
+    auto middle = static_cast<std::streamoff>(size / 2);
+    file.seekg(middle);
+    char c = static_cast<char>(file.get());
+    file.seekp(middle);
+    file.put(static_cast<char>(c ^ 0x55));
+  }
+  cluster.startVm("a1");
+  REQUIRE(cluster.vm("a1").wait() != 0);
+  std::ifstream out(cluster.folder() / "a1.log");
+  std::string text(std::istreambuf_iterator<char>(out), {});
+  REQUIRE(text.find("5002") != std::string::npos);
+  REQUIRE(std::filesystem::file_size(log) == size);
+}
--- a/tests/cluster/LocalCluster.cpp
+++ b/tests/cluster/LocalCluster.cpp
@@ -80,7 +80,7 @@
   const Ports &own = PortsOf.at(vm.Name);
   json::object out{{"vm", vm.Name},
                    {"data_centre", vm.DataCentre},
-                   {"peer_listen", {{"host", "127.0.0.1"}, {"port", own.Peer}}},
+                   {"peer_listen", {{"host", vm.PeerHost}, {"port", own.Peer}}},
                    {"http_listen", {{"host", "127.0.0.1"}, {"port", own.Http}}},
                    {"settings_replica", vm.HasDisk},
                    {"data_centre_replica", true},
--- a/tests/cluster/LocalCluster.h
+++ b/tests/cluster/LocalCluster.h
@@ -20,6 +20,8 @@
   std::string Name;
   std::string DataCentre;
   bool HasDisk = false;
+  /// Address on loopback that it listens at for peers and connects from.
+  std::string PeerHost = "127.0.0.1";
 };
 
 struct TargetPlan {
