Data-centre group: a replica that waits keeps its identity when a group is founded

Cause: when all VMs of a data centre lost their memory at once, the settings group founded a new group with the replicas that had reported. Now the identity is given up only when it was used: the replica has a membership or has heard a term. Ruled out: settings not restored (epochs rose in the restored settings). Left: group messages carry no epoch; an append of an old group's leader that was on its way for longer than the founding takes would reach the kept identity.

Settings: a change with an unanswered try is never told NoQuorum

Found by reading.

--- a/packages/node/DataCentrePart.h
+++ b/packages/node/DataCentrePart.h
@@ -86,6 +86,8 @@
   protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
   std::vector<base::VmId> replicas() const;
   bool leadsSafely() const;
+  /// True when this replica is or was a member of the present group.
+  bool holdsState() const;
 
   struct WaitingFetch {
     protocol::FetchRequest Request;
--- a/packages/node/SettingsPart.h
+++ b/packages/node/SettingsPart.h
@@ -92,8 +92,14 @@
   void answerWaiting();
   protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
   std::vector<base::VmId> replicas() const;
+  struct ProposeProgress {
+    std::uint32_t TriesLeft = 0;
+    /// A try ended without an answer: a replica may still work it in, whatever
+    /// later tries say.
+    bool MayHaveRun = false;
+  };
   void proposeTries(
-      std::string command, std::uint32_t triesLeft,
+      std::string command, ProposeProgress progress,
       std::function<void(base::Result<settings::ChangeOutcome>)> reply);
   void lead();
   /// A VM that joins, or comes back with another address, says so once.
--- a/packages/node/internal/DataCentrePart.cpp
+++ b/packages/node/internal/DataCentrePart.cpp
@@ -37,7 +37,10 @@
   const std::uint64_t epoch = group.Epoch;
   const consensus::Membership &first = group.FirstMembers;
   base::logInfo("data-centre", "group starts", {{"epoch", epoch}});
-  bool heldOther = Epoch != 0;
+  // A replica that still waits, and has heard from no leader, keeps its
+  // identity, which the settings may name as a first member of this group.
+  // Otherwise a lost group would be founded again and again.
+  bool isIdentityUsed = Runner && (holdsState() || Runner->core().term() > 0);
   Epoch = epoch;
   Runner.reset();
   Follower.reset();
@@ -46,7 +49,7 @@
     stepController(ownership::LostLeadership{});
   }
   // The state of the earlier group is given up, and with it the identity.
-  if (heldOther)
+  if (isIdentityUsed)
     ++Incarnation;
   Machine = ownership::StateMachine(epoch);
   if (!Node.DataCentreReplica) {
@@ -215,13 +218,17 @@
   Reports[report.Vm] = {report, base::readMonotonic()};
 }
 
+bool DataCentrePart::holdsState() const {
+  return Runner && !Runner->core().membership().Voters.empty();
+}
+
 settings::ReplicaReport DataCentrePart::replicaReport() const {
   settings::ReplicaReport report;
   report.DataCentre = Node.DataCentre;
   report.Replica = {Node.Vm, Incarnation};
   report.Candidate = Node.DataCentreReplica;
   // An empty replica that waits to be taken in holds nothing yet.
-  bool holds = Runner && !Runner->core().membership().Voters.empty();
+  bool holds = holdsState();
   report.HeldEpoch = holds ? Epoch : 0;
   report.KnownEpoch = Epoch;
   if (holds)
--- a/packages/node/internal/SettingsPart.cpp
+++ b/packages/node/internal/SettingsPart.cpp
@@ -21,6 +21,13 @@
 constexpr std::size_t MaxSettingsVoters = 5;
 constexpr base::Duration MembershipPause = std::chrono::milliseconds(200);
 
+/// True when a proposal that failed with \p code is in no replica's log.
+bool surelyNotRun(base::ResultCode code) {
+  using enum base::ResultCode;
+  return code == NotLeader || code == PeerUnreachable ||
+         code == ProposalDropped || code == PeerQueueFull;
+}
+
 } // namespace
 
 SettingsPart::SettingsPart(base::DutyThread &duty, base::DutyThread &storage,
@@ -178,15 +185,15 @@
 void SettingsPart::propose(
     const settings::Command &command,
     std::function<void(base::Result<settings::ChangeOutcome>)> reply) {
-  proposeTries(settings::encodeCommand(command), ProposeTries,
+  proposeTries(settings::encodeCommand(command), {ProposeTries, false},
                std::move(reply));
 }
 
 void SettingsPart::proposeTries(
-    std::string command, std::uint32_t triesLeft,
+    std::string command, ProposeProgress progress,
     std::function<void(base::Result<settings::ChangeOutcome>)> reply) {
   base::VmId vm = isLeader() ? Node.Vm : Caller.choose(replicas());
-  auto done = [this, vm, command, triesLeft,
+  auto done = [this, vm, command, progress,
                reply](base::Result<protocol::ProposeReply> answered) {
     if (answered) {
       Caller.onAnswer(vm);
@@ -194,22 +201,23 @@
       return;
     }
     Caller.onFailure(vm, answered.error());
-    if (triesLeft <= 1) {
+    ProposeProgress next{progress.TriesLeft - 1,
+                         progress.MayHaveRun ||
+                             !surelyNotRun(answered.error().Code)};
+    if (next.TriesLeft == 0) {
       using enum base::ResultCode;
-      auto code = answered.error().Code;
-      bool surely = code == NotLeader || code == PeerUnreachable ||
-                    code == ProposalDropped || code == PeerQueueFull;
-      reply(base::fail(surely ? NoQuorum : ChangeOutcomeUnknown,
-                       surely ? "the settings group has no leader now"
-                              : "resend with the same change id"));
+      reply(base::fail(next.MayHaveRun ? ChangeOutcomeUnknown : NoQuorum,
+                       next.MayHaveRun
+                           ? "resend with the same change id"
+                           : "the settings group has no leader now"));
       return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(Duty.context());
     timer->expires_after(ProposePause);
-    timer->async_wait([this, timer, command, triesLeft,
+    timer->async_wait([this, timer, command, next,
                        reply](const boost::system::error_code &ec) {
       if (!ec)
-        proposeTries(command, triesLeft - 1, reply);
+        proposeTries(command, next, reply);
     });
   };
   if (vm.empty()) {
