--- a/bench/failover/main.cpp
+++ b/bench/failover/main.cpp
@@ -74,7 +74,8 @@
                  {"breaches", verdict.Breaches.size()}});
     } catch (const std::exception &error) {
       ++failures;
-      printLine({{"kind", loss.Kind}, {"trial", trial}, {"failed", error.what()}});
+      printLine(
+          {{"kind", loss.Kind}, {"trial", trial}, {"failed", error.what()}});
     }
   }
   std::ranges::sort(times);
--- a/tests/cluster/HistoryJudge.cpp
+++ b/tests/cluster/HistoryJudge.cpp
@@ -66,11 +66,10 @@
       const RunRecord &run = runs[i];
       for (const auto &[instance, end] : ends)
         if (instance != run.Instance && end > run.StartUs)
-          verdict.Breaches.push_back(
-              fmt::format("{} of key {} began at {} {} us before a run at {} "
-                          "ended",
-                          run.Path, key, run.Name, end - run.StartUs,
-                          instance));
+          verdict.Breaches.push_back(fmt::format(
+              "{} of key {} began at {} {} us before a run at {} "
+              "ended",
+              run.Path, key, run.Name, end - run.StartUs, instance));
       auto &end = ends[run.Instance];
       end = std::max(end, endOf(run, history.Stops));
       if (i == 0)
