Peer: only VMs that the settings know may connect

Cause: the daemon never set the allowed hosts, and an empty list let anybody in. Ruled out: a fixed list from the settings file (a replaced VM could not join without a restart of the others).

--- a/packages/node/internal/Node.cpp
+++ b/packages/node/internal/Node.cpp
@@ -38,6 +38,7 @@
   peer::PeerConfig links;
   links.Self = {Settings.Vm, Settings.PeerListen.Host,
                 Settings.PeerListen.Port};
+  links.OnlyKnownHosts = true;
   Peers = std::make_unique<peer::PeerLinks>(links, makePeerHandlers());
   SettingsGroup = std::make_unique<SettingsPart>(StateDuty, StorageDuty,
                                                  Settings, makeSettingsHooks());
--- a/packages/peer/PeerLinks.h
+++ b/packages/peer/PeerLinks.h
@@ -62,6 +62,9 @@
   std::size_t MaxQueuedBytesPerPeer = 8u << 20;
   /// Only connections from these VMs' addresses are taken, when not empty.
   std::vector<std::string> AllowedHosts;
+  /// Connections are also taken from the hosts of the peers set last, and from
+  /// no others: a new VM has to be added to the settings before it connects.
+  bool OnlyKnownHosts = false;
   /// Limit for opening a link, including its first heartbeat.
   base::Duration ConnectTimeout = std::chrono::milliseconds(500);
   /// Longest mean pause between two attempts to open a link; the first is
--- a/packages/peer/internal/Acceptor.cpp
+++ b/packages/peer/internal/Acceptor.cpp
@@ -100,7 +100,11 @@
 
 bool Acceptor::isAllowed(const std::string &host) const {
   const auto &allowed = Context.Config.AllowedHosts;
-  return allowed.empty() || std::ranges::find(allowed, host) != allowed.end();
+  if (std::ranges::find(allowed, host) != allowed.end())
+    return true;
+  if (Context.Config.OnlyKnownHosts)
+    return Context.KnownHosts.contains(host);
+  return allowed.empty();
 }
 
 kj::Promise<void> Acceptor::watchSilence(Accepted &accepted) {
--- a/packages/peer/internal/LoopContext.h
+++ b/packages/peer/internal/LoopContext.h
@@ -10,6 +10,8 @@
 #include <kj/time.h>
 #include <memory>
 #include <random>
+#include <set>
+#include <string>
 
 namespace magnoliamill::peer::internal {
 
@@ -30,6 +32,8 @@
   AnswerDesk &Desk;
   /// For jitter only.
   std::minstd_rand Random;
+  /// Hosts of the peers set last.
+  std::set<std::string> KnownHosts;
 };
 
 } // namespace magnoliamill::peer::internal
--- a/packages/peer/internal/PeerLoop.cpp
+++ b/packages/peer/internal/PeerLoop.cpp
@@ -23,7 +23,8 @@
                         loop.Handlers,
                         loop.Posts,
                         loop.Desk,
-                        std::minstd_rand{}},
+                        std::minstd_rand{},
+                        {}},
         Wake(io.unixEventPort, loop.Posts->wakeHandle(),
              kj::UnixEventPort::FdObserver::OBSERVE_READ),
         Quit(kj::newPromiseAndFulfiller<void>()) {
@@ -99,6 +100,9 @@
 void PeerLoop::setPeers(std::vector<PeerAddress> peers) {
   if (!Current || Posts->isClosed())
     return;
+  Current->Context.KnownHosts.clear();
+  for (const auto &peer : peers)
+    Current->Context.KnownHosts.insert(peer.Host);
   std::erase_if(Links, [&](const auto &entry) {
     bool IsKept =
         std::ranges::find(peers, entry.second->address()) != peers.end();
--- a/packages/peer/tests/FailureTest.cpp
+++ b/packages/peer/tests/FailureTest.cpp
@@ -280,6 +280,26 @@
   }
 }
 
+TEST_CASE("Only the hosts of known peers may connect", "[peer]") {
+  double before = metrics().RefusedConnections.Value();
+  PeerNode b("vm-b", {},
+             [](PeerConfig &config) { config.OnlyKnownHosts = true; });
+  REQUIRE(b.Links.start());
+  PeerNode a("vm-a");
+  REQUIRE(a.Links.start());
+  SECTION("a stranger is refused") {
+    b.Links.setPeers({{base::VmId("vm-c"), "127.0.0.2", 1}});
+    a.Links.setPeers({b.address()});
+    REQUIRE(
+        waitFor([&] { return metrics().RefusedConnections.Value() > before; }));
+    REQUIRE_FALSE(a.Links.isAlive(b.Vm));
+    SECTION("until its VM is known") {
+      b.Links.setPeers({a.address()});
+      REQUIRE(waitFor([&] { return a.Links.isAlive(b.Vm); }));
+    }
+  }
+}
+
 TEST_CASE("A link whose other end is another VM stays down", "[peer]") {
   PeerNode b("vm-b");
   PeerNode a("vm-a");
