--- a/tests/DataCentreCutTest.cpp
+++ b/tests/DataCentreCutTest.cpp
@@ -145,14 +145,16 @@
     CHECK((code == NoQuorum || code == ChangeOutcomeUnknown));
     refused["/targets/barnstock/" + name] = code;
   }
+  // The refusals above took longer than any lease, grant or election.
   CHECK(servesAll(centres, VmsA, "barnstock"));
   CHECK(servesAll(centres, VmsB, "haulroute"));
 
   SECTION("the side without a quorum fails over its own targets") {
     cluster.target("barnstock-1").signal(SIGKILL);
     cluster.target("barnstock-1").wait();
-    waitUntil("the other target serves all keys",
-              [&] { return servesAll(centres, VmsA, "barnstock"); });
+    waitUntil(
+        "the other target serves all keys",
+        [&] { return servesAll(centres, VmsA, "barnstock"); }, seconds(10));
   }
   SECTION("after healing all VMs have the same settings") {
     centres.heal();
--- a/tests/SettingsFailureTest.cpp
+++ b/tests/SettingsFailureTest.cpp
@@ -219,6 +219,44 @@
   requireInForce(cluster, path, number(first, "version"), AllVms);
 }
 
+TEST_CASE("All VMs of a data centre are killed and restarted",
+          "[settings-faults]") {
+  LocalCluster cluster("settings-restart", 23180, planThreeDisks());
+  prepare(cluster);
+  auto confirmed = confirmMany(cluster, "a4", "before", 5);
+  cluster.startTarget({"barn-1", "barnstock", "dc-a", {}});
+  auto serves = [&] {
+    return std::ranges::all_of(AllVms, [&](const std::string &vm) {
+      return cluster
+                 .request(vm, "GET", "barnstock", "/level",
+                          {{"Mill-Key", "barn"}}, seconds(2))
+                 .Status == 200;
+    });
+  };
+  auto epoch = [&] {
+    auto body = json::parse(cluster.api("a1", "/members").Body);
+    return body.at("data_centre_group").at("epoch").to_number<std::uint64_t>();
+  };
+  waitUntil("all VMs serve", serves);
+  auto before = epoch();
+  for (const auto &vm : AllVms)
+    cluster.vm(vm).signal(SIGKILL);
+  for (const auto &vm : AllVms)
+    cluster.vm(vm).wait();
+  for (const auto &vm : AllVms)
+    cluster.startVm(vm);
+  for (const auto &vm : AllVms)
+    waitUntil(vm + " is ready", [&] { return cluster.isReady(vm); });
+  requireAll(cluster, confirmed, AllVms);
+  waitUntil("all VMs serve again", serves);
+  auto founded = epoch();
+  REQUIRE(founded > before);
+  // The group stays while changes go on.
+  confirmMany(cluster, "a4", "after", 50);
+  REQUIRE(serves());
+  REQUIRE(epoch() == founded);
+}
+
 TEST_CASE("The settings leader is killed in a stream of changes",
           "[settings-faults]") {
   LocalCluster cluster("settings-leader", 23040, planThreeDisks());
