--- a/tests/SettingsFailureTest.cpp
+++ b/tests/SettingsFailureTest.cpp
@@ -78,11 +78,11 @@
 
 /// The incarnation of \p vm among the "voters" or "learners".
 std::optional<std::uint64_t> incarnationOf(LocalCluster &cluster,
-                                           const std::string &askVm,
+                                           const std::string &AskVm,
                                            const char *list,
                                            const std::string &vm) {
   boost::system::error_code ec;
-  auto body = json::parse(cluster.api(askVm, "/members").Body, ec);
+  auto body = json::parse(cluster.api(AskVm, "/members").Body, ec);
   if (ec || !body.is_object() || !body.as_object().contains("settings_group"))
     return std::nullopt;
   const auto &group = body.at("settings_group").as_object();
@@ -100,7 +100,7 @@
                     const std::vector<std::string> &vms) {
   for (const auto &vm : vms)
     waitUntil(
-        path + " is in force at " + vm,
+        fmt::format("{} is in force at {}", path, vm),
         [&] { return number(cluster.get(vm, path), "version") == version; },
         InForceLimit);
 }
@@ -219,6 +219,44 @@
   requireInForce(cluster, path, number(first, "version"), AllVms);
 }
 
+TEST_CASE("All VMs of a data centre are killed and restarted",
+          "[settings-faults]") {
+  LocalCluster cluster("settings-restart", 23180, planThreeDisks());
+  prepare(cluster);
+  auto confirmed = confirmMany(cluster, "a4", "before", 5);
+  cluster.startTarget({"barn-1", "barnstock", "dc-a", {}});
+  auto serves = [&] {
+    return std::ranges::all_of(AllVms, [&](const std::string &vm) {
+      return cluster
+                 .request(vm, "GET", "barnstock", "/level",
+                          {{"Mill-Key", "barn"}}, seconds(2))
+                 .Status == 200;
+    });
+  };
+  auto epoch = [&] {
+    auto body = json::parse(cluster.api("a1", "/members").Body);
+    return body.at("data_centre_group").at("epoch").to_number<std::uint64_t>();
+  };
+  waitUntil("all VMs serve", serves);
+  auto before = epoch();
+  for (const auto &vm : AllVms)
+    cluster.vm(vm).signal(SIGKILL);
+  for (const auto &vm : AllVms)
+    cluster.vm(vm).wait();
+  for (const auto &vm : AllVms)
+    cluster.startVm(vm);
+  for (const auto &vm : AllVms)
+    waitUntil(vm + " is ready", [&] { return cluster.isReady(vm); });
+  requireAll(cluster, confirmed, AllVms);
+  waitUntil("all VMs serve again", serves);
+  auto founded = epoch();
+  REQUIRE(founded > before);
+  // The group stays while changes go on.
+  confirmMany(cluster, "a4", "after", 50);
+  REQUIRE(serves());
+  REQUIRE(epoch() == founded);
+}
+
 TEST_CASE("The settings leader is killed in a stream of changes",
           "[settings-faults]") {
   LocalCluster cluster("settings-leader", 23040, planThreeDisks());
@@ -356,6 +394,11 @@
   LocalCluster cluster("settings-access", 23140,
                        {{"a1", "dc-a", true}, {"a2", "dc-a", false}});
   prepare(cluster);
+  // A change is in force on another VM within seconds, not at once.
+  waitUntil(
+      "the service is in force at a2",
+      [&] { return cluster.get("a2", "/services/barnstock").Status == 200; },
+      InForceLimit);
   auto call = [&](const std::string &path, const std::string &token) {
     HttpHeaders headers;
     if (!token.empty())
@@ -385,6 +428,7 @@
     REQUIRE_FALSE(
         std::ranges::search(shown.Body, std::string("token_sha256")).empty());
     auto at = shown.Body.find("token_sha256");
+    REQUIRE(at != std::string::npos);
     REQUIRE(shown.Body.substr(at, 40).find("redacted") != std::string::npos);
   }
 }
