--- a/bench/load/LoadClient.cpp
+++ b/bench/load/LoadClient.cpp
@@ -71,17 +71,17 @@
 void LoadClient::send(std::size_t number) {
   const std::size_t endpoint = number % Config.Endpoints.size();
   auto &idle = Idle[endpoint];
-  const bool isNew = idle.empty();
+  const bool IsNew = idle.empty();
   auto connection =
-      isNew ? std::make_shared<Connection>(Context) : std::move(idle.back());
-  if (!isNew)
+      IsNew ? std::make_shared<Connection>(Context) : std::move(idle.back());
+  if (!IsNew)
     idle.pop_back();
   connection->Endpoint = endpoint;
   connection->Number = number;
   fill(*connection);
   connection->Stream.expires_after(
       std::chrono::milliseconds(Config.DeadlineMs) + AnswerGrace);
-  if (!isNew)
+  if (!IsNew)
     return write(connection);
   connection->Stream.async_connect(
       Config.Endpoints[endpoint],
--- a/packages/dispatch/Dispatcher.h
+++ b/packages/dispatch/Dispatcher.h
@@ -155,7 +155,7 @@
   bool mayRetry(const Attempt &attempt, const AttemptOutcome &outcome,
                 base::MonoTime now);
   void refuse(const RequestInfo &info, base::ResultCode code,
-              std::string message, base::Duration retryAfter,
+              std::string message, base::Duration RetryAfter,
               DispatchActions &actions) const;
   void startWaiting(base::MonoTime now, DispatchActions &actions);
   /// Mean latency of the slowest target of \p pool.
--- a/packages/dispatch/PartnerPace.h
+++ b/packages/dispatch/PartnerPace.h
@@ -29,8 +29,8 @@
 private:
   static constexpr double Gain = 0.05;
 
-  void learn(double gapUs) {
-    MeanGapUs = MeanGapUs == 0 ? gapUs : MeanGapUs + (gapUs - MeanGapUs) * Gain;
+  void learn(double gap) {
+    MeanGapUs = MeanGapUs == 0 ? gap : MeanGapUs + (gap - MeanGapUs) * Gain;
   }
 
   base::MonoTime LastStart{};
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -157,7 +157,7 @@
 Dispatcher::Target *Dispatcher::chooseTarget(const Pool &pool,
                                              base::MonoTime now) {
   Target *best = nullptr;
-  Target *lastResort = nullptr;
+  Target *LastResort = nullptr;
   auto load = [](const Target &target) {
     return static_cast<double>(target.InFlight) / target.Limit.value();
   };
@@ -170,22 +170,22 @@
       continue;
     if (target.Health.isEjected(now)) {
       // Never eject all: the one that comes back first serves as last resort.
-      if (!lastResort ||
-          *target.Health.ejectedUntil() < *lastResort->Health.ejectedUntil())
-        lastResort = &target;
+      if (!LastResort ||
+          *target.Health.ejectedUntil() < *LastResort->Health.ejectedUntil())
+        LastResort = &target;
       continue;
     }
     if (!best || load(target) < load(*best))
       best = &target;
   }
-  if (best || !lastResort)
+  if (best || !LastResort)
     return best;
-  bool allEjected = std::ranges::all_of(pool.Members, [&](const auto &id) {
+  bool AllEjected = std::ranges::all_of(pool.Members, [&](const auto &id) {
     auto it = Targets.find(id);
     return it == Targets.end() || it->second.Health.isEjected(now);
   });
   // One request at a time probes the target of last resort.
-  return allEjected && lastResort->InFlight == 0 ? lastResort : nullptr;
+  return AllEjected && LastResort->InFlight == 0 ? LastResort : nullptr;
 }
 
 bool Dispatcher::mayRetry(const Attempt &attempt, const AttemptOutcome &outcome,
@@ -210,12 +210,12 @@
 }
 
 void Dispatcher::refuse(const RequestInfo &info, base::ResultCode code,
-                        std::string message, base::Duration retryAfter,
+                        std::string message, base::Duration RetryAfter,
                         DispatchActions &actions) const {
   actions.End.push_back({info.Id,
                          {code, std::move(message),
                           static_cast<std::uint32_t>(std::max<std::int64_t>(
-                              0, base::toMs(retryAfter)))}});
+                              0, base::toMs(RetryAfter)))}});
 }
 
 void Dispatcher::startWaiting(base::MonoTime now, DispatchActions &actions) {
@@ -267,9 +267,10 @@
 
 void Dispatcher::bounceMoved(DispatchActions &actions) {
   for (auto &[name, pool] : Pools) {
-    auto moved = pool.Queue.removeIf([this, &name](const RequestInfo &info) {
-      return poolNameOf(info) != name;
-    });
+    auto moved =
+        pool.Queue.removeIf([this, &OwnName = name](const RequestInfo &info) {
+          return poolNameOf(info) != OwnName;
+        });
     for (const auto &info : moved) {
       TriesSoFar.erase(info.Id);
       refuse(info, base::ResultCode::NotRunNotOwner,
--- a/packages/dispatch/tests/OverloadTest.cpp
+++ b/packages/dispatch/tests/OverloadTest.cpp
@@ -8,7 +8,7 @@
 
 using namespace magnoliamill;
 using namespace magnoliamill::dispatch;
-using base::operator""ms;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -93,13 +93,13 @@
   bench.warmUp(20ms);
   std::map<base::RequestId, base::MonoTime> since;
   std::multimap<base::MonoTime, base::RequestId> running;
-  std::vector<base::Duration> refusedAfter;
+  std::vector<base::Duration> RefusedAfter;
   std::size_t answered = 0;
   auto take = [&](const DispatchActions &actions) {
     for (const auto &start : actions.Start)
       running.emplace(bench.Now + 20ms, start.Request);
     for (const auto &end : actions.End)
-      refusedAfter.push_back(bench.Now - since[end.Request]);
+      RefusedAfter.push_back(bench.Now - since[end.Request]);
   };
   auto submit = [&](const char *partner) {
     auto info = bench.request(partner, 1000ms);
@@ -126,8 +126,8 @@
     REQUIRE(static_cast<double>(answered) >= 0.95 * 1500);
   }
   SECTION("those refused learn it soon, not at their deadline") {
-    REQUIRE_FALSE(refusedAfter.empty());
-    std::ranges::sort(refusedAfter);
-    REQUIRE(refusedAfter[refusedAfter.size() * 99 / 100] <= 50ms);
+    REQUIRE_FALSE(RefusedAfter.empty());
+    std::ranges::sort(RefusedAfter);
+    REQUIRE(RefusedAfter[RefusedAfter.size() * 99 / 100] <= 50ms);
   }
 }
--- a/scripts/bench-lib.sh
+++ b/scripts/bench-lib.sh
@@ -64,7 +64,8 @@
 resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
 written_bytes() { awk '/^wchar/ { print $2 }' "/proc/$1/io"; }
 switches() { cat /proc/"$1"/task/*/status | awk '/^voluntary_ctxt/ { n += $2 } END { print n }'; }
-metric() { curl -sf -m 2 "http://127.0.0.1:$(http_port "$1")/metrics" | awk -v name="$2" '$1 == name { print $2 }'; }
+# A metric that a VM has not counted yet is 0.
+metric() { curl -sf -m 2 "http://127.0.0.1:$(http_port "$1")/metrics" | awk -v name="$2" '$1 == name { value = $2 } END { print value + 0 }'; }
 
 # take_reading VM: ticks, kB, bytes, switches and peer calls on one line.
 take_reading() {
