--- a/tests/cluster/HistoryJudge.cpp
+++ b/tests/cluster/HistoryJudge.cpp
@@ -55,10 +55,10 @@
 }
 
 void judgeOwnership(const History &history, Verdict &verdict) {
-  std::map<std::string, std::vector<RunRecord>> ofKeys;
+  std::map<std::string, std::vector<RunRecord>> ByKey;
   for (const auto &run : history.Runs)
-    ofKeys[run.Key].push_back(run);
-  for (auto &[key, runs] : ofKeys) {
+    ByKey[run.Key].push_back(run);
+  for (auto &[key, runs] : ByKey) {
     std::ranges::sort(runs, {}, &RunRecord::StartUs);
     // Of all instances so far: the run that ends last.
     std::map<std::string, std::int64_t> ends;
@@ -106,18 +106,18 @@
                         std::int64_t ToUs, Verdict &verdict) {
   std::map<std::string, std::vector<std::int64_t>> times;
   for (const auto &call : history.Calls) {
-    auto &ofKey = times[call.Key];
+    auto &Answers = times[call.Key];
     if (call.Told == Fate::Answered && call.EndUs >= FromUs &&
         call.EndUs <= ToUs)
-      ofKey.push_back(call.EndUs);
+      Answers.push_back(call.EndUs);
   }
-  for (auto &[key, ofKey] : times) {
-    ofKey.push_back(FromUs);
-    ofKey.push_back(ToUs);
-    std::ranges::sort(ofKey);
-    for (std::size_t i = 1; i < ofKey.size(); ++i)
-      if (ofKey[i] - ofKey[i - 1] > verdict.UnavailableUs) {
-        verdict.UnavailableUs = ofKey[i] - ofKey[i - 1];
+  for (auto &[key, Answers] : times) {
+    Answers.push_back(FromUs);
+    Answers.push_back(ToUs);
+    std::ranges::sort(Answers);
+    for (std::size_t i = 1; i < Answers.size(); ++i)
+      if (Answers[i] - Answers[i - 1] > verdict.UnavailableUs) {
+        verdict.UnavailableUs = Answers[i] - Answers[i - 1];
         verdict.UnavailableKey = key;
       }
   }
