--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -307,7 +307,7 @@
     const auto deadline =
         base::readMonotonic() + std::chrono::milliseconds(100);
     call.Deadline = deadline;
-    const auto answer = bench.run(std::move(call));
+    const auto answer = bench.run(call);
     CHECK(base::readMonotonic() >= deadline);
     CHECK(answer.outcome().Code == ResultCode::TargetTimeout);
     CHECK(answer.outcome().MayHaveRun);
--- a/tests/cluster/LocalCluster.cpp
+++ b/tests/cluster/LocalCluster.cpp
@@ -28,16 +28,15 @@
   }
 }
 
-LocalCluster::LocalCluster(std::string name, std::uint16_t firstPort,
+LocalCluster::LocalCluster(std::string name, std::uint16_t port,
                            std::vector<VmPlan> vms)
     : Folder(std::filesystem::path(MILL_BINARY_DIR) / "cluster" / name),
       Vms(std::move(vms)) {
   std::filesystem::remove_all(Folder);
   std::filesystem::create_directories(Folder);
   for (const auto &vm : Vms) {
-    PortsOf[vm.Name] = {firstPort, firstPort,
-                        static_cast<std::uint16_t>(firstPort + 1)};
-    firstPort = static_cast<std::uint16_t>(firstPort + 2);
+    PortsOf[vm.Name] = {port, port, static_cast<std::uint16_t>(port + 1)};
+    port = static_cast<std::uint16_t>(port + 2);
   }
 }
 
@@ -158,10 +157,10 @@
 
 HttpAnswer LocalCluster::set(const std::string &vm, const std::string &path,
                              const std::string &value, std::uint64_t expected,
-                             const std::string &changeId) {
+                             const std::string &change) {
   return callHttp(
       httpPort(vm), "PUT", "/v1/settings/teams/roads" + path,
-      {{"Authorization", "Bearer " + TeamToken}, {"Mill-Change-Id", changeId}},
+      {{"Authorization", "Bearer " + TeamToken}, {"Mill-Change-Id", change}},
       fmt::format(R"({{"value":{},"expected_version":{}}})", value, expected));
 }
 
@@ -234,8 +233,8 @@
 }
 
 std::string LocalCluster::leaderOf(const std::string &group,
-                                   const std::string &askVm) {
-  auto answer = api(askVm, "/members");
+                                   const std::string &asked) {
+  auto answer = api(asked, "/members");
   boost::system::error_code ec;
   auto parsed = json::parse(answer.Body, ec);
   if (answer.Status != 200 || ec)
--- a/tests/cluster/LocalCluster.h
+++ b/tests/cluster/LocalCluster.h
@@ -49,9 +49,8 @@
 
 class LocalCluster {
 public:
-  /// Peer and HTTP ports are taken from \p firstPort on, two for each VM.
-  LocalCluster(std::string name, std::uint16_t firstPort,
-               std::vector<VmPlan> vms);
+  /// Peer and HTTP ports are taken from \p port on, two for each VM.
+  LocalCluster(std::string name, std::uint16_t port, std::vector<VmPlan> vms);
   ~LocalCluster();
 
   /// Starts all VMs for the first time and waits until they are ready.
@@ -74,7 +73,7 @@
   void createTeam();
   HttpAnswer set(const std::string &vm, const std::string &path,
                  const std::string &value, std::uint64_t expected,
-                 const std::string &changeId);
+                 const std::string &change);
   HttpAnswer get(const std::string &vm, const std::string &path);
   HttpAnswer api(const std::string &vm, const std::string &path);
 
@@ -87,7 +86,7 @@
   std::vector<RunRecord> runs() const;
   /// The VM that leads the data centre's group ("data_centre_group") or the
   /// settings group ("settings_group"), empty when none is known.
-  std::string leaderOf(const std::string &group, const std::string &askVm);
+  std::string leaderOf(const std::string &group, const std::string &asked);
 
   static const std::string AdminToken;
   static const std::string TeamToken;
