One table of HTTP statuses, one desk for VMs that pull a log

Cause: the status of a code stood in gateway and settings, the long poll in both groups' parts. Ruled out: keeping two tables equal by a test. Conclusion: one place each; the test now binds the answer to the one table.

--- a/packages/gateway/internal/Failure.cpp
+++ b/packages/gateway/internal/Failure.cpp
@@ -1,4 +1,5 @@
 // How numbered failures look in HTTP.
+#include "base/HttpStatus.h"
 #include "base/ResultCode.h"
 #include "gateway/HttpGateway.h"
 
@@ -13,81 +14,6 @@
 
 constexpr std::uint32_t DefaultRetryAfterMs = 1000;
 
-std::uint16_t statusOfRequestError(ResultCode code) {
-  switch (code) {
-  case ResultCode::HeaderTooLarge:
-    return 431;
-  case ResultCode::BodyTooLarge:
-    return 413;
-  case ResultCode::UnknownService:
-  case ResultCode::UnknownRoute:
-    return 404;
-  case ResultCode::RequestTimeout:
-    return 408;
-  case ResultCode::TooManyConnections:
-    return 503;
-  default:
-    return 400;
-  }
-}
-
-std::uint16_t statusOfFate(ResultCode code) {
-  if (code == ResultCode::OutcomeUnknownDeadline)
-    return 504;
-  if (code == ResultCode::RepeatInProgress)
-    return 409;
-  return base::numberOf(code) >= 3100 ? 502 : 503;
-}
-
-/// The same as settings::httpStatusOf gives to a refused change; a test of the
-/// pages compares them.
-std::uint16_t statusOfSettingsError(ResultCode code) {
-  switch (code) {
-  case ResultCode::AccessDenied:
-    return 403;
-  case ResultCode::PathUnknown:
-    return 404;
-  case ResultCode::VersionConflict:
-  case ResultCode::ChangeIdReused:
-    return 409;
-  case ResultCode::ChangeIdExpired:
-    return 410;
-  case ResultCode::ValueTooLarge:
-    return 413;
-  case ResultCode::RateLimited:
-    return 429;
-  case ResultCode::NoQuorum:
-    return 503;
-  case ResultCode::ChangeOutcomeUnknown:
-    return 504;
-  default:
-    return 400;
-  }
-}
-
-std::uint16_t statusOf(ResultCode code) {
-  switch (base::numberOf(code) / 1000) {
-  case 1:
-    return 400;
-  case 2:
-    return statusOfRequestError(code);
-  case 3:
-    return statusOfFate(code);
-  case 4:
-    return statusOfSettingsError(code);
-  case 6:
-    if (code == ResultCode::TargetNotAllowed)
-      return 403;
-    return code == ResultCode::AnnouncementInvalid ? 422 : 409;
-  case 8:
-    return 502;
-  case 9:
-    return code == ResultCode::Internal ? 500 : 503;
-  default:
-    return 503;
-  }
-}
-
 /// Says "not run" only for codes that promise it.
 bool isSurelyNotRun(ResultCode code) {
   switch (code) {
@@ -108,7 +34,7 @@
 
 ApiReply renderFailure(const protocol::RequestFailure &failure) {
   ApiReply reply;
-  reply.Status = statusOf(failure.Code);
+  reply.Status = base::httpStatusOf(failure.Code);
   const std::string_view outcome =
       isSurelyNotRun(failure.Code) ? "not-run" : "unknown";
   std::uint32_t delay = failure.RetryAfterMs;
--- a/packages/node/DataCentrePart.h
+++ b/packages/node/DataCentrePart.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/DutyThread.h"
+#include "node/FetchDesk.h"
 #include "node/GroupFollower.h"
 #include "node/GroupRunner.h"
 #include "node/LeaderCaller.h"
@@ -83,18 +84,12 @@
   void stepController(const ownership::ControllerEvent &event);
   void perform(ownership::ControllerActions actions);
   void keepMembership();
-  void answerWaiting();
   protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
   std::vector<base::VmId> replicas() const;
   bool leadsSafely() const;
   /// True when this replica is or was a member of the present group.
   bool holdsState() const;
 
-  struct WaitingFetch {
-    protocol::FetchRequest Request;
-    base::MonoTime Until;
-    protocol::Reply<protocol::FetchReply> Reply;
-  };
   struct SeenReport {
     NodeReport Report;
     base::MonoTime At;
@@ -113,13 +108,13 @@
   std::unique_ptr<GroupRunner> Runner;
   std::unique_ptr<GroupFollower> Follower;
   consensus::LogWindow FollowerWindow;
+  FetchDesk Fetches;
   ownership::Controller Controller;
   // The term in which the controller was told that it leads; 0 while it
   // doesn't.
   consensus::TermNumber LeadingTerm = 0;
   std::map<base::VmId, SeenReport> Reports;
   LeaderCaller Caller;
-  std::vector<WaitingFetch> Waiting;
   base::MonoTime LastMembershipChange{};
 };
 
--- a/packages/node/SettingsPart.h
+++ b/packages/node/SettingsPart.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/DutyThread.h"
+#include "node/FetchDesk.h"
 #include "node/GroupFollower.h"
 #include "node/GroupRunner.h"
 #include "node/LeaderCaller.h"
@@ -78,18 +79,11 @@
   void handOverLeadership();
 
 private:
-  struct WaitingFetch {
-    protocol::FetchRequest Request;
-    base::MonoTime Until;
-    protocol::Reply<protocol::FetchReply> Reply;
-  };
-
   /// Writes the first membership of a new installation to \p opened.
   base::Result<void> found(consensus::OpenedStorage &opened) const;
   void startRunner(consensus::OpenedStorage opened);
   void startFollower();
   void afterApply();
-  void answerWaiting();
   protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
   std::vector<base::VmId> replicas() const;
   struct ProposeProgress {
@@ -116,6 +110,7 @@
   std::unique_ptr<GroupFollower> Follower;
   // Entries that this VM pulled, for those who pull from it.
   consensus::LogWindow FollowerWindow;
+  FetchDesk Fetches;
   std::uint64_t Incarnation = 0;
   bool Ready = false;
   LeaderCaller Caller;
@@ -126,7 +121,6 @@
     base::MonoTime At;
   };
   std::map<base::VmId, SeenReport> Reports;
-  std::vector<WaitingFetch> Waiting;
   bool BootstrapProposed = false;
   bool RegisterProposed = false;
   base::MonoTime LastMembershipChange{};
--- a/packages/node/internal/DataCentrePart.cpp
+++ b/packages/node/internal/DataCentrePart.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::size_t WindowBytes = 8u << 20;
-constexpr std::size_t FetchBytes = 1u << 20;
 constexpr base::Duration MembershipPause = std::chrono::milliseconds(200);
 
 } // namespace
@@ -22,6 +21,7 @@
     : Duty(duty), Node(node), Hooks(std::move(hooks)),
       Settings(std::make_shared<settings::View>()), Incarnation(number),
       View(std::make_shared<ownership::View>()), FollowerWindow(WindowBytes),
+      Fetches([this](const auto &request) { return readAfter(request); }),
       Controller({.DataCentre = Node.DataCentre}) {}
 
 void DataCentrePart::setSettings(settings::ViewPtr view) {
@@ -41,6 +41,8 @@
   // Otherwise a lost group would be founded again and again.
   bool IsIdentityUsed = Runner && (holdsState() || Runner->core().term() > 0);
   Epoch = epoch;
+  Fetches.refuseWaiting(
+      {base::ResultCode::NotRunNotReady, "the group was replaced"});
   Runner.reset();
   Follower.reset();
   if (LeadingTerm != 0) {
@@ -114,7 +116,7 @@
 }
 
 void DataCentrePart::afterApply() {
-  answerWaiting();
+  Fetches.answerWaiting();
   updateLeadership();
   auto now = Machine.viewNow();
   if (now == View)
@@ -170,15 +172,9 @@
 
 protocol::FetchReply
 DataCentrePart::readAfter(const protocol::FetchRequest &request) const {
-  auto part = Runner->window().readAfter(request.After, FetchBytes);
-  protocol::FetchReply reply;
-  reply.Commit = part.Commit;
-  reply.Entries = std::move(part.Entries);
-  if (part.NeedsSnapshot) {
-    reply.Snapshot = Machine.snapshot();
-    reply.SnapshotIndex = Runner->appliedIndex();
-  }
-  return reply;
+  return FetchDesk::readWindow(Runner->window(), request,
+                               Runner->appliedIndex(),
+                               [this] { return Machine.snapshot(); });
 }
 
 void DataCentrePart::answerFetch(protocol::FetchRequest request,
@@ -187,31 +183,7 @@
     reply(base::fail(base::ResultCode::NotRunNotReady, "no replica here"));
     return;
   }
-  auto found = readAfter(request);
-  if (found.Snapshot || !found.Entries.empty() || request.WaitMs == 0) {
-    reply(std::move(found));
-    return;
-  }
-  auto until =
-      base::readMonotonic() + std::chrono::milliseconds(request.WaitMs);
-  Waiting.push_back({std::move(request), until, std::move(reply)});
-}
-
-void DataCentrePart::answerWaiting() {
-  auto now = base::readMonotonic();
-  std::vector<WaitingFetch> waiting;
-  waiting.swap(Waiting);
-  for (auto &fetch : waiting) {
-    if (!Runner) {
-      fetch.Reply(base::fail(base::ResultCode::NotRunNotReady, "group ended"));
-      continue;
-    }
-    auto found = readAfter(fetch.Request);
-    if (found.Snapshot || !found.Entries.empty() || now >= fetch.Until)
-      fetch.Reply(std::move(found));
-    else
-      Waiting.push_back(std::move(fetch));
-  }
+  Fetches.answer(std::move(request), std::move(reply));
 }
 
 void DataCentrePart::onReport(const NodeReport &report) {
@@ -263,7 +235,7 @@
 }
 
 void DataCentrePart::tick() {
-  answerWaiting();
+  Fetches.answerWaiting();
   updateLeadership();
   keepMembership();
   stepController(ownership::ControllerTick{base::readWallMs()});
--- /dev/null
+++ b/packages/node/internal/FetchDesk.cpp
@@ -0,0 +1,62 @@
+// Long polls on a replicated log.
+#include "node/FetchDesk.h"
+
+namespace magnoliamill::node {
+namespace {
+
+// Entries in one reply.
+constexpr std::size_t FetchBytes = 1u << 20;
+
+bool isNews(const protocol::FetchReply &reply) {
+  return reply.Snapshot.has_value() || !reply.Entries.empty();
+}
+
+} // namespace
+
+protocol::FetchReply FetchDesk::readWindow(
+    const consensus::LogWindow &window, const protocol::FetchRequest &request,
+    consensus::LogIndex applied, const std::function<std::string()> &snapshot) {
+  auto part = window.readAfter(request.After, FetchBytes);
+  protocol::FetchReply reply;
+  reply.Commit = part.Commit;
+  reply.Entries = std::move(part.Entries);
+  if (part.NeedsSnapshot) {
+    reply.Snapshot = snapshot();
+    reply.SnapshotIndex = applied;
+  }
+  return reply;
+}
+
+void FetchDesk::answer(protocol::FetchRequest request,
+                       protocol::Reply<protocol::FetchReply> reply) {
+  auto found = ReadAfter(request);
+  if (isNews(found) || request.WaitMs == 0) {
+    reply(std::move(found));
+    return;
+  }
+  auto until =
+      base::readMonotonic() + std::chrono::milliseconds(request.WaitMs);
+  Waiting.push_back({std::move(request), until, std::move(reply)});
+}
+
+void FetchDesk::answerWaiting() {
+  auto now = base::readMonotonic();
+  std::vector<WaitingFetch> waiting;
+  waiting.swap(Waiting);
+  for (auto &fetch : waiting) {
+    auto found = ReadAfter(fetch.Request);
+    if (isNews(found) || now >= fetch.Until)
+      fetch.Reply(std::move(found));
+    else
+      Waiting.push_back(std::move(fetch));
+  }
+}
+
+void FetchDesk::refuseWaiting(const base::Error &error) {
+  std::vector<WaitingFetch> waiting;
+  waiting.swap(Waiting);
+  for (auto &fetch : waiting)
+    fetch.Reply(base::fail(error));
+}
+
+} // namespace magnoliamill::node
--- a/packages/node/internal/OperatorApi.cpp
+++ b/packages/node/internal/OperatorApi.cpp
@@ -1,6 +1,7 @@
 // Routing of the control API, and reading and changing settings.
 #include "node/OperatorApi.h"
 
+#include "base/HttpStatus.h"
 #include "node/internal/ApiParameters.h"
 #include "settings/Schema.h"
 
@@ -156,7 +157,7 @@
           return;
         }
         ApiReply reply;
-        reply.Status = settings::httpStatusOf(outcome.value().Code);
+        reply.Status = base::httpStatusOf(outcome.value().Code);
         reply.Body = settings::renderOutcome(outcome.value());
         respond(std::move(reply));
       });
--- a/packages/node/internal/SettingsPart.cpp
+++ b/packages/node/internal/SettingsPart.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t WindowBytes = 8u << 20;
-constexpr std::size_t FetchBytes = 1u << 20;
 constexpr std::uint32_t ProposeTries = 6;
 constexpr base::Duration ProposePause = std::chrono::milliseconds(150);
 // Incarnation of the members of a new installation; later ones are wall times.
@@ -34,7 +33,8 @@
                            const settings::NodeSettings &node,
                            SettingsPartHooks hooks)
     : Duty(duty), StorageDuty(storage), Node(node), Hooks(std::move(hooks)),
-      View(std::make_shared<settings::View>()), FollowerWindow(WindowBytes) {}
+      View(std::make_shared<settings::View>()), FollowerWindow(WindowBytes),
+      Fetches([this](const auto &request) { return readAfter(request); }) {}
 
 base::Result<void> SettingsPart::open(bool bootstrap) {
   if (!Node.SettingsReplica) {
@@ -126,7 +126,7 @@
 void SettingsPart::afterApply() {
   if (isLeader() && Runner->core().hasLeaderLease(base::readMonotonic()))
     onLeaderCommit(Runner->core().commitIndex());
-  answerWaiting();
+  Fetches.answerWaiting();
   auto now = Machine.viewNow();
   if (now == View)
     return;
@@ -237,16 +237,9 @@
 
 protocol::FetchReply
 SettingsPart::readAfter(const protocol::FetchRequest &request) const {
-  const auto &window = Runner ? Runner->window() : FollowerWindow;
-  auto part = window.readAfter(request.After, FetchBytes);
-  protocol::FetchReply reply;
-  reply.Commit = part.Commit;
-  reply.Entries = std::move(part.Entries);
-  if (part.NeedsSnapshot) {
-    reply.Snapshot = Machine.snapshot();
-    reply.SnapshotIndex = Machine.appliedIndex();
-  }
-  return reply;
+  return FetchDesk::readWindow(Runner ? Runner->window() : FollowerWindow,
+                               request, Machine.appliedIndex(),
+                               [this] { return Machine.snapshot(); });
 }
 
 void SettingsPart::answerFetch(protocol::FetchRequest request,
@@ -256,28 +249,7 @@
     reply(base::fail(base::ResultCode::NotRunNotReady, "not caught up yet"));
     return;
   }
-  auto found = readAfter(request);
-  if (found.Snapshot || !found.Entries.empty() || request.WaitMs == 0) {
-    reply(std::move(found));
-    return;
-  }
-  auto until =
-      base::readMonotonic() + std::chrono::milliseconds(request.WaitMs);
-  Waiting.push_back({std::move(request), until, std::move(reply)});
-}
-
-void SettingsPart::answerWaiting() {
-  auto now = base::readMonotonic();
-  std::vector<WaitingFetch> waiting;
-  waiting.swap(Waiting);
-  for (auto &fetch : waiting) {
-    auto found = readAfter(fetch.Request);
-    bool due = found.Snapshot || !found.Entries.empty() || now >= fetch.Until;
-    if (due)
-      fetch.Reply(std::move(found));
-    else
-      Waiting.push_back(std::move(fetch));
-  }
+  Fetches.answer(std::move(request), std::move(reply));
 }
 
 void SettingsPart::onReport(const NodeReport &report) {
@@ -301,7 +273,7 @@
 }
 
 void SettingsPart::tick() {
-  answerWaiting();
+  Fetches.answerWaiting();
   registerSelf();
   if (!isLeader()) {
     Homes.reset();
--- a/packages/settings/Commands.h
+++ b/packages/settings/Commands.h
@@ -151,8 +151,6 @@
 /// "index","change_id"}; otherwise {"code","name","message",
 /// "current_version","change_id","faults":[{"code","name","path","message"}]}.
 std::string renderOutcome(const ChangeOutcome &outcome);
-/// The HTTP status that goes with it (200, 400, 403, 404, 409, 410, 413, ...).
-std::uint16_t httpStatusOf(base::ResultCode code);
 
 /// The settings index in a change id of the form "INDEX~REST".
 std::optional<consensus::LogIndex> creationIndexOf(std::string_view id);
--- a/packages/settings/internal/Outcome.cpp
+++ b/packages/settings/internal/Outcome.cpp
@@ -104,48 +104,4 @@
   return json::serialize(out);
 }
 
-std::uint16_t httpStatusOf(ResultCode code) {
-  switch (code) {
-  case ResultCode::Ok:
-    return 200;
-  case ResultCode::AccessDenied:
-    return 403;
-  case ResultCode::PathUnknown:
-  case ResultCode::UnknownRoute:
-  case ResultCode::UnknownService:
-    return 404;
-  case ResultCode::VersionConflict:
-  case ResultCode::ChangeIdReused:
-    return 409;
-  case ResultCode::ChangeIdExpired:
-    return 410;
-  case ResultCode::ValueTooLarge:
-  case ResultCode::BodyTooLarge:
-    return 413;
-  case ResultCode::RateLimited:
-    return 429;
-  case ResultCode::NoQuorum:
-  case ResultCode::NotLeader:
-  case ResultCode::ProposalDropped:
-  case ResultCode::NotRunNotReady:
-  case ResultCode::RingFull:
-  case ResultCode::Stopping:
-    return 503;
-  case ResultCode::ChangeOutcomeUnknown:
-    return 504;
-  case ResultCode::BadRequest:
-  case ResultCode::PathInvalid:
-  case ResultCode::ValueInvalid:
-  case ResultCode::JsonMalformed:
-  case ResultCode::UnknownField:
-  case ResultCode::WrongType:
-  case ResultCode::OutOfRange:
-  case ResultCode::MissingField:
-  case ResultCode::DuplicateAddress:
-    return 400;
-  default:
-    return 500;
-  }
-}
-
 } // namespace magnoliamill::settings
--- a/packages/settings/tests/StateMachineTest.cpp
+++ b/packages/settings/tests/StateMachineTest.cpp
@@ -1,3 +1,4 @@
+#include "base/HttpStatus.h"
 // The state machine: versions, change ids, audit trail, snapshots.
 #include "TestSettings.h"
 
@@ -36,7 +37,7 @@
     REQUIRE(one.accepted());
     REQUIRE(two.Code == ResultCode::VersionConflict);
     REQUIRE(two.Version == one.Version);
-    REQUIRE(httpStatusOf(two.Code) == 409);
+    REQUIRE(base::httpStatusOf(two.Code) == 409);
   }
   SECTION("but its slots are fixed") {
     auto other = it.set(Barnstock, keyedService(7), first.Version, "b");
--- a/tests/DocsTest.cpp
+++ b/tests/DocsTest.cpp
@@ -1,4 +1,5 @@
 // Keeps the tables of the pages equal to the code.
+#include "base/HttpStatus.h"
 #include "base/ResultCode.h"
 #include "gateway/HttpGateway.h"
 #include "settings/Commands.h"
@@ -145,26 +146,21 @@
   auto page = readText(CodesPage);
   auto begin = page.find(TableHead);
   REQUIRE(begin != std::string::npos);
-  REQUIRE(page.substr(begin) == renderCodes());
+  // With MILL_WRITE_PAGES set the page is brought up to date.
+  if (std::getenv("MILL_WRITE_PAGES"))
+    std::ofstream(CodesPage) << page.substr(0, begin) << renderCodes();
+  REQUIRE(readText(CodesPage).substr(begin) == renderCodes());
 }
 
-TEST_CASE("A code has one status, whoever refuses with it", "[docs]") {
+TEST_CASE("A refused request has the status of its code", "[docs]") {
   for (const auto &info : base::describeAll()) {
     INFO(info.Name);
-    auto change = settings::httpStatusOf(info.Code);
-    // 500 is for codes that a change does not end with.
-    if (info.Code != base::ResultCode::Ok && change != 500)
-      REQUIRE(gateway::renderFailure({info.Code, "", 0}).Status == change);
+    if (info.Code != base::ResultCode::Ok)
+      REQUIRE(gateway::renderFailure({info.Code, "", 0}).Status ==
+              base::httpStatusOf(info.Code));
   }
 }
 
-TEST_CASE("Writes the table of result codes into its page", "[.][generate]") {
-  auto page = readText(CodesPage);
-  auto begin = page.find(TableHead);
-  REQUIRE(begin != std::string::npos);
-  std::ofstream(CodesPage) << page.substr(0, begin) << renderCodes();
-}
-
 TEST_CASE("Every metric is on the operators' page and the other way round",
           "[docs]") {
   auto code = findAll(readSources(), "\"(mill_[a-z0-9_]+)\"");
