A ring that never empties no longer starves its consumer; requests skip a needless ring

Cause: runPending drained without a limit; the gateway posted to its own thread; a VM with a new address registered once only and a leader's bootstrap flag outlived its leadership.

--- a/packages/base/DutyThread.h
+++ b/packages/base/DutyThread.h
@@ -28,7 +28,12 @@
   /// Puts \p task at the end. False when the ring is full: the caller must
   /// then refuse its work (back-pressure); the refusal is counted.
   [[nodiscard]] bool tryPost(Task task);
-  /// Runs the tasks that are in the ring. Called by the consumer only.
+  /// Tasks that one call of runPending runs at most, so that producers that
+  /// never pause do not keep the consumer from its sockets and timers.
+  static constexpr std::size_t MaxTasksPerWake = 256;
+
+  /// Runs tasks that are in the ring; asks to be woken again when some are
+  /// left. Called by the consumer only.
   void runPending();
   std::uint64_t countRefused() const { return Refused.load(); }
 
@@ -60,6 +65,8 @@
   void postReply(Task task);
   std::uint64_t countRefused() const { return Ring.countRefused(); }
   const std::string &name() const { return Name; }
+  /// True on the duty's own thread.
+  bool isCurrent() { return Context.get_executor().running_in_this_thread(); }
 
   void start();
   /// Ends the loop and joins the thread. Tasks still in the ring are dropped.
--- a/packages/base/internal/DutyThread.cpp
+++ b/packages/base/internal/DutyThread.cpp
@@ -32,10 +32,16 @@
 void TaskRing::runPending() {
   // Cleared before draining: a task posted during the drain wakes us again.
   WakePending.store(false);
-  Queue.consume_all([](Task *task) {
+  for (std::size_t n = 0; n < MaxTasksPerWake; ++n) {
+    Task *task = nullptr;
+    if (!Queue.pop(task))
+      return;
     std::unique_ptr<Task> owned(task);
     (*owned)();
-  });
+  }
+  // The rest waits for its turn behind the consumer's other work.
+  if (!WakePending.exchange(true))
+    Wake();
 }
 
 DutyThread::DutyThread(std::string name, std::size_t capacity)
--- a/packages/base/tests/BaseTest.cpp
+++ b/packages/base/tests/BaseTest.cpp
@@ -61,6 +61,21 @@
   REQUIRE(ran == 2);
 }
 
+TEST_CASE("A ring that never empties lets its consumer do other work",
+          "[base]") {
+  int wakes = 0;
+  TaskRing ring(1024, [&wakes] { ++wakes; });
+  std::size_t ran = 0;
+  for (std::size_t n = 0; n < TaskRing::MaxTasksPerWake + 1; ++n)
+    REQUIRE(ring.tryPost([&ran] { ++ran; }));
+  REQUIRE(wakes == 1);
+  ring.runPending();
+  REQUIRE(ran == TaskRing::MaxTasksPerWake);
+  REQUIRE(wakes == 2);
+  ring.runPending();
+  REQUIRE(ran == TaskRing::MaxTasksPerWake + 1);
+}
+
 TEST_CASE("A duty thread runs the tasks of other threads in order", "[base]") {
   DutyThread duty("test", 64);
   duty.start();
--- a/packages/node/internal/RequestFlow.cpp
+++ b/packages/node/internal/RequestFlow.cpp
@@ -54,7 +54,10 @@
   open->Request = std::move(request);
   open->Sink = std::move(sink);
   base::RequestId id = open->Request.Id;
-  if (!Duty.tryPost([this, open] { admit(open, true); })) {
+  // The gateway calls on this duty's own thread: no need to wait for the ring.
+  if (Duty.isCurrent()) {
+    admit(open, true);
+  } else if (!Duty.tryPost([this, open] { admit(open, true); })) {
     open->Sink.Fail({base::ResultCode::RingFull, "too much work at once", 100});
     return [] {};
   }
--- a/packages/node/internal/SettingsPart.cpp
+++ b/packages/node/internal/SettingsPart.cpp
@@ -269,7 +269,11 @@
                  known->second == *own;
   if (own == Node.Seeds.end() || IsKnown)
     return;
-  propose(settings::RegisterVm{base::readWallMs(), *own}, [](const auto &) {});
+  propose(settings::RegisterVm{base::readWallMs(), *own},
+          [this](const base::Result<settings::ChangeOutcome> &outcome) {
+            // Without an outcome it is proposed again.
+            RegisterProposed = outcome.has_value();
+          });
 }
 
 void SettingsPart::tick() {
@@ -277,6 +281,7 @@
   registerSelf();
   if (!isLeader()) {
     Homes.reset();
+    BootstrapProposed = false;
     return;
   }
   if (!Homes)
