--- a/tests/cluster/ChildProcess.cpp
+++ b/tests/cluster/ChildProcess.cpp
@@ -22,6 +22,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &command,
                            const std::filesystem::path &log) {
   std::vector<char *> arguments;
+  arguments.reserve(command.size() + 1);
   for (const auto &word : command)
     arguments.push_back(const_cast<char *>(word.c_str()));
   arguments.push_back(nullptr);
