Ledger: a late Forget does not free the key of a request that runs elsewhere

Cause: a request bounced by its first dispatcher is routed anew under the same id. The first one's Forget goes out without an answer and may arrive after the second one's Begin; it then freed the key while the request ran, and a repeat could run a second time. Ruled out: no Forget after a bounce (a key would stay blocked for the window although nothing ran). Conclusion: a record belongs to one dispatcher at a time.

--- a/packages/dispatch/Ledger.h
+++ b/packages/dispatch/Ledger.h
@@ -37,8 +37,12 @@
   Ledger(LedgerLimits limits, base::MonoTime started);
 
   /// Begin inserts the key unless another request holds it; the reply says what
-  /// was known before. Finish and Forget by another request change nothing.
-  /// A full ledger answers with LedgerUnavailable: nothing was recorded.
+  /// was known before. The request id names the dispatching VM behind an '@': a
+  /// request that was routed anew begins again at its new dispatcher and is
+  /// then that one's. Finish and Forget by anybody else change nothing, so a
+  /// late Forget of the earlier dispatcher does not free the key of a running
+  /// request. A full ledger answers with LedgerUnavailable: nothing was
+  /// recorded.
   base::Result<protocol::LedgerReply>
   handle(const protocol::LedgerRequest &request, base::MonoTime now);
 
--- a/packages/dispatch/internal/Ledger.cpp
+++ b/packages/dispatch/internal/Ledger.cpp
@@ -2,6 +2,19 @@
 #include "dispatch/Ledger.h"
 
 namespace magnoliamill::dispatch {
+namespace {
+
+/// The caller's request, without the VM that dispatches it.
+std::string_view callersPart(const base::RequestId &id) {
+  std::string_view text = id.Value;
+  return text.substr(0, text.find('@'));
+}
+
+bool isSameRequest(const base::RequestId &left, const base::RequestId &right) {
+  return callersPart(left) == callersPart(right);
+}
+
+} // namespace
 
 Ledger::Ledger(LedgerLimits limits, base::MonoTime started)
     : Limits(limits), Started(started) {}
@@ -28,7 +41,7 @@
                                        base::MonoTime now) const {
   protocol::LedgerReply reply;
   reply.Complete = isComplete(now);
-  if (!record || record->Request == asker)
+  if (!record || isSameRequest(record->Request, asker))
     return reply;
   reply.Known = true;
   reply.Finished = record->Finished;
@@ -60,8 +73,11 @@
   bool own = found && found->Request == request.Request;
   switch (request.Step) {
   case protocol::LedgerStep::Begin:
-    if (found)
+    if (found) {
+      if (!reply.Known)
+        found->Request = request.Request;
       return reply;
+    }
     if (Records.size() >= Limits.MaxRecords)
       return base::fail(base::ResultCode::NotRunLedgerUnavailable,
                         "the ledger is full");
--- a/packages/dispatch/tests/LedgerTest.cpp
+++ b/packages/dispatch/tests/LedgerTest.cpp
@@ -70,6 +70,29 @@
   }
 }
 
+TEST_CASE("A request that was routed anew keeps its key", "[ledger]") {
+  Ledger ledger({}, Start);
+  ledger.setComplete();
+  REQUIRE_FALSE(
+      ledger.handle(step(LedgerStep::Begin, "r@vm-1"), Start).value().Known);
+  REQUIRE_FALSE(
+      ledger.handle(step(LedgerStep::Begin, "r@vm-2"), Start).value().Known);
+  SECTION("although its first dispatcher's Forget comes late") {
+    REQUIRE(
+        ledger.handle(step(LedgerStep::Forget, "r@vm-1"), Start).has_value());
+    REQUIRE(ledger.handle(step(LedgerStep::Begin, "other@vm-3"), Start)
+                .value()
+                .Known);
+  }
+  SECTION("until its present dispatcher frees it") {
+    REQUIRE(
+        ledger.handle(step(LedgerStep::Forget, "r@vm-2"), Start).has_value());
+    REQUIRE_FALSE(ledger.handle(step(LedgerStep::Begin, "other@vm-3"), Start)
+                      .value()
+                      .Known);
+  }
+}
+
 TEST_CASE("A ledger that lost its memory says so", "[ledger]") {
   Ledger ledger({}, Start);
   REQUIRE_FALSE(
--- a/packages/node/internal/RequestRecords.cpp
+++ b/packages/node/internal/RequestRecords.cpp
@@ -15,12 +15,13 @@
 constexpr base::Duration SynchronizeInterval = std::chrono::milliseconds(500);
 
 protocol::LedgerRequest makeStep(protocol::LedgerStep step,
-                                 const protocol::ForwardRequest &request) {
+                                 const protocol::ForwardRequest &request,
+                                 const base::VmId &dispatcher) {
   protocol::LedgerRequest out;
   out.Step = step;
   out.Service = request.Service;
   out.IdempotencyKey = request.IdempotencyKey;
-  out.Request = request.Id;
+  out.Request = base::RequestId(request.Id.Value + "@" + dispatcher.Value);
   return out;
 }
 
@@ -66,7 +67,7 @@
 void RequestRecords::begin(const protocol::ForwardRequest &request,
                            Decided decided) {
   auto keepers = keepersOf(request.Service, request.IdempotencyKey);
-  auto step = makeStep(protocol::LedgerStep::Begin, request);
+  auto step = makeStep(protocol::LedgerStep::Begin, request, Self);
   struct Round {
     explicit Round(std::size_t voters) : Vote(voters) {}
     dispatch::RecordVote Vote;
@@ -107,7 +108,7 @@
                             std::uint16_t status,
                             std::vector<protocol::HttpHeader> headers,
                             std::string body) {
-  auto step = makeStep(protocol::LedgerStep::Finish, request);
+  auto step = makeStep(protocol::LedgerStep::Finish, request, Self);
   step.Status = status;
   step.Headers = std::move(headers);
   step.Body = std::move(body);
@@ -115,7 +116,7 @@
 }
 
 void RequestRecords::forget(const protocol::ForwardRequest &request) {
-  sendAll(makeStep(protocol::LedgerStep::Forget, request));
+  sendAll(makeStep(protocol::LedgerStep::Forget, request, Self));
 }
 
 void RequestRecords::handle(
