--- a/tests/SettingsFailureTest.cpp
+++ b/tests/SettingsFailureTest.cpp
@@ -365,14 +365,16 @@
   cluster.vm(leader).signal(SIGSTOP);
   cluster.vm(second).signal(SIGSTOP);
   auto refused = std::map<std::string, std::uint64_t>();
+  constexpr int Refusals = 8;
   std::vector<std::future<HttpAnswer>> answers;
-  for (int n = 0; n < 8; ++n)
+  answers.reserve(Refusals);
+  for (int n = 0; n < Refusals; ++n)
     answers.push_back(std::async(std::launch::async, [&, n] {
       return cluster.set(n % 2 == 0 ? "a4" : left,
                          targetPath(fmt::format("refused-{}", n)), Active, 0,
                          fmt::format("refused-{}", n));
     }));
-  for (int n = 0; n < 8; ++n) {
+  for (int n = 0; n < Refusals; ++n) {
     auto answer = answers[static_cast<std::size_t>(n)].get();
     auto code = number(answer, "code");
     INFO(answer.Body);
@@ -425,8 +427,6 @@
     auto shown = call(path, LocalCluster::AdminToken);
     REQUIRE(shown.Status == 200);
     REQUIRE(shown.Body.find("redacted") != std::string::npos);
-    REQUIRE_FALSE(
-        std::ranges::search(shown.Body, std::string("token_sha256")).empty());
     auto at = shown.Body.find("token_sha256");
     REQUIRE(at != std::string::npos);
     REQUIRE(shown.Body.substr(at, 40).find("redacted") != std::string::npos);
--- a/tests/cluster/LocalCluster.cpp
+++ b/tests/cluster/LocalCluster.cpp
@@ -218,16 +218,16 @@
   for (const auto &file : std::filesystem::directory_iterator(Folder)) {
     if (file.path().extension() != ".runs")
       continue;
-    std::vector<RunRecord> ofTarget;
+    std::vector<RunRecord> found;
     std::ifstream in(file.path());
     for (std::string line; std::getline(in, line);) {
       boost::system::error_code ec;
       auto parsed = json::parse(line, ec);
       // The last line of a killed target may be cut.
       if (!ec && parsed.as_object().contains("request"))
-        addRunLine(parsed.as_object(), ofTarget);
+        addRunLine(parsed.as_object(), found);
     }
-    all.insert(all.end(), ofTarget.begin(), ofTarget.end());
+    all.insert(all.end(), found.begin(), found.end());
   }
   return all;
 }
