Entry: a test of what clients are told over several tries

Ruled out: a test with real processes, which can't order the two targets. The sockets of the gateway's tests become a library that the entry's tests use.

--- /dev/null
+++ b/packages/entry/tests/RequestFlowTest.cpp
@@ -0,0 +1,181 @@
+// What a client is told when its request was refused, lost or answered, over
+// several tries.
+#include "entry/RequestFlow.h"
+#include "gateway/tests/Support.h"
+
+#include <catch2/catch.hpp>
+
+using namespace magnoliamill;
+using namespace magnoliamill::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+using gateway::tests::AnswerCollector;
+using gateway::tests::RunningDuty;
+using gateway::tests::ScriptedServer;
+using gateway::tests::waitFor;
+using Peer = ScriptedServer::Peer;
+
+constexpr const char *Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                "Not-Run: yes\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *Answer =
+    "HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Length: 2\r\n\r\nok";
+
+bool hasHeader(const Headers &headers, std::string_view name) {
+  return std::ranges::any_of(
+      headers, [name](const auto &header) { return header.Name == name; });
+}
+
+EntryDialect makeDialect() {
+  EntryDialect dialect;
+  dialect.ReadRequest = [](const Headers &) {
+    return base::Result<RequestFacts>(RequestFacts{"r-1", 3s, {}, "shop.test"});
+  };
+  dialect.AddressTo = [](Headers &, const std::string &) {};
+  dialect.ReadAnswer = [](std::uint16_t, const Headers &headers) {
+    AnswerFacts facts;
+    facts.IsNotRun = hasHeader(headers, "Not-Run");
+    facts.IsGenuine = hasHeader(headers, "Mark");
+    return facts;
+  };
+  dialect.WriteRetryAfter = [](base::Duration time) {
+    return std::to_string(base::toMs(time));
+  };
+  dialect.DeadlineHeader = "Left-Ms";
+  return dialect;
+}
+
+routing::Route makeRoute(const std::string &prefix, routing::RouteKind kind) {
+  routing::Route route;
+  route.Name = "route" + prefix;
+  route.Version = 1;
+  route.Host = "shop.test";
+  route.PathPrefix = prefix;
+  route.Kind = kind;
+  route.Timeout = 2s;
+  route.LatencyObjective = 500ms;
+  route.MaxAttempts = 2;
+  route.Shares = {{"vault", 1}};
+  return route;
+}
+
+/// An entry's flow with two targets of one service, which play \p script; its
+/// second argument counts requests over both.
+class Entry {
+public:
+  using Script = std::function<void(Peer &, int)>;
+
+  explicit Entry(Script script)
+      : Play(std::move(script)), First(makeScript()), Second(makeScript()) {
+    Settings.Vm = "f1";
+    Settings.DataCentre = "dc-a";
+    fleet::ViewUpdate update;
+    update.Mark = {1, 1};
+    update.IsWhole = true;
+    update.Items.Routes = {
+        makeRoute("/read/", routing::RouteKind::Idempotent),
+        makeRoute("/order/", routing::RouteKind::AtMostOnce)};
+    routing::Service vault;
+    vault.Name = "vault";
+    vault.Version = 1;
+    update.Items.Services = {vault};
+    for (const auto *server : {&First, &Second}) {
+      fleet::Target target;
+      target.Life = {"t-" + std::to_string(server->address().Port), 1};
+      target.Address = "127.0.0.1:" + std::to_string(server->address().Port);
+      target.Service = "vault";
+      target.DataCentre = "dc-a";
+      update.Targets.push_back(target);
+    }
+    Duty.run([&] {
+      Flow = std::make_unique<RequestFlow>(Duty.Duty, Settings, Dialect, View);
+      View.apply(update);
+      Flow->onView();
+    });
+  }
+  ~Entry() {
+    Duty.run([&] { Flow.reset(); });
+  }
+
+  /// Waits for the answer of a request; its status.
+  int ask(const std::string &method, const std::string &path) {
+    gateway::HttpCall call;
+    call.Method = method;
+    call.Target = path;
+    auto sink = Collected.makeSink();
+    sink.Head = [this, take = sink.Head](const protocol::AnswerHead &head) {
+      HasRetryAfter = hasHeader(head.Headers, "Retry-After");
+      take(head);
+    };
+    Duty.run([&] { Flow->handle(std::move(call), std::move(sink)); });
+    REQUIRE(waitFor([this] { return Collected.isEnded(); }));
+    return Collected.status();
+  }
+  int countRequests() const { return Count; }
+  bool tellsWhenToComeBack() const { return HasRetryAfter; }
+
+private:
+  ScriptedServer::Script makeScript() {
+    return [this](Peer &peer, std::size_t) {
+      while (!peer.readRequest().empty())
+        Play(peer, ++Count);
+    };
+  }
+
+  Script Play;
+  std::atomic<int> Count{0};
+  std::atomic<bool> HasRetryAfter{false};
+  ScriptedServer First;
+  ScriptedServer Second;
+  RunningDuty Duty;
+  fleet::FleetSettings Settings;
+  EntryDialect Dialect = makeDialect();
+  fleet::View View;
+  std::unique_ptr<RequestFlow> Flow;
+  AnswerCollector Collected;
+};
+
+void refuse(Peer &peer) { peer.send(Refusal); }
+/// Ends the connection after the request was read: it may have run.
+void lose(Peer &peer) {
+  peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Length: 9\r\n\r\n");
+  peer.close();
+}
+
+} // namespace
+
+TEST_CASE("A client is told truly whether its request has run") {
+  SECTION("refused by all targets: not run, and when to come back") {
+    Entry entry([](Peer &peer, int) { refuse(peer); });
+    CHECK(entry.ask("GET", "/read/1") == 503);
+    CHECK(entry.tellsWhenToComeBack());
+    CHECK(entry.countRequests() == 2);
+  }
+  SECTION("refused first, then answered") {
+    Entry entry([](Peer &peer, int number) {
+      number == 1 ? refuse(peer) : peer.send(Answer);
+    });
+    CHECK(entry.ask("POST", "/order/1") == 200);
+  }
+  SECTION("lost first, then refused: it may have run") {
+    Entry entry([](Peer &peer, int number) {
+      number == 1 ? lose(peer) : refuse(peer);
+    });
+    CHECK(entry.ask("GET", "/read/1") == 502);
+    CHECK_FALSE(entry.tellsWhenToComeBack());
+    CHECK(entry.countRequests() == 2);
+  }
+  SECTION("lost, and not to be repeated") {
+    Entry entry([](Peer &peer, int) { lose(peer); });
+    CHECK(entry.ask("POST", "/order/1") == 502);
+    CHECK_FALSE(entry.tellsWhenToComeBack());
+    CHECK(entry.countRequests() == 1);
+  }
+  SECTION("lost first, then answered") {
+    Entry entry([](Peer &peer, int number) {
+      number == 1 ? lose(peer) : peer.send(Answer);
+    });
+    CHECK(entry.ask("GET", "/read/1") == 200);
+  }
+}
--- a/packages/gateway/tests/Support.cpp
+++ b/packages/gateway/tests/Support.cpp
@@ -141,6 +141,10 @@
     rest.clear();
 }
 
+void ScriptedServer::Peer::close() {
+  ::shutdown(Socket.native_handle(), SHUT_RDWR);
+}
+
 ScriptedServer::ScriptedServer(Script script)
     : Play(std::move(script)),
       Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
@@ -154,7 +158,7 @@
   waker.connect(Acceptor.local_endpoint(), ec);
   Acceptance.join();
   for (auto &peer : Peers)
-    ::shutdown(peer->Socket.native_handle(), SHUT_RDWR);
+    peer->close();
   for (auto &thread : Threads)
     thread.join();
 }
@@ -180,7 +184,7 @@
     const std::size_t number = ++Accepted;
     Threads.emplace_back([this, peer, number] {
       Play(*peer, number);
-      ::shutdown(peer->Socket.native_handle(), SHUT_RDWR);
+      peer->close();
     });
   }
 }
--- a/packages/gateway/tests/Support.h
+++ b/packages/gateway/tests/Support.h
@@ -64,6 +64,8 @@
     void send(std::string_view bytes);
     /// Reads until the other end closes.
     void awaitClose();
+    /// Ends the connection in both directions.
+    void close();
 
   private:
     friend class ScriptedServer;
