--- a/bench/load/LoadClient.cpp
+++ b/bench/load/LoadClient.cpp
@@ -31,9 +31,9 @@
 
 LoadClient::LoadClient(boost::asio::io_context &context, ClientConfig config,
                        std::vector<PlannedRequest> plan,
-                       std::vector<std::string> partners, LoadReport &report)
+                       std::vector<std::string> accounts, LoadReport &report)
     : Context(context), Config(std::move(config)), Plan(std::move(plan)),
-      Partners(std::move(partners)), Report(report), Timer(context),
+      ClientAccounts(std::move(accounts)), Report(report), Timer(context),
       Idle(Config.Endpoints.size()) {}
 
 LoadClient::~LoadClient() = default;
@@ -59,7 +59,7 @@
              11};
   request.set(http::field::host, "mill-load");
   request.set("Mill-Key", "key-" + std::to_string(planned.Key));
-  request.set("Mill-Partner", Partners[planned.Partner]);
+  request.set("Mill-Client-Account", ClientAccounts[planned.ClientAccount]);
   if (Config.DeadlineMs > 0)
     request.set("Mill-Deadline-Ms", std::to_string(Config.DeadlineMs));
   if (planned.IsPost)
@@ -126,7 +126,7 @@
   else if (outcome == "not-run")
     fate = Fate::NotRun;
   const std::string_view code = answer["Mill-Code"];
-  Report.add(planned.Partner, fate, code,
+  Report.add(planned.ClientAccount, fate, code,
              Clock::now() - (StartedAt + planned.Due));
   if (answer.keep_alive())
     Idle[connection->Endpoint].push_back(connection);
@@ -134,7 +134,7 @@
 
 void LoadClient::fail(const ConnectionPtr &connection, const char *reason) {
   const PlannedRequest &planned = Plan[connection->Number];
-  Report.add(planned.Partner, Fate::Unknown, reason,
+  Report.add(planned.ClientAccount, Fate::Unknown, reason,
              Clock::now() - (StartedAt + planned.Due));
 }
 
--- a/bench/load/LoadClient.h
+++ b/bench/load/LoadClient.h
@@ -29,7 +29,7 @@
 public:
   LoadClient(boost::asio::io_context &context, ClientConfig config,
              std::vector<PlannedRequest> plan,
-             std::vector<std::string> partners, LoadReport &report);
+             std::vector<std::string> accounts, LoadReport &report);
   ~LoadClient();
   /// The context runs out of work when all requests have ended.
   void start();
@@ -49,7 +49,7 @@
   boost::asio::io_context &Context;
   ClientConfig Config;
   std::vector<PlannedRequest> Plan;
-  std::vector<std::string> Partners;
+  std::vector<std::string> ClientAccounts;
   LoadReport &Report;
   boost::asio::steady_timer Timer;
   std::chrono::steady_clock::time_point StartedAt;
--- a/bench/load/LoadPlan.cpp
+++ b/bench/load/LoadPlan.cpp
@@ -21,9 +21,11 @@
 std::vector<PlannedRequest> makePlan(const PlanConfig &config) {
   const auto weights = makeZipfWeights(config);
   std::vector<PlannedRequest> plan;
-  for (std::uint32_t partner = 0; partner < config.Partners.size(); ++partner) {
-    std::mt19937_64 random(config.Seed * 1000 + partner);
-    std::exponential_distribution<double> gap(config.Partners[partner].Rate);
+  for (std::uint32_t account = 0; account < config.ClientAccounts.size();
+       ++account) {
+    std::mt19937_64 random(config.Seed * 1000 + account);
+    std::exponential_distribution<double> gap(
+        config.ClientAccounts[account].Rate);
     std::discrete_distribution<std::uint32_t> key(weights.begin(),
                                                   weights.end());
     std::bernoulli_distribution post(config.PostShare);
@@ -31,15 +33,15 @@
     for (; due < config.Length.count(); due += gap(random)) {
       const auto at = std::chrono::duration<double>(due);
       plan.push_back({std::chrono::duration_cast<std::chrono::nanoseconds>(at),
-                      partner, key(random), post(random)});
+                      account, key(random), post(random)});
     }
   }
   std::ranges::sort(plan, {}, &PlannedRequest::Due);
   return plan;
 }
 
-std::vector<PartnerRate> parsePartners(std::string_view text) {
-  std::vector<PartnerRate> partners;
+std::vector<ClientAccountRate> parseClientAccounts(std::string_view text) {
+  std::vector<ClientAccountRate> accounts;
   while (!text.empty()) {
     const auto item = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
@@ -50,9 +52,9 @@
         std::strtod(std::string(item.substr(colon + 1)).c_str(), nullptr);
     if (rate <= 0)
       return {};
-    partners.push_back({std::string(item.substr(0, colon)), rate});
+    accounts.push_back({std::string(item.substr(0, colon)), rate});
   }
-  return partners;
+  return accounts;
 }
 
 } // namespace magnoliamill::bench
--- a/bench/load/LoadPlan.h
+++ b/bench/load/LoadPlan.h
@@ -10,14 +10,14 @@
 
 namespace magnoliamill::bench {
 
-struct PartnerRate {
-  std::string Partner;
+struct ClientAccountRate {
+  std::string ClientAccount;
   /// Requests per second.
   double Rate = 0;
 };
 
 struct PlanConfig {
-  std::vector<PartnerRate> Partners;
+  std::vector<ClientAccountRate> ClientAccounts;
   std::chrono::duration<double> Length{5};
   std::uint64_t Seed = 1;
   std::uint32_t Keys = 1000;
@@ -30,15 +30,15 @@
 struct PlannedRequest {
   /// Since the start of the run.
   std::chrono::nanoseconds Due{};
-  std::uint32_t Partner = 0;
+  std::uint32_t ClientAccount = 0;
   std::uint32_t Key = 0;
   bool IsPost = false;
 };
 
-/// Poisson arrivals of each partner, merged in order of time.
+/// Poisson arrivals of each client account, merged in order of time.
 std::vector<PlannedRequest> makePlan(const PlanConfig &config);
 
 /// Reads "brazos:100,salzhof:50"; empty when malformed.
-std::vector<PartnerRate> parsePartners(std::string_view text);
+std::vector<ClientAccountRate> parseClientAccounts(std::string_view text);
 
 } // namespace magnoliamill::bench
--- a/bench/load/LoadReport.cpp
+++ b/bench/load/LoadReport.cpp
@@ -38,13 +38,13 @@
   return sum * sum / (static_cast<double>(shares.size()) * squares);
 }
 
-LoadReport::LoadReport(std::vector<PartnerRate> partners)
-    : Partners(std::move(partners)), Tallies(Partners.size()) {}
+LoadReport::LoadReport(std::vector<ClientAccountRate> accounts)
+    : ClientAccounts(std::move(accounts)), Tallies(ClientAccounts.size()) {}
 
-void LoadReport::add(std::uint32_t partner, Fate fate, std::string_view code,
+void LoadReport::add(std::uint32_t account, Fate fate, std::string_view code,
                      std::chrono::nanoseconds latency) {
   const double ms = std::chrono::duration<double, std::milli>(latency).count();
-  Tally &tally = Tallies[partner];
+  Tally &tally = Tallies[account];
   if (fate == Fate::Answered) {
     ++tally.Answered;
     AnsweredMs.push_back(ms);
@@ -61,19 +61,20 @@
                      std::chrono::duration<double> length) const {
   Tally total;
   std::vector<double> shares;
-  boost::json::object partners;
-  // Partners of the lowest rate are the equal ones; others flood.
+  boost::json::object accounts;
+  // Client accounts of the lowest rate are the equal ones; others flood.
   const double lowest =
-      std::ranges::min_element(Partners, {}, &PartnerRate::Rate)->Rate;
-  for (std::size_t n = 0; n < Partners.size(); ++n) {
+      std::ranges::min_element(ClientAccounts, {}, &ClientAccountRate::Rate)
+          ->Rate;
+  for (std::size_t n = 0; n < ClientAccounts.size(); ++n) {
     const Tally &tally = Tallies[n];
     total.Answered += tally.Answered;
     total.NotRun += tally.NotRun;
     total.Unknown += tally.Unknown;
-    if (Partners[n].Rate <= lowest)
+    if (ClientAccounts[n].Rate <= lowest)
       shares.push_back(static_cast<double>(tally.Answered));
-    partners[Partners[n].Partner] =
-        boost::json::object{{"rate", Partners[n].Rate},
+    accounts[ClientAccounts[n].ClientAccount] =
+        boost::json::object{{"rate", ClientAccounts[n].Rate},
                             {"answered", tally.Answered},
                             {"not_run", tally.NotRun}};
   }
@@ -89,7 +90,7 @@
   document["answered_ms"] = describeLatency(AnsweredMs);
   document["refused_ms"] = describeLatency(RefusedMs);
   document["jain"] = jainIndex(shares);
-  document["partners"] = std::move(partners);
+  document["client_accounts"] = std::move(accounts);
   document["codes"] = std::move(codes);
   return document;
 }
--- a/bench/load/LoadReport.h
+++ b/bench/load/LoadReport.h
@@ -16,10 +16,10 @@
 
 class LoadReport {
 public:
-  explicit LoadReport(std::vector<PartnerRate> partners);
+  explicit LoadReport(std::vector<ClientAccountRate> accounts);
 
   /// \p latency counts from when the request was due, not from its sending.
-  void add(std::uint32_t partner, Fate fate, std::string_view code,
+  void add(std::uint32_t account, Fate fate, std::string_view code,
            std::chrono::nanoseconds latency);
   boost::json::object describe(std::size_t sent,
                                std::chrono::duration<double> length) const;
@@ -31,7 +31,7 @@
     std::size_t Unknown = 0;
   };
 
-  std::vector<PartnerRate> Partners;
+  std::vector<ClientAccountRate> ClientAccounts;
   std::vector<Tally> Tallies;
   // Milliseconds.
   std::vector<double> AnsweredMs;
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -9,7 +9,8 @@
 
 DEFINE_string(endpoints, "", "host:port,host:port with numeric hosts");
 DEFINE_string(path, "/s/barnstock/level", "path of every request");
-DEFINE_string(partners, "brazos:100", "partner:rate,...; requests per second");
+DEFINE_string(client_accounts, "brazos:100",
+              "account:rate,...; requests per second");
 DEFINE_double(seconds, 5, "length of the run");
 DEFINE_uint64(seed, 1, "fixes arrivals and keys");
 DEFINE_uint32(keys, 1000, "different keys");
@@ -47,9 +48,9 @@
   ClientConfig client;
   client.Endpoints = parseEndpoints(FLAGS_endpoints);
   PlanConfig plan;
-  plan.Partners = parsePartners(FLAGS_partners);
-  if (client.Endpoints.empty() || plan.Partners.empty()) {
-    fmt::print(stderr, "mill-load: bad --endpoints or --partners\n");
+  plan.ClientAccounts = parseClientAccounts(FLAGS_client_accounts);
+  if (client.Endpoints.empty() || plan.ClientAccounts.empty()) {
+    fmt::print(stderr, "mill-load: bad --endpoints or --client_accounts\n");
     return 1;
   }
   client.Path = FLAGS_path;
@@ -62,11 +63,11 @@
   plan.PostShare = FLAGS_post_share;
 
   std::vector<std::string> names;
-  for (const auto &partner : plan.Partners)
-    names.push_back(partner.Partner);
+  for (const auto &account : plan.ClientAccounts)
+    names.push_back(account.ClientAccount);
   auto planned = makePlan(plan);
   const std::size_t sent = planned.size();
-  LoadReport report(plan.Partners);
+  LoadReport report(plan.ClientAccounts);
   boost::asio::io_context context(1);
   LoadClient load(context, std::move(client), std::move(planned),
                   std::move(names), report);
--- a/fakes/target/FakeTarget.cpp
+++ b/fakes/target/FakeTarget.cpp
@@ -74,7 +74,7 @@
   run.Key = get("Mill-Key");
   run.Slot = get("Mill-Slot");
   run.Token = get("Mill-Token");
-  run.Partner = get("Mill-Partner");
+  run.ClientAccount = get("Mill-Client-Account");
   run.Idempotency = get("Idempotency-Key");
   run.Method = call.Method;
   run.Path = call.Target;
--- a/fakes/target/RunRecord.cpp
+++ b/fakes/target/RunRecord.cpp
@@ -22,7 +22,7 @@
   line["token"] = run.Token;
   line["method"] = run.Method;
   line["path"] = run.Path;
-  line["partner"] = run.Partner;
+  line["account"] = run.ClientAccount;
   if (!run.Idempotency.empty())
     line["idempotency"] = run.Idempotency;
   line["start_us"] = toUs(run.StartedAt);
--- a/fakes/target/RunRecord.h
+++ b/fakes/target/RunRecord.h
@@ -19,7 +19,7 @@
   std::string Token;
   std::string Method;
   std::string Path;
-  std::string Partner;
+  std::string ClientAccount;
   std::string Idempotency;
   base::MonoTime StartedAt;
   base::MonoTime EndedAt;
--- a/packages/base/Ids.h
+++ b/packages/base/Ids.h
@@ -29,8 +29,9 @@
 using DataCentreId = Name<struct DataCentreIdTag>;
 /// A service, the last part of its settings path.
 using ServiceId = Name<struct ServiceIdTag>;
-/// A partner: the customer of the platform that a request is counted for.
-using PartnerId = Name<struct PartnerIdTag>;
+/// A client account: the customer of the platform that a request is counted
+/// for.
+using ClientAccountId = Name<struct ClientAccountIdTag>;
 /// One run of a target's process: a restart has a new id, so that grants given
 /// to the old run are void.
 using TargetInstanceId = Name<struct TargetInstanceIdTag>;
--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -31,7 +31,7 @@
   UnknownService = 2004,
   MissingKey = 2005,
   BadDeadline = 2006,
-  UnknownPartner = 2007,
+  UnknownClientAccount = 2007,
   UnknownRoute = 2008,
   RequestTimeout = 2009,
   TooManyConnections = 2010,
--- a/packages/dispatch/PartnerPace.h
+++ b/packages/dispatch/ClientAccountPace.h
@@ -1,5 +1,5 @@
-// How fast a partner's waiting requests are started, which under load is its
-// share of the capacity. Tells how long a new one would wait.
+// How fast a client account's waiting requests are started, which under load is
+// its share of the capacity. Tells how long a new one would wait.
 #pragma once
 
 #include "base/Time.h"
@@ -8,9 +8,9 @@
 
 namespace magnoliamill::dispatch {
 
-class PartnerPace {
+class ClientAccountPace {
 public:
-  /// A request was started; \p waiting of the same partner wait on.
+  /// A request was started; \p waiting of the same client account wait on.
   void onStart(std::size_t waiting, base::MonoTime now) {
     // A gap during which nobody waited says nothing about the share.
     if (WasWaiting)
--- a/packages/dispatch/Dispatcher.h
+++ b/packages/dispatch/Dispatcher.h
@@ -5,9 +5,9 @@
 #include "base/Ids.h"
 #include "base/Result.h"
 #include "base/Time.h"
+#include "dispatch/ClientAccountPace.h"
 #include "dispatch/ConcurrencyLimit.h"
 #include "dispatch/FairQueue.h"
-#include "dispatch/PartnerPace.h"
 #include "dispatch/RequestInfo.h"
 #include "dispatch/RetryBudget.h"
 #include "dispatch/TargetHealth.h"
@@ -124,8 +124,8 @@
     base::ServiceId Service;
     FairQueue Queue;
     std::vector<base::TargetInstanceId> Members;
-    // Bounded by the partners that ever waited here; gone with the pool.
-    std::map<base::PartnerId, PartnerPace> Paces;
+    // Bounded by the client accounts that ever waited here; gone with the pool.
+    std::map<base::ClientAccountId, ClientAccountPace> Paces;
   };
   struct Attempt {
     RequestInfo Info;
--- a/packages/dispatch/FairQueue.h
+++ b/packages/dispatch/FairQueue.h
@@ -1,5 +1,5 @@
-// Bounded queue that serves partners by weight (deficit round robin), urgent
-// requests ahead of normal ones without starving them.
+// Bounded queue that serves client accounts by weight (deficit round robin),
+// urgent requests ahead of normal ones without starving them.
 #pragma once
 
 #include "dispatch/RequestInfo.h"
@@ -14,20 +14,20 @@
 namespace magnoliamill::dispatch {
 
 struct FairQueueConfig {
-  /// Requests that may wait, over all partners.
+  /// Requests that may wait, over all client accounts.
   std::size_t Limit = 64;
   /// Urgent requests served in a row while a normal one waits.
   std::uint32_t UrgentRun = 4;
-  std::function<std::uint32_t(const base::PartnerId &)> WeightOf;
+  std::function<std::uint32_t(const base::ClientAccountId &)> WeightOf;
 };
 
 class FairQueue {
 public:
   explicit FairQueue(FairQueueConfig config);
 
-  /// Puts \p info in. When the queue is full, the newest request of the partner
-  /// that holds most relative to its weight leaves instead: that may be \p
-  /// info. Returns what left.
+  /// Puts \p info in. When the queue is full, the newest request of the client
+  /// account that holds most relative to its weight leaves instead: that may be
+  /// \p info. Returns what left.
   std::optional<RequestInfo> push(RequestInfo info);
   /// The next request to serve for which \p eligible holds.
   std::optional<RequestInfo>
@@ -39,32 +39,32 @@
   removeIf(const std::function<bool(const RequestInfo &)> &leaves);
 
   std::size_t size() const { return Size; }
-  std::size_t sizeOf(const base::PartnerId &partner) const;
-  /// How many requests would be served before a new one of \p partner: its own,
+  std::size_t sizeOf(const base::ClientAccountId &account) const;
+  /// How many requests would be served before a new one of \p account: its own,
   /// and for each of them a weighted share of the others'.
-  std::size_t countAhead(const base::PartnerId &partner) const;
+  std::size_t countAhead(const base::ClientAccountId &account) const;
   /// The earliest deadline of a waiting request.
   std::optional<base::MonoTime> earliestDeadline() const;
   void setLimit(std::size_t limit) { Config.Limit = limit; }
 
 private:
-  /// One partner's requests of one class.
+  /// One client account's requests of one class.
   struct Lane {
     std::deque<RequestInfo> Waiting;
     // Requests this lane may still serve in the present round.
     std::uint32_t Credit = 0;
   };
   struct Band {
-    std::map<base::PartnerId, Lane> Lanes;
-    // The partner whose turn it is.
-    base::PartnerId Turn;
+    std::map<base::ClientAccountId, Lane> Lanes;
+    // The client account whose turn it is.
+    base::ClientAccountId Turn;
   };
 
   Band &bandOf(settings::Urgency urgency);
   std::optional<RequestInfo>
   popBand(Band &band, const std::function<bool(const RequestInfo &)> &eligible);
   std::optional<RequestInfo> evictHeaviest();
-  std::uint32_t weightOf(const base::PartnerId &partner) const;
+  std::uint32_t weightOf(const base::ClientAccountId &account) const;
 
   FairQueueConfig Config;
   Band Urgent;
--- a/packages/dispatch/RequestInfo.h
+++ b/packages/dispatch/RequestInfo.h
@@ -14,7 +14,7 @@
 struct RequestInfo {
   base::RequestId Id;
   base::ServiceId Service;
-  base::PartnerId Partner;
+  base::ClientAccountId ClientAccount;
   /// Absent for services without keys.
   std::optional<base::SlotNumber> Slot;
   /// Hash of the key, for the hot-key sketch; 0 without a key.
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -8,7 +8,7 @@
 
 // Attempts at targets for one request, the first included.
 constexpr std::uint32_t MaxTries = 4;
-// Factor on a partner's wait by its own pace.
+// Factor on a client account's wait by its own pace.
 constexpr std::int64_t PaceMargin = 3;
 // Latency assumed for a target that has not answered yet.
 constexpr base::Duration FirstLatency = std::chrono::milliseconds(5);
@@ -64,12 +64,12 @@
   const auto *found = findService(service);
   if (found)
     config.Limit = found->QueueLimitPerTarget;
-  config.WeightOf = [this, service](const base::PartnerId &partner) {
+  config.WeightOf = [this, service](const base::ClientAccountId &account) {
     const auto *view = findService(service);
     if (!view)
       return std::uint32_t(1);
-    auto weight = view->PartnerWeights.find(partner);
-    return weight == view->PartnerWeights.end() ? 1 : weight->second;
+    auto weight = view->ClientAccountWeights.find(account);
+    return weight == view->ClientAccountWeights.end() ? 1 : weight->second;
   };
   auto &pool = Pools.emplace(name, Pool(std::move(config))).first->second;
   pool.Service = service;
@@ -93,7 +93,7 @@
     return {};
   if (latency == base::Duration{})
     latency = FirstLatency;
-  std::size_t ahead = pool.Queue.countAhead(info.Partner);
+  std::size_t ahead = pool.Queue.countAhead(info.ClientAccount);
   // An idle target gets its request in any case: a mean that was once too long
   // for the callers' deadlines could otherwise never be corrected.
   if (ahead == 0 && running == 0)
@@ -103,12 +103,13 @@
     return latency;
   // A margin for chance: a refusal now is worth more than one at the deadline.
   auto wait = latency * static_cast<std::int64_t>(ahead) / capacity * 5 / 4;
-  // Partners that keep coming take their share too, so a flooding partner's
-  // own pace can be slower than what waits now suggests. What the others leave
-  // to it varies much more than the whole.
-  if (auto it = pool.Paces.find(info.Partner); it != pool.Paces.end())
-    wait = std::max(wait, PaceMargin * it->second.estimateWait(
-                                           pool.Queue.sizeOf(info.Partner)));
+  // Client accounts that keep coming take their share too, so a flooding client
+  // account's own pace can be slower than what waits now suggests. What the
+  // others leave to it varies much more than the whole.
+  if (auto it = pool.Paces.find(info.ClientAccount); it != pool.Paces.end())
+    wait =
+        std::max(wait, PaceMargin * it->second.estimateWait(
+                                        pool.Queue.sizeOf(info.ClientAccount)));
   return wait + 2 * latency;
 }
 
@@ -230,7 +231,8 @@
       });
       if (!info)
         break;
-      pool.Paces[info->Partner].onStart(pool.Queue.sizeOf(info->Partner), now);
+      pool.Paces[info->ClientAccount].onStart(
+          pool.Queue.sizeOf(info->ClientAccount), now);
       ++target->InFlight;
       if (info->Slot)
         ++InFlightOfSlot[{info->Service, *info->Slot}];
--- a/packages/dispatch/internal/FairQueue.cpp
+++ b/packages/dispatch/internal/FairQueue.cpp
@@ -1,4 +1,4 @@
-// Deficit round robin over partners in two bands.
+// Deficit round robin over client accounts in two bands.
 #include "dispatch/FairQueue.h"
 
 #include <algorithm>
@@ -11,14 +11,14 @@
   return urgency == settings::Urgency::Urgent ? Urgent : Normal;
 }
 
-std::uint32_t FairQueue::weightOf(const base::PartnerId &partner) const {
+std::uint32_t FairQueue::weightOf(const base::ClientAccountId &account) const {
   if (!Config.WeightOf)
     return 1;
-  return std::max<std::uint32_t>(1, Config.WeightOf(partner));
+  return std::max<std::uint32_t>(1, Config.WeightOf(account));
 }
 
 std::optional<RequestInfo> FairQueue::push(RequestInfo info) {
-  Lane &lane = bandOf(info.Class).Lanes[info.Partner];
+  Lane &lane = bandOf(info.Class).Lanes[info.ClientAccount];
   lane.Waiting.push_back(std::move(info));
   ++Size;
   if (Size <= Config.Limit)
@@ -27,17 +27,17 @@
 }
 
 std::optional<RequestInfo> FairQueue::evictHeaviest() {
-  base::PartnerId heaviest;
+  base::ClientAccountId heaviest;
   double most = -1;
   for (const Band *band : {&Normal, &Urgent})
-    for (const auto &[partner, lane] : band->Lanes) {
-      double held = static_cast<double>(sizeOf(partner)) / weightOf(partner);
+    for (const auto &[account, lane] : band->Lanes) {
+      double held = static_cast<double>(sizeOf(account)) / weightOf(account);
       if (held > most) {
         most = held;
-        heaviest = partner;
+        heaviest = account;
       }
     }
-  // Normal requests leave before urgent ones of the same partner.
+  // Normal requests leave before urgent ones of the same client account.
   for (Band *band : {&Normal, &Urgent}) {
     auto it = band->Lanes.find(heaviest);
     if (it == band->Lanes.end() || it->second.Waiting.empty())
@@ -81,7 +81,7 @@
     } else if (ends) {
       ++it;
     }
-    band.Turn = it == band.Lanes.end() ? base::PartnerId() : it->first;
+    band.Turn = it == band.Lanes.end() ? base::ClientAccountId() : it->first;
     return info;
   }
   return std::nullopt;
@@ -130,24 +130,25 @@
   return removed;
 }
 
-std::size_t FairQueue::sizeOf(const base::PartnerId &partner) const {
+std::size_t FairQueue::sizeOf(const base::ClientAccountId &account) const {
   std::size_t held = 0;
   for (const Band *band : {&Urgent, &Normal}) {
-    auto it = band->Lanes.find(partner);
+    auto it = band->Lanes.find(account);
     if (it != band->Lanes.end())
       held += it->second.Waiting.size();
   }
   return held;
 }
 
-std::size_t FairQueue::countAhead(const base::PartnerId &partner) const {
-  std::size_t own = sizeOf(partner);
+std::size_t FairQueue::countAhead(const base::ClientAccountId &account) const {
+  std::size_t own = sizeOf(account);
   std::size_t ahead = own;
-  // The rounds that the partner's own requests need, and one for the new one.
-  std::size_t rounds = own / weightOf(partner) + 1;
+  // The rounds that the client account's own requests need, and one for the new
+  // one.
+  std::size_t rounds = own / weightOf(account) + 1;
   for (const Band *band : {&Urgent, &Normal})
     for (const auto &[other, lane] : band->Lanes)
-      if (other != partner)
+      if (other != account)
         ahead += std::min(lane.Waiting.size(), rounds * weightOf(other));
   return ahead;
 }
@@ -155,7 +156,7 @@
 std::optional<base::MonoTime> FairQueue::earliestDeadline() const {
   std::optional<base::MonoTime> earliest;
   for (const Band *band : {&Urgent, &Normal})
-    for (const auto &[partner, lane] : band->Lanes)
+    for (const auto &[account, lane] : band->Lanes)
       for (const RequestInfo &info : lane.Waiting)
         if (!earliest || info.Deadline < *earliest)
           earliest = info.Deadline;
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -63,11 +63,11 @@
   }
 
   RequestInfo request(const base::ServiceId &service,
-                      const char *partner = "p") {
+                      const char *account = "p") {
     RequestInfo info;
     info.Id = base::RequestId(fmt::format("r{}", Next++));
     info.Service = service;
-    info.Partner = base::PartnerId(partner);
+    info.ClientAccount = base::ClientAccountId(account);
     if (service == Keyed)
       info.Slot = 1;
     info.Deadline = Now + 2000ms;
@@ -130,12 +130,13 @@
   REQUIRE(actions.End[0].Failure.RetryAfterMs > 0);
 }
 
-TEST_CASE("A flooding partner does not take the others' share", "[dispatch]") {
+TEST_CASE("A flooding client account does not take the others' share",
+          "[dispatch]") {
   Bench bench;
   bench.warmUp(Keyed);
   std::map<std::string, int> served;
   std::vector<base::RequestId> running;
-  std::map<base::RequestId, std::string> PartnerOf;
+  std::map<base::RequestId, std::string> ClientAccountOf;
   std::set<base::RequestId> refused;
   auto take = [&](const DispatchActions &actions) {
     for (const auto &start : actions.Start)
@@ -146,25 +147,25 @@
   for (int round = 0; round < 300; ++round) {
     for (int i = 0; i < 10; ++i) {
       auto info = bench.request(Keyed, "flood");
-      PartnerOf[info.Id] = "flood";
+      ClientAccountOf[info.Id] = "flood";
       take(bench.Subject.submit(info, bench.Now));
     }
-    for (const char *partner : {"quiet-1", "quiet-2"}) {
-      auto info = bench.request(Keyed, partner);
-      PartnerOf[info.Id] = partner;
+    for (const char *account : {"quiet-1", "quiet-2"}) {
+      auto info = bench.request(Keyed, account);
+      ClientAccountOf[info.Id] = account;
       take(bench.Subject.submit(info, bench.Now));
     }
     bench.Now += 5ms;
     for (const auto &id : std::exchange(running, {})) {
-      ++served[PartnerOf[id]];
+      ++served[ClientAccountOf[id]];
       take(bench.answer(id));
     }
   }
-  // Three are served in a round and three partners ask: each gets one.
+  // Three are served in a round and three client accounts ask: each gets one.
   double sum = 0;
   double squares = 0;
-  for (const auto &[partner, n] : served)
-    if (!partner.empty() && partner != "p") {
+  for (const auto &[account, n] : served)
+    if (!account.empty() && account != "p") {
       sum += n;
       squares += static_cast<double>(n) * n;
     }
--- a/packages/dispatch/tests/OverloadTest.cpp
+++ b/packages/dispatch/tests/OverloadTest.cpp
@@ -37,11 +37,11 @@
     Subject.setOwnership(view, Now);
   }
 
-  RequestInfo request(const char *partner, base::Duration left) {
+  RequestInfo request(const char *account, base::Duration left) {
     RequestInfo info;
     info.Id = base::RequestId(fmt::format("r{}", Next++));
     info.Service = Service;
-    info.Partner = base::PartnerId(partner);
+    info.ClientAccount = base::ClientAccountId(account);
     info.Deadline = Now + left;
     return info;
   }
@@ -101,8 +101,8 @@
     for (const auto &end : actions.End)
       RefusedAfter.push_back(bench.Now - since[end.Request]);
   };
-  auto submit = [&](const char *partner) {
-    auto info = bench.request(partner, 1000ms);
+  auto submit = [&](const char *account) {
+    auto info = bench.request(account, 1000ms);
     since[info.Id] = bench.Now;
     take(bench.Subject.submit(std::move(info), bench.Now));
   };
@@ -117,8 +117,8 @@
     if (ms % 14 < 3)
       submit("flood");
     if (ms % 47 == 0)
-      for (const char *partner : {"p1", "p2", "p3", "p4"})
-        submit(partner);
+      for (const char *account : {"p1", "p2", "p3", "p4"})
+        submit(account);
     if (ms % 20 == 0)
       take(bench.Subject.tick(bench.Now));
   }
--- a/packages/gateway/internal/Routes.cpp
+++ b/packages/gateway/internal/Routes.cpp
@@ -16,7 +16,7 @@
 using protocol::HttpHeader;
 
 constexpr std::string_view ServicePrefix = "/s/";
-constexpr std::string_view DefaultPartner = "default";
+constexpr std::string_view DefaultClientAccount = "default";
 constexpr std::uint32_t MaxDeadlineMs = 600'000;
 constexpr std::size_t MaxIdempotencyKeyBytes = 200;
 /// Paths under this segment are for the system and its targets only.
@@ -105,14 +105,15 @@
 
 base::Result<void> readMillHeaders(const std::vector<HttpHeader> &headers,
                                    protocol::ForwardRequest &request) {
-  for (const auto name :
-       {"Mill-Key", "Mill-Partner", "Mill-Deadline-Ms", "Idempotency-Key"})
+  for (const auto name : {"Mill-Key", "Mill-Client-Account", "Mill-Deadline-Ms",
+                          "Idempotency-Key"})
     if (countHeader(headers, name) > 1)
       return base::fail(ResultCode::BadRequest,
                         std::string(name) + " is given twice");
   request.Key = findHeader(headers, "Mill-Key");
-  const auto partner = findHeader(headers, "Mill-Partner");
-  request.Partner = base::PartnerId(partner.empty() ? DefaultPartner : partner);
+  const auto account = findHeader(headers, "Mill-Client-Account");
+  request.ClientAccount =
+      base::ClientAccountId(account.empty() ? DefaultClientAccount : account);
   request.IdempotencyKey = findHeader(headers, "Idempotency-Key");
   if (request.IdempotencyKey.size() > MaxIdempotencyKeyBytes ||
       !isPrintable(request.IdempotencyKey))
--- a/packages/gateway/internal/TargetMessage.cpp
+++ b/packages/gateway/internal/TargetMessage.cpp
@@ -44,8 +44,8 @@
     message.set("Mill-Key", request.Key);
   if (!request.Id.empty())
     message.set("Mill-Request-Id", request.Id.Value);
-  if (!request.Partner.empty())
-    message.set("Mill-Partner", request.Partner.Value);
+  if (!request.ClientAccount.empty())
+    message.set("Mill-Client-Account", request.ClientAccount.Value);
   if (!request.IdempotencyKey.empty())
     message.set("Idempotency-Key", request.IdempotencyKey);
   const auto ms = std::max<std::int64_t>(base::toMs(left), 1);
--- a/packages/gateway/tests/HttpGatewayTest.cpp
+++ b/packages/gateway/tests/HttpGatewayTest.cpp
@@ -13,7 +13,7 @@
 
   SECTION("its Mill headers are read, and not passed on") {
     client.send("POST /s/press-orders/jobs/7?full=1 HTTP/1.1\r\nHost: a\r\n"
-                "Mill-Key: job-7\r\nMill-Partner: acme\r\n"
+                "Mill-Key: job-7\r\nMill-Client-Account: acme\r\n"
                 "Mill-Deadline-Ms: 1500\r\nIdempotency-Key: i-1\r\n"
                 "Mill-Token: 9.9\r\nMill-Slot: 4\r\nConnection: X-Hop\r\n"
                 "X-Hop: 1\r\nTE: trailers\r\nX-Kept: yes\r\n"
@@ -23,7 +23,7 @@
     CHECK(request.Target == "/jobs/7?full=1");
     CHECK(request.Method == "POST");
     CHECK(request.Key == "job-7");
-    CHECK(request.Partner.Value == "acme");
+    CHECK(request.ClientAccount.Value == "acme");
     CHECK(request.DeadlineMs == 1500);
     CHECK(request.IdempotencyKey == "i-1");
     CHECK(request.Body == "hello");
@@ -46,7 +46,7 @@
     const auto request = bench.request(0);
     CHECK(request.Body == "abcde");
     CHECK(request.Target == "/");
-    CHECK(request.Partner.Value == "default");
+    CHECK(request.ClientAccount.Value == "default");
     CHECK(request.DeadlineMs == 0);
   }
 
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -22,7 +22,7 @@
   call.Address = address;
   call.Request.Id = base::RequestId("r-1");
   call.Request.Service = base::ServiceId("orders");
-  call.Request.Partner = base::PartnerId("acme");
+  call.Request.ClientAccount = base::ClientAccountId("acme");
   call.Request.Key = "job-7";
   call.Request.Method = method;
   call.Request.Target = "/jobs/7";
@@ -98,8 +98,8 @@
   for (const char *line :
        {"POST /jobs/7 HTTP/1.1\r\n", "Mill-Token: 4.17\r\n",
         "Mill-Slot: 12\r\n", "Mill-Key: job-7\r\n", "Mill-Request-Id: r-1\r\n",
-        "Mill-Partner: acme\r\n", "X-Kept: yes\r\n", "Mill-Deadline-Ms: 4",
-        "Content-Length: 7\r\n\r\npayload"})
+        "Mill-Client-Account: acme\r\n", "X-Kept: yes\r\n",
+        "Mill-Deadline-Ms: 4", "Content-Length: 7\r\n\r\npayload"})
     CHECK(bytes.find(line) != std::string::npos);
 
   SECTION("and the next one reuses its connection") {
--- a/packages/node/PartnerCounters.h
+++ b/packages/node/ClientAccountCounters.h
@@ -1,5 +1,5 @@
-// What each partner got from this VM's dispatcher: ends of requests by result
-// code, and time until they ended.
+// What each client account got from this VM's dispatcher: ends of requests by
+// result code, and time until they ended.
 #pragma once
 
 #include "base/Ids.h"
@@ -18,13 +18,13 @@
 namespace magnoliamill::node {
 
 /// Not thread-safe.
-class PartnerCounters {
+class ClientAccountCounters {
 public:
-  /// Counts one end. Callers may name any partner, so those that the service
-  /// does not list are counted together as "other", and services that are not
-  /// in force as "unknown": the number of labels stays bounded.
+  /// Counts one end. Callers may name any client account, so those that the
+  /// service does not list are counted together as "other", and services that
+  /// are not in force as "unknown": the number of labels stays bounded.
   void count(const settings::View &settings, const base::ServiceId &service,
-             const base::PartnerId &partner, base::ResultCode code,
+             const base::ClientAccountId &account, base::ResultCode code,
              base::Duration took);
 
 private:
--- a/packages/node/DispatchFlow.h
+++ b/packages/node/DispatchFlow.h
@@ -5,7 +5,7 @@
 #include "base/DutyThread.h"
 #include "dispatch/Dispatcher.h"
 #include "gateway/TargetClient.h"
-#include "node/PartnerCounters.h"
+#include "node/ClientAccountCounters.h"
 #include "node/RequestRecords.h"
 #include "ownership/DispatchAgent.h"
 #include "protocol/Messages.h"
@@ -96,7 +96,7 @@
   void finishAttempt(const OpenPtr &open, std::uint32_t attempt,
                      const gateway::TargetOutcome &outcome);
   void endRequest(const dispatch::EndRequest &ended);
-  /// Fails a request and counts it for its partner.
+  /// Fails a request and counts it for its client account.
   void fail(const OpenPtr &open, const protocol::RequestFailure &failure);
   void countEnd(const Open &open, base::ResultCode code);
   void abandon(const base::RequestId &id);
@@ -115,7 +115,7 @@
   dispatch::Dispatcher Dispatcher;
   gateway::TargetClient Targets;
   RequestRecords Records;
-  PartnerCounters Partners;
+  ClientAccountCounters ClientAccounts;
   settings::ViewPtr Settings;
   ownership::ViewPtr Ownership;
   boost::asio::steady_timer Timer;
--- a/packages/node/RequestDescription.h
+++ b/packages/node/RequestDescription.h
@@ -11,7 +11,7 @@
 namespace magnoliamill::node {
 
 /// Fills in the service's default deadline when the request names none. Errors:
-/// UnknownService, MissingKey, UnknownPartner.
+/// UnknownService, MissingKey, UnknownClientAccount.
 base::Result<dispatch::RequestInfo>
 describeRequest(const settings::View &settings,
                 protocol::ForwardRequest &request, base::MonoTime now);
--- a/packages/node/internal/DispatchFlow.cpp
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -208,8 +208,9 @@
 }
 
 void DispatchFlow::countEnd(const Open &open, base::ResultCode code) {
-  Partners.count(*Settings, open.Request.Service, open.Request.Partner, code,
-                 base::readMonotonic() - open.Began);
+  ClientAccounts.count(*Settings, open.Request.Service,
+                       open.Request.ClientAccount, code,
+                       base::readMonotonic() - open.Began);
 }
 
 void DispatchFlow::abandon(const base::RequestId &id) {
--- a/packages/node/internal/RequestDescription.cpp
+++ b/packages/node/internal/RequestDescription.cpp
@@ -33,10 +33,10 @@
   if (service.Keyed && request.Key.empty())
     return base::fail(base::ResultCode::MissingKey,
                       "the service is keyed: send Mill-Key");
-  if (service.OnlyListedPartners &&
-      !service.PartnerWeights.contains(request.Partner))
-    return base::fail(base::ResultCode::UnknownPartner,
-                      "the service does not know this partner");
+  if (service.OnlyListedClientAccounts &&
+      !service.ClientAccountWeights.contains(request.ClientAccount))
+    return base::fail(base::ResultCode::UnknownClientAccount,
+                      "the service does not know this client account");
   if (request.DeadlineMs == 0)
     request.DeadlineMs =
         static_cast<std::uint32_t>(base::toMs(service.DefaultDeadline));
@@ -44,7 +44,7 @@
   dispatch::RequestInfo info;
   info.Id = request.Id;
   info.Service = request.Service;
-  info.Partner = request.Partner;
+  info.ClientAccount = request.ClientAccount;
   if (service.Keyed) {
     info.Slot = base::slotOfKey(service.Id, request.Key, service.Slots);
     info.KeyHash = base::hash64(request.Key);
--- a/packages/protocol/Messages.h
+++ b/packages/protocol/Messages.h
@@ -32,7 +32,7 @@
 struct ForwardRequest {
   base::RequestId Id;
   base::ServiceId Service;
-  base::PartnerId Partner;
+  base::ClientAccountId ClientAccount;
   /// Empty for services without keys.
   std::string Key;
   /// Empty when the caller gave none.
--- a/packages/protocol/internal/CallCodec.cpp
+++ b/packages/protocol/internal/CallCodec.cpp
@@ -218,7 +218,7 @@
             wire::ForwardRequest::Builder builder) {
   builder.setId(asText(value.Id.Value));
   builder.setService(asText(value.Service.Value));
-  builder.setPartner(asText(value.Partner.Value));
+  builder.setClientAccount(asText(value.ClientAccount.Value));
   builder.setKey(asText(value.Key));
   builder.setIdempotencyKey(asText(value.IdempotencyKey));
   builder.setMethod(asText(value.Method));
@@ -233,7 +233,8 @@
   ForwardRequest value;
   value.Id = base::RequestId(toString(reader.getId()));
   value.Service = base::ServiceId(toString(reader.getService()));
-  value.Partner = base::PartnerId(toString(reader.getPartner()));
+  value.ClientAccount =
+      base::ClientAccountId(toString(reader.getClientAccount()));
   value.Key = toString(reader.getKey());
   value.IdempotencyKey = toString(reader.getIdempotencyKey());
   value.Method = toString(reader.getMethod());
@@ -312,7 +313,7 @@
 
 std::size_t estimateBytes(const ForwardRequest &value) {
   return FixedBytes + value.Id.Value.size() + value.Service.Value.size() +
-         value.Partner.Value.size() + value.Key.size() +
+         value.ClientAccount.Value.size() + value.Key.size() +
          value.IdempotencyKey.size() + value.Method.size() +
          value.Target.size() + estimateBytes(value.Headers) + value.Body.size();
 }
--- a/packages/protocol/schema/mill.capnp
+++ b/packages/protocol/schema/mill.capnp
@@ -130,7 +130,7 @@
 struct ForwardRequest {
   id @0 :Text;
   service @1 :Text;
-  partner @2 :Text;
+  clientAccount @2 :Text;
   key @3 :Text;
   idempotencyKey @4 :Text;
   method @5 :Text;
--- a/packages/protocol/schema/mill.capnp.h
+++ b/packages/protocol/schema/mill.capnp.h
@@ -3402,8 +3402,8 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasPartner() const;
-  inline  ::capnp::Text::Reader getPartner() const;
+  inline bool hasClientAccount() const;
+  inline  ::capnp::Text::Reader getClientAccount() const;
 
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
@@ -3469,12 +3469,12 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasPartner();
-  inline  ::capnp::Text::Builder getPartner();
-  inline void setPartner( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPartner(unsigned int size);
-  inline void adoptPartner(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPartner();
+  inline bool hasClientAccount();
+  inline  ::capnp::Text::Builder getClientAccount();
+  inline void setClientAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClientAccount(unsigned int size);
+  inline void adoptClientAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClientAccount();
 
   inline bool hasKey();
   inline  ::capnp::Text::Builder getKey();
@@ -8045,36 +8045,36 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasPartner() const {
+inline bool ForwardRequest::Reader::hasClientAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasPartner() {
+inline bool ForwardRequest::Builder::hasClientAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getPartner() const {
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getClientAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getPartner() {
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setPartner( ::capnp::Text::Reader value) {
+inline void ForwardRequest::Builder::setClientAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initPartner(unsigned int size) {
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initClientAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptPartner(
+inline void ForwardRequest::Builder::adoptClientAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownPartner() {
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
--- a/packages/protocol/tests/CodecTest.cpp
+++ b/packages/protocol/tests/CodecTest.cpp
@@ -85,7 +85,7 @@
                              std::uint32_t deadline) {
       ForwardRequest in{base::RequestId("r"),
                         base::ServiceId("s"),
-                        base::PartnerId("p"),
+                        base::ClientAccountId("p"),
                         key,
                         "once",
                         "POST",
@@ -99,7 +99,8 @@
       RC_ASSERT(got.DeadlineMs == deadline && got.Hops == 2);
       RC_ASSERT(got.Headers.size() == 2u && got.Headers[0].Value == "b");
       RC_ASSERT(got.Id == in.Id && got.Service == in.Service);
-      RC_ASSERT(got.Partner == in.Partner && got.Method == in.Method);
+      RC_ASSERT(got.ClientAccount == in.ClientAccount &&
+                got.Method == in.Method);
       RC_ASSERT(got.Target == in.Target);
       RC_ASSERT(got.IdempotencyKey == in.IdempotencyKey);
     });
--- a/packages/settings/View.h
+++ b/packages/settings/View.h
@@ -43,10 +43,10 @@
   /// Number of slots; fixed once set. Services without keys have none.
   std::uint32_t Slots = 0;
   std::vector<base::DataCentreId> DataCentres;
-  /// Weight per partner; a partner that is not listed has weight 1 unless
-  /// OnlyListedPartners is set.
-  std::map<base::PartnerId, std::uint32_t> PartnerWeights;
-  bool OnlyListedPartners = false;
+  /// Weight per client account; a client account that is not listed has weight
+  /// 1 unless OnlyListedClientAccounts is set.
+  std::map<base::ClientAccountId, std::uint32_t> ClientAccountWeights;
+  bool OnlyListedClientAccounts = false;
   base::Duration DefaultDeadline = std::chrono::seconds(2);
   std::uint32_t QueueLimitPerTarget = 64;
   std::vector<RouteRule> Routes;
--- a/packages/settings/internal/ServiceSchema.cpp
+++ b/packages/settings/internal/ServiceSchema.cpp
@@ -17,10 +17,10 @@
 constexpr std::size_t MaxDataCentres = 64;
 constexpr std::size_t MaxRoutes = 256;
 constexpr std::size_t MaxRoutePrefix = 1024;
-constexpr std::size_t MaxPartners = 1024;
+constexpr std::size_t MaxClientAccounts = 1024;
 constexpr IntegerRange DeadlineRangeMs{1, 600000};
 constexpr IntegerRange QueueRange{1, 100000};
-constexpr IntegerRange PartnerWeightRange{1, 1000};
+constexpr IntegerRange ClientAccountWeightRange{1, 1000};
 constexpr IntegerRange PercentRange{0, 100};
 constexpr double MaxWeight = 1000;
 
@@ -63,32 +63,36 @@
   }
 }
 
-void readPartners(ObjectReader &reader, ServiceView &service, Faults &faults) {
-  const auto *value = reader.readAny("partner_weights", Presence::Optional);
+void readClientAccounts(ObjectReader &reader, ServiceView &service,
+                        Faults &faults) {
+  const auto *value =
+      reader.readAny("client_account_weights", Presence::Optional);
   if (value) {
-    ObjectReader weights(*value, reader.pathOf("partner_weights"), faults);
+    ObjectReader weights(*value, reader.pathOf("client_account_weights"),
+                         faults);
     const auto *object = value->if_object();
-    if (object && object->size() > MaxPartners)
-      reader.report("partner_weights", ResultCode::OutOfRange,
-                    fmt::format("must have at most {} partners", MaxPartners));
+    if (object && object->size() > MaxClientAccounts)
+      reader.report("client_account_weights", ResultCode::OutOfRange,
+                    fmt::format("must have at most {} client accounts",
+                                MaxClientAccounts));
     for (std::size_t i = 0; object && i < object->size(); ++i) {
       auto key = (object->begin() + i)->key();
-      std::string partner(key.data(), key.size());
-      if (!isPathName(partner))
-        weights.report(partner, ResultCode::OutOfRange, "not a name");
-      auto weight =
-          weights.readInteger(partner, Presence::Required, PartnerWeightRange);
+      std::string account(key.data(), key.size());
+      if (!isPathName(account))
+        weights.report(account, ResultCode::OutOfRange, "not a name");
+      auto weight = weights.readInteger(account, Presence::Required,
+                                        ClientAccountWeightRange);
       if (weight)
-        service.PartnerWeights[base::PartnerId(partner)] =
+        service.ClientAccountWeights[base::ClientAccountId(account)] =
             static_cast<std::uint32_t>(*weight);
     }
   }
-  service.OnlyListedPartners =
-      reader.readBool("only_listed_partners", Presence::Optional)
+  service.OnlyListedClientAccounts =
+      reader.readBool("only_listed_client_accounts", Presence::Optional)
           .value_or(false);
-  if (service.OnlyListedPartners && !value)
-    reader.report("only_listed_partners", ResultCode::OutOfRange,
-                  "needs partner_weights, otherwise nobody may call");
+  if (service.OnlyListedClientAccounts && !value)
+    reader.report("only_listed_client_accounts", ResultCode::OutOfRange,
+                  "needs client_account_weights, otherwise nobody may call");
 }
 
 RouteRule readRoute(const boost::json::value &value, const std::string &path,
@@ -157,7 +161,7 @@
                        Faults &faults) {
   readSlots(reader, service);
   readDataCentres(reader, service);
-  readPartners(reader, service, faults);
+  readClientAccounts(reader, service, faults);
   readRoutes(reader, service, faults);
   readWeights(reader, service, faults);
   readLimits(reader, service);
--- a/packages/settings/tests/CheckTest.cpp
+++ b/packages/settings/tests/CheckTest.cpp
@@ -65,7 +65,7 @@
   SECTION("is read with all its fields") {
     auto checked = checkValue(ServicePath, R"({
       "keyed": true, "slots": 64, "data_centres": ["d1", "d2"],
-      "partner_weights": {"acme": 3}, "only_listed_partners": true,
+      "client_account_weights": {"acme": 3}, "only_listed_client_accounts": true,
       "default_deadline_ms": 500, "queue_limit_per_target": 9,
       "routes": [{"prefix": "/release", "class": "urgent",
                   "idempotent": false}],
@@ -74,7 +74,8 @@
     REQUIRE(checked.Faults.empty());
     auto service = std::get<ServiceView>(*checked.Value);
     REQUIRE(service.Team == "brazos");
-    REQUIRE(service.PartnerWeights.at(base::PartnerId("acme")) == 3);
+    REQUIRE(service.ClientAccountWeights.at(base::ClientAccountId("acme")) ==
+            3);
     REQUIRE(service.DefaultDeadline == std::chrono::milliseconds(500));
     REQUIRE(service.Routes.at(0).Class == Urgency::Urgent);
     REQUIRE(service.Weights.Imbalance == 2.5);
@@ -83,7 +84,7 @@
   SECTION("is refused with all its faults") {
     auto checked = checkValue(ServicePath, R"({
       "keyed": true, "slots": 0, "data_centres": ["d1", "d1", 4],
-      "partner_weights": {"acme": 0}, "default_deadline_ms": "5",
+      "client_account_weights": {"acme": 0}, "default_deadline_ms": "5",
       "routes": [{"prefix": "release", "clas": "urgent"}],
       "weights": {"churn": -1}, "target_hosts": ["all"], "x/y": 1})");
     REQUIRE_FALSE(checked.Value);
@@ -92,7 +93,7 @@
                 {"/slots", ResultCode::OutOfRange},
                 {"/data_centres", ResultCode::OutOfRange},
                 {"/data_centres/2", ResultCode::WrongType},
-                {"/partner_weights/acme", ResultCode::OutOfRange},
+                {"/client_account_weights/acme", ResultCode::OutOfRange},
                 {"/default_deadline_ms", ResultCode::WrongType},
                 {"/routes/0/prefix", ResultCode::OutOfRange},
                 {"/routes/0/clas", ResultCode::UnknownField},
