Gateway: an idle connection ends without reading what crosses its end

Cause of LOST on the grown sites: an idle connection was half-closed at its limit and read on for a second; a request that crossed the close was read whole and thrown away. Ruled out: answers broken off, a caller's half-close, the limit of connections, the header timeout (none of them occurs on the connections concerned). Now such a connection is closed at once, so that a request on its way meets a reset and its client knows that nothing has read it; and Keep-Alive tells clients four fifths of the limit, before which they stop using a connection. Test: "An idle connection ends without reading what crosses its end" fails in both checks without the change.

--- a/packages/gateway/internal/AnswerWriter.cpp
+++ b/packages/gateway/internal/AnswerWriter.cpp
@@ -97,6 +97,9 @@
   else if (!IsBodyless)
     Form.KeepAlive = false; // HTTP/1.0: only the close can end the body.
   Message.keep_alive(Form.KeepAlive);
+  if (Form.KeepAlive && Form.KeptFor.count() > 0)
+    Message.set(http::field::keep_alive,
+                "timeout=" + std::to_string(Form.KeptFor.count()));
   Serializer.emplace(Message);
 }
 
--- a/packages/gateway/internal/AnswerWriter.h
+++ b/packages/gateway/internal/AnswerWriter.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,6 +31,8 @@
   bool HeadOnly = false;
   unsigned Version = 11;
   bool KeepAlive = true;
+  /// How long the connection may stay idle, told to the caller; 0 says nothing.
+  std::chrono::seconds KeptFor{0};
 };
 
 class AnswerWriter {
--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -20,6 +20,10 @@
 /// How long the caller may take to close after its last answer.
 constexpr auto LingerTime = std::chrono::seconds(1);
 
+/// The part of the idle timeout that is offered to callers: the rest covers the
+/// way of a request that is sent in the last moment.
+constexpr double OfferedPartOfIdleTime = 0.8;
+
 ResultCode codeOfParseError(boost::system::error_code ec) {
   if (ec == http::error::header_limit)
     return ResultCode::HeaderTooLarge;
@@ -146,6 +150,8 @@
   form.HeadOnly = message.method() == http::verb::head;
   form.Version = message.version() >= 11 ? 11 : 10;
   form.KeepAlive = message.keep_alive() && Server->mayKeepAlive();
+  form.KeptFor = std::chrono::floor<std::chrono::seconds>(
+      Server->limits().IdleTimeout * OfferedPartOfIdleTime);
   HttpCall call = releaseCall();
   auto inbox = beginAnswer(form);
   // Keeps a read open: the caller's disconnect shows as its end.
@@ -236,8 +242,10 @@
     return abort();
   }
   const bool IsIdle = State == Phase::Receiving && !RequestParser->got_some();
+  // Not read any further: a request that crosses the end meets a reset, which
+  // tells the caller that it has not run.
   if (State == Phase::Lingering || IsIdle)
-    return State == Phase::Lingering ? close() : linger();
+    return close();
   refuse({ResultCode::RequestTimeout, "the request did not come in time", 0});
 }
 
--- a/packages/gateway/tests/HttpLimitsTest.cpp
+++ b/packages/gateway/tests/HttpLimitsTest.cpp
@@ -114,6 +114,23 @@
   CHECK(asked < 20);
 }
 
+TEST_CASE("An idle connection ends without reading what crosses its end") {
+  GatewayConfig config = makeConfig();
+  config.Limits.IdleTimeout = std::chrono::milliseconds(1300);
+  GatewayBench bench(std::move(config));
+  RawClient client(bench.Gateway->port());
+  client.send("GET /healthz HTTP/1.1\r\n\r\n");
+  // A caller that heeds this does not come near the end.
+  CHECK(contains(client.readAnswer(), "Keep-Alive: timeout=1\r\n"));
+  CHECK(client.readAll().empty());
+  CHECK(client.endedOrderly());
+  // A request that is on its way meets a reset: the caller can tell that
+  // nothing has read it.
+  client.send(SimpleGet);
+  CHECK_FALSE(client.send(SimpleGet));
+  CHECK(bench.countRequests() == 0);
+}
+
 TEST_CASE("Draining cuts nothing off") {
   GatewayBench bench;
   RawClient waiting(bench.Gateway->port());
