Entry: the parts of large answers are paced by the VM's link

Cause: on the grown sites most failed calls said "the target did not accept a connection in time", on all VMs, to targets in the same data centre, several at the same instant: the VM's own link of 5 Mbit/s was full for over 250 ms. Large answers (90 KB in the mean, 540 KB at most) were read and written as fast as the sockets took them, and small answers, connections and views waited behind them. Ruled out: smaller socket buffers (trial: no change), targets that are slow to accept (eight targets at once from one VM, none from its neighbours). Now an answer above 32 KB is asked for and passed on in parts of 16 KB at 0.7 of the link's rate, in each direction.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -47,7 +47,15 @@
   void waitForHolder();
   void armTimer(base::MonoTime time);
   void onTimer();
+  /// Asks the target for the part after one of \p bytes, when the link has
+  /// room.
+  void askMore(std::size_t bytes, std::function<void()> more);
+  bool isLarge() const;
+  /// Goes on with \p next after \p wait, unless the request has ended.
+  void pace(base::Duration wait, std::function<void()> next);
   void deliver();
+  /// Passes the rest of the answer on, part by part.
+  void deliverRest();
   void refuse(base::ResultCode code, std::string message,
               base::Duration RetryAfter);
   void fail(base::ResultCode code, std::string message);
@@ -67,6 +75,7 @@
   bool IsKeyed = false;
 
   boost::asio::steady_timer Timer;
+  boost::asio::steady_timer PaceTimer;
   protocol::CancelHook CancelCall;
   /// Targets that the request was sent to.
   std::vector<keyspace::TargetLife> Tried;
@@ -79,6 +88,8 @@
   AnswerFacts RefusalFacts;
   protocol::AnswerHead Head;
   std::string Body;
+  /// Bytes of the body that were passed on.
+  std::size_t Delivered = 0;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/RequestFlow.h
+++ b/packages/entry/RequestFlow.h
@@ -6,6 +6,7 @@
 #include "dispatch/RetryBudget.h"
 #include "entry/EntryDialect.h"
 #include "entry/LinkBudget.h"
+#include "entry/LinkPacer.h"
 #include "entry/TargetPool.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/SpeedReport.h"
@@ -47,6 +48,9 @@
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
   LinkBudget &link() { return Link; }
+  /// For answers from targets, and to clients.
+  LinkPacer &incoming() { return Incoming; }
+  LinkPacer &outgoing() { return Outgoing; }
   fleet::SpeedMeter &speeds() { return Speeds; }
   std::string chooseService(const routing::Route &route);
   dispatch::RetryBudget &budgetOf(const std::string &service);
@@ -63,6 +67,8 @@
   TargetPool Pool;
   gateway::TargetClient Client;
   LinkBudget Link;
+  LinkPacer Incoming;
+  LinkPacer Outgoing;
   fleet::SpeedMeter Speeds;
   std::map<std::string, routing::WeightedChoice> Splits;
   std::map<std::string, dispatch::RetryBudget> Budgets;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -54,7 +54,8 @@
 EntryRequest::EntryRequest(RequestFlow &flow, gateway::HttpCall call,
                            protocol::AnswerSink sink)
     : Flow(flow), Request(std::move(call)), Sink(std::move(sink)),
-      ArrivedAt(base::readMonotonic()), Timer(flow.duty().context()) {}
+      ArrivedAt(base::readMonotonic()), Timer(flow.duty().context()),
+      PaceTimer(flow.duty().context()) {}
 
 base::Duration EntryRequest::left() const {
   return Deadline - base::readMonotonic();
@@ -185,7 +186,7 @@
   sink.Chunk = [self](const std::string &data,
                       const std::function<void()> &more) {
     self->Body += data;
-    more();
+    self->askMore(data.size(), more);
   };
   sink.End = [] {};
   sink.Fail = [](const protocol::RequestFailure &) {};
@@ -319,12 +320,49 @@
   LinkBytes = 0;
   Head.Length = Body.size();
   Sink.Head(std::move(Head));
-  if (!Body.empty())
-    Sink.Chunk(std::move(Body), [] {});
+  deliverRest();
+}
+
+void EntryRequest::deliverRest() {
+  const std::size_t n = isLarge()
+                            ? std::min(AnswerPartBytes, Body.size() - Delivered)
+                            : Body.size();
+  const bool IsLast = Delivered + n == Body.size();
+  auto part = Body.substr(Delivered, n);
+  Delivered += n;
+  if (n > 0)
+    Sink.Chunk(std::move(part), [self = shared_from_this(), n, IsLast] {
+      if (self->IsFinished || IsLast)
+        return;
+      const auto now = base::readMonotonic();
+      const auto wait = self->Flow.outgoing().take(n, now);
+      self->pace(wait, [self] { self->deliverRest(); });
+    });
+  if (!IsLast)
+    return;
   Sink.End();
   finish();
 }
 
+bool EntryRequest::isLarge() const { return Body.size() > LargeAnswerBytes; }
+
+void EntryRequest::askMore(std::size_t bytes, std::function<void()> more) {
+  if (!isLarge() && Head.Length.value_or(0) <= LargeAnswerBytes)
+    return more();
+  pace(Flow.incoming().take(bytes, base::readMonotonic()), std::move(more));
+}
+
+void EntryRequest::pace(base::Duration wait, std::function<void()> next) {
+  if (wait <= base::Duration::zero())
+    return next();
+  PaceTimer.expires_after(wait);
+  PaceTimer.async_wait([self = shared_from_this(), next = std::move(next)](
+                           const boost::system::error_code &ec) {
+    if (!ec && !self->IsFinished)
+      next();
+  });
+}
+
 void EntryRequest::refuse(ResultCode code, std::string message,
                           base::Duration RetryAfter) {
   // An earlier try of an idempotent request may have run.
@@ -378,6 +416,7 @@
   IsFinished = true;
   Flow.link().release(LinkBytes);
   Timer.cancel();
+  PaceTimer.cancel();
   Flow.finish(shared_from_this());
 }
 
--- a/packages/entry/internal/RequestFlow.cpp
+++ b/packages/entry/internal/RequestFlow.cpp
@@ -21,6 +21,7 @@
   config.MaxIdleForUnsafe = MaxIdleForUnsafe;
   config.MaxIdle = MaxIdle;
   config.MaxConnectionsPerTarget = MaxInFlight + 1;
+  config.ChunkBytes = AnswerPartBytes;
   return config;
 }
 
@@ -32,7 +33,9 @@
     : Duty(duty), Settings(settings), Dialect(dialect), View(view),
       Pool(settings.DataCentre, base::hash64(settings.Vm, 1)),
       Client(duty, makeClientConfig(dialect)),
-      Link(settings.LinkMbps * BytesPerMegabit) {}
+      Link(settings.LinkMbps * BytesPerMegabit),
+      Incoming(settings.LinkMbps * BytesPerMegabit),
+      Outgoing(settings.LinkMbps * BytesPerMegabit) {}
 
 RequestFlow::~RequestFlow() = default;
 
--- /dev/null
+++ b/packages/entry/tests/LinkPacerTest.cpp
@@ -0,0 +1,78 @@
+// What small answers wait behind large ones on a narrow link.
+#include "entry/LinkPacer.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace magnoliamill;
+using namespace magnoliamill::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double LinkRate = 5e6 / 8;
+const base::MonoTime Start{1h};
+
+base::Duration timeOf(double bytes, double rate) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(bytes / rate));
+}
+
+/// A link that carries what is handed to it in this order.
+class Link {
+public:
+  /// When the last of \p bytes has left.
+  base::MonoTime carry(double bytes, base::MonoTime now) {
+    FreeAt = std::max(FreeAt, now) + timeOf(bytes, LinkRate);
+    return FreeAt;
+  }
+
+private:
+  base::MonoTime FreeAt;
+};
+
+struct Transfer {
+  std::size_t Left = 0;
+  base::MonoTime NextPart = Start;
+  base::MonoTime End;
+};
+
+} // namespace
+
+TEST_CASE("Small answers pass large ones on a narrow link") {
+  constexpr std::size_t LargeBytes = 400u << 10;
+  constexpr double SmallBytes = 5000;
+  constexpr int LargeCount = 3;
+  Link link;
+  LinkPacer pacer(LinkRate);
+  std::vector<Transfer> transfers(LargeCount, Transfer{LargeBytes, Start, {}});
+  base::Duration LongestSmall{};
+  for (int ms = 0; ms < 4000; ++ms) {
+    const auto now = Start + std::chrono::milliseconds(ms);
+    for (auto &transfer : transfers) {
+      if (transfer.Left == 0 || transfer.NextPart > now)
+        continue;
+      const auto part = std::min(transfer.Left, AnswerPartBytes);
+      transfer.Left -= part;
+      transfer.End = link.carry(static_cast<double>(part), now);
+      transfer.NextPart = now + pacer.take(part, now);
+    }
+    if (ms % 50 == 25)
+      LongestSmall = std::max(LongestSmall, link.carry(SmallBytes, now) - now);
+  }
+  // One part of each large answer may be in front of a small one, which comes
+  // whole itself.
+  CHECK(LongestSmall <=
+        timeOf(LargeCount * AnswerPartBytes + SmallBytes, LinkRate));
+  for (const auto &transfer : transfers) {
+    REQUIRE(transfer.Left == 0);
+    // Large answers together keep at least two thirds of the link.
+    CHECK(transfer.End - Start <=
+          timeOf(LargeCount * LargeBytes, LinkRate * 2 / 3));
+  }
+}
+
+TEST_CASE("Without a limit of the link nothing waits") {
+  LinkPacer pacer(0);
+  CHECK(pacer.take(100'000'000, Start) == base::Duration::zero());
+}
