One type and one parser for HOST:PORT; members that nothing used are gone

Cause: the parser of an address stood in the entry, in the fleet's settings and in a fake, the type twice (ListenAddress, TargetAddress); CoreNode::hasLeader, its IsStopping, the hook OnOpened and a FirstHeartbeat had no reader. Times in FleetProcess.cpp and the fake upstream had no name or reason. Seen: tests of base, fleet, keyspace, gateway and entry pass.

--- a/apps/magnoliamilld/FleetProcess.cpp
+++ b/apps/magnoliamilld/FleetProcess.cpp
@@ -59,13 +59,18 @@
   std::shared_ptr<gateway::HttpServer> Metrics;
 };
 
+/// Each look at time limits wakes the process; calls of targets and operators
+/// have limits of seconds.
+constexpr base::Duration SweepInterval = std::chrono::milliseconds(500);
+/// A first call of an operator may bring thousands of routes.
+constexpr std::size_t MaxControlBytes = 32u << 20;
+
 gateway::GatewayConfig serverOn(const settings::ListenAddress &listen) {
   gateway::GatewayConfig config;
   config.Host = listen.Host;
   config.Port = listen.Port;
-  // A first call of an operator may bring thousands of routes.
-  config.Limits.MaxBodyBytes = 32u << 20;
-  config.Limits.SweepInterval = std::chrono::milliseconds(500);
+  config.Limits.MaxBodyBytes = MaxControlBytes;
+  config.Limits.SweepInterval = SweepInterval;
   return config;
 }
 
--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
+/// How long a call to a core may take.
 constexpr auto AnswerPatience = std::chrono::seconds(1);
+/// Until the next heartbeat when keys were released: their next holder waits.
 constexpr auto ReleasePause = std::chrono::milliseconds(50);
 
 void answer(const protocol::AnswerSink &sink, std::uint16_t status,
--- a/fakes/target/Announcer.cpp
+++ b/fakes/target/Announcer.cpp
@@ -1,7 +1,6 @@
 // The announcing loop.
 #include "fakes/target/Announcer.h"
 
-#include <charconv>
 #include <sstream>
 
 namespace magnoliamill::fakes {
@@ -58,14 +57,8 @@
   std::istringstream list(text);
   std::string item;
   while (std::getline(list, item, ',')) {
-    const std::size_t colon = item.rfind(':');
-    if (colon == std::string::npos)
-      continue;
-    gateway::TargetAddress address{item.substr(0, colon), 0};
-    std::from_chars(item.data() + colon + 1, item.data() + item.size(),
-                    address.Port);
-    if (address.Port != 0)
-      addresses.push_back(std::move(address));
+    if (auto address = base::parseHostPort(item))
+      addresses.push_back(std::move(*address));
   }
   return addresses;
 }
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -4,7 +4,6 @@
 #include "base/Log.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace magnoliamill::entry {
 namespace {
@@ -15,19 +14,6 @@
 /// Bytes between data centres cost, and each way adds a delay.
 constexpr double CrossCentreFactor = 2.0;
 
-std::optional<gateway::TargetAddress> parseAddress(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos)
-    return std::nullopt;
-  gateway::TargetAddress address{std::string(text.substr(0, colon)), 0};
-  const auto port = text.substr(colon + 1);
-  const auto [ptr, ec] =
-      std::from_chars(port.data(), port.data() + port.size(), address.Port);
-  if (ec != std::errc() || ptr != port.data() + port.size())
-    return std::nullopt;
-  return address;
-}
-
 } // namespace
 
 void TargetPool::updateAll(const fleet::View &view) {
@@ -52,7 +38,7 @@
 }
 
 void TargetPool::put(const fleet::Target &about) {
-  auto address = parseAddress(about.Address);
+  auto address = base::parseHostPort(about.Address);
   if (!address)
     return base::logWarning(
         "entry", base::ResultCode::AnnouncementInvalid,
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -35,7 +35,6 @@
   /// Hands leadership over, then calls \p done.
   void stop(std::function<void()> done);
   void updateSeeds(const std::vector<settings::ListenAddress> &seeds);
-  bool hasLeader() const;
 
 private:
   struct PendingCall {
@@ -90,7 +89,6 @@
   std::string Followed;
   base::MonoTime NextMembershipCheck;
   base::MonoTime NextCurrent;
-  bool IsStopping = false;
 };
 
 } // namespace magnoliamill::fleet
--- a/packages/fleet/internal/CoreLinks.cpp
+++ b/packages/fleet/internal/CoreLinks.cpp
@@ -94,7 +94,6 @@
   };
   link->open(host, Port, std::move(hooks));
   link->send(Hooks.MakeHello(host));
-  Hooks.OnOpened(host);
 }
 
 void CoreLinks::send(const std::string &host, const Frame &frame) {
--- a/packages/fleet/internal/CoreLinks.h
+++ b/packages/fleet/internal/CoreLinks.h
@@ -24,7 +24,6 @@
   std::function<void(const std::shared_ptr<Link> &)> OnEnded;
   /// The first frame of each link that is opened from here.
   std::function<Hello(const std::string &host)> MakeHello;
-  std::function<void(const std::string &host)> OnOpened;
 };
 
 /// What is known of another core.
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -58,8 +58,7 @@
              [this](const auto &host) {
                return Hello{Settings.Host, Settings.DataCentre, true,
                             Incarnation, host == Followed};
-             },
-             [](const auto &) {}}),
+             }}),
       Timer(duty.context()) {}
 
 CoreNode::~CoreNode() { Links.closeAll(); }
@@ -227,8 +226,6 @@
   return leader ? leader->Vm.Value : std::string();
 }
 
-bool CoreNode::hasLeader() const { return !leaderHost().empty(); }
-
 void CoreNode::propose(Command command,
                        std::function<void(base::Result<void>)> done) {
   Runner->propose(
@@ -481,7 +478,6 @@
 }
 
 void CoreNode::stop(std::function<void()> done) {
-  IsStopping = true;
   base::logInfo("fleet", "the core stops", {{"is_leader", Leader != nullptr}});
   if (!Leader)
     return done();
--- a/packages/fleet/internal/FleetSettings.cpp
+++ b/packages/fleet/internal/FleetSettings.cpp
@@ -5,7 +5,6 @@
 #include "settings/internal/VmFields.h"
 
 #include <boost/json/object.hpp>
-#include <charconv>
 
 namespace magnoliamill::fleet {
 namespace {
@@ -21,24 +20,11 @@
 constexpr std::int64_t MaxDurationMs = 3'600'000;
 constexpr double MaxLinkMbps = 1e6;
 
-std::optional<ListenAddress> parseAddress(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos || colon == 0)
-    return std::nullopt;
-  ListenAddress address{std::string(text.substr(0, colon)), 0};
-  const auto port = text.substr(colon + 1);
-  const auto [ptr, ec] =
-      std::from_chars(port.data(), port.data() + port.size(), address.Port);
-  if (ec != std::errc() || ptr != port.data() + port.size() || !address.Port)
-    return std::nullopt;
-  return address;
-}
-
 ListenAddress readAddress(ObjectReader &reader, std::string_view field) {
   const auto text = reader.readString(field, Presence::Required);
   if (!text)
     return {};
-  auto address = parseAddress(*text);
+  auto address = base::parseHostPort(*text);
   if (!address)
     reader.report(field, ResultCode::OutOfRange, "must be HOST:PORT");
   return address.value_or(ListenAddress{});
@@ -77,7 +63,7 @@
 void readSeeds(ObjectReader &reader, FleetSettings &fleet) {
   for (const auto &text :
        reader.readStrings("seeds", Presence::Required, MaxSeeds)) {
-    if (auto address = parseAddress(text))
+    if (auto address = base::parseHostPort(text))
       fleet.Seeds.push_back(std::move(*address));
     else
       reader.report("seeds", ResultCode::OutOfRange,
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/DutyThread.h"
+#include "base/HostPort.h"
 #include "base/Ids.h"
 #include "base/Result.h"
 #include "base/Time.h"
@@ -16,11 +17,7 @@
 
 namespace magnoliamill::gateway {
 
-struct TargetAddress {
-  std::string Host;
-  std::uint16_t Port = 0;
-  bool operator==(const TargetAddress &) const = default;
-};
+using TargetAddress = base::HostPort;
 
 /// What an answer is worth, by its head.
 enum class AnswerVerdict : std::uint8_t {
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -98,7 +98,6 @@
     std::uint32_t Slots = 1;
     base::MonoTime HoldEnd;
     base::MonoTime LastHeartbeat;
-    base::MonoTime FirstHeartbeat;
     bool HasReported = false;
     bool IsLeaving = false;
     bool IsDead = false;
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -62,7 +62,6 @@
       life.Service = service;
       life.HoldEnd = now + longestHold();
       life.LastHeartbeat = now;
-      life.FirstHeartbeat = now;
     }
     for (std::uint32_t i = 0; i < owned.countStripes(); ++i)
       keys.Stripes[i].IsActive = owned.ownerOf(i) != nullptr;
@@ -94,8 +93,6 @@
 std::vector<GrantRow> GrantController::onHeartbeat(const KeyReport &report,
                                                    base::MonoTime now) {
   Life &life = Lives[report.Life];
-  if (!life.HasReported)
-    life.FirstHeartbeat = now;
   life.HasReported = true;
   life.Service = report.Service;
   life.Slots = std::max(report.Slots, 1U);
--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -1,6 +1,7 @@
 // The daemon's own settings file.
 #pragma once
 
+#include "base/HostPort.h"
 #include "base/Ids.h"
 #include "base/Log.h"
 #include "base/Result.h"
@@ -16,12 +17,7 @@
 
 namespace magnoliamill::settings {
 
-struct ListenAddress {
-  /// Numeric IP.
-  std::string Host;
-  std::uint16_t Port = 0;
-  bool operator==(const ListenAddress &) const = default;
-};
+using ListenAddress = base::HostPort;
 
 /// Fields of "limits"; all are optional.
 struct NodeLimits {
