Fleet: a view is not sent again to those who have it, and is encoded once

The cores (0.3 of a core each) had no time left for their own messages, lost leadership every 1 to 3 s, and so the entries went on changing: it did not end by itself. Ruled out: a lost disk or a wrong membership (voters 4, logs intact), late heartbeats alone (left out at once), the size of the configuration. Now a Hello names the view that its sender has; the core compares, and keeps the encoded whole until its view changes. Test: "A core sends its whole view to those who don't have it" fails in its last check without the comparison.

--- a/packages/entry/internal/ViewSource.cpp
+++ b/packages/entry/internal/ViewSource.cpp
@@ -64,6 +64,7 @@
   hello.Host = Settings.Host;
   hello.DataCentre = Settings.DataCentre;
   hello.WantsView = true;
+  hello.KnownView = Known.mark();
   Link->send(hello);
 }
 
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -64,7 +64,7 @@
   void expireCalls(base::MonoTime now);
   void publish(ViewUpdate update);
   void broadcast(const EncodedFrame &frame);
-  void subscribe(const std::shared_ptr<Link> &link);
+  const EncodedFrame &wholeView();
   std::vector<CoreAddress> listCores() const;
   /// Empty when no leader is known.
   std::string leaderHost() const;
@@ -76,6 +76,8 @@
   ControlDialect Dialect;
   FleetState State;
   View Known;
+  /// The whole of Known as a frame; null when that has changed since.
+  EncodedFrame Whole;
   std::unique_ptr<node::GroupRunner> Runner;
   std::unique_ptr<FleetLeader> Leader;
   std::uint64_t LeaderTerm = 0;
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -24,6 +24,8 @@
   std::uint64_t Incarnation = 0;
   /// Asks for the whole view and its updates.
   bool WantsView = false;
+  /// The view that the sender has: it isn't sent again.
+  ViewMark KnownView;
 };
 
 using ConsensusBatch = std::vector<consensus::Message>;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -57,7 +57,7 @@
              [this](const auto &link) { Subscribers.erase(link); },
              [this](const auto &host) {
                return Hello{Settings.Host, Settings.DataCentre, true,
-                            Incarnation, host == Followed};
+                            Incarnation,   host == Followed,    Known.mark()};
              }}),
       Timer(duty.context()) {}
 
@@ -206,8 +206,8 @@
   if (leader == Followed)
     return;
   const auto hello = [this](bool WantsView) {
-    return Hello{Settings.Host, Settings.DataCentre, true, Incarnation,
-                 WantsView};
+    return Hello{Settings.Host, Settings.DataCentre, true,
+                 Incarnation,   WantsView,           Known.mark()};
   };
   if (!Followed.empty())
     Links.send(Followed, hello(false));
@@ -293,16 +293,21 @@
                  {"is_core", hello.IsCore},
                  {"term", Known.mark().Term},
                  {"number", Known.mark().Number}});
-  subscribe(from);
+  Subscribers.insert(from);
+  if (!Known.isEmpty() && hello.KnownView != Known.mark())
+    from->send(wholeView());
 }
 
-void CoreNode::subscribe(const std::shared_ptr<Link> &link) {
-  Subscribers.insert(link);
-  if (!Known.isEmpty())
-    link->send(Known.describeWhole());
+/// Encoded once for all that ask for the same view: after a restart of the
+/// cores all entries do so at the same time.
+const EncodedFrame &CoreNode::wholeView() {
+  if (!Whole)
+    Whole = encodeShared(Known.describeWhole());
+  return Whole;
 }
 
 void CoreNode::onView(ViewUpdate update) {
+  Whole = nullptr;
   switch (Known.apply(update)) {
   case View::Outcome::Applied:
     return broadcast(encodeShared(std::move(update)));
@@ -312,8 +317,9 @@
     base::logWarning(
         "fleet", ResultCode::PeerProtocol, "updates of the view are missing",
         {{"has", Known.mark().Number}, {"got", update.Mark.Number}});
-    return Links.send(Followed, Hello{Settings.Host, Settings.DataCentre, true,
-                                      Incarnation, true});
+    return Links.send(
+        Followed,
+        Hello{Settings.Host, Settings.DataCentre, true, Incarnation, true, {}});
   }
 }
 
@@ -324,6 +330,7 @@
 }
 
 void CoreNode::publish(ViewUpdate update) {
+  Whole = nullptr;
   Known.apply(update);
   broadcast(encodeShared(std::move(update)));
 }
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -367,6 +367,15 @@
 
 // ---- frames ----
 
+void encodeMark(const ViewMark &mark, wire::ViewMark::Builder to) {
+  to.setTerm(mark.Term);
+  to.setNumber(mark.Number);
+}
+
+ViewMark decode(wire::ViewMark::Reader from) {
+  return {from.getTerm(), from.getNumber()};
+}
+
 struct FrameEncoder {
   wire::Frame::Builder To;
 
@@ -377,6 +386,7 @@
     to.setIsCore(hello.IsCore);
     to.setIncarnation(hello.Incarnation);
     to.setWantsView(hello.WantsView);
+    encodeMark(hello.KnownView, to.initKnownView());
   }
   void operator()(const ConsensusBatch &batch) {
     auto to = To.initConsensus(sizeOf(batch));
@@ -400,9 +410,7 @@
     to.setBody(asData(reply.Body));
   }
   void operator()(const ViewCurrent &current) {
-    auto to = To.initViewCurrent();
-    to.setTerm(current.Mark.Term);
-    to.setNumber(current.Mark.Number);
+    encodeMark(current.Mark, To.initViewCurrent());
   }
   void operator()(const Ping &) { To.setPing(); }
   void operator()(const Pong &) { To.setPong(); }
@@ -418,7 +426,8 @@
 
 Hello decode(wire::Hello::Reader from) {
   return {toString(from.getHost()), toString(from.getDataCentre()),
-          from.getIsCore(), from.getIncarnation(), from.getWantsView()};
+          from.getIsCore(),         from.getIncarnation(),
+          from.getWantsView(),      decode(from.getKnownView())};
 }
 
 Call decode(wire::Call::Reader from) {
@@ -446,8 +455,7 @@
     return CallReply{from.getReply().getId(), from.getReply().getStatus(),
                      toString(from.getReply().getBody())};
   case wire::Frame::VIEW_CURRENT:
-    return ViewCurrent{
-        {from.getViewCurrent().getTerm(), from.getViewCurrent().getNumber()}};
+    return ViewCurrent{decode(from.getViewCurrent())};
   case wire::Frame::PING:
     return Ping{};
   case wire::Frame::PONG:
--- /dev/null
+++ b/packages/fleet/tests/CoreNodeTest.cpp
@@ -0,0 +1,111 @@
+// What those who follow a core's view are sent.
+#include "fleet/CoreNode.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace magnoliamill;
+using namespace magnoliamill::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint16_t findFreePort(boost::asio::io_context &context) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+/// A core that is alone, so that it leads. Runs while the test waits.
+class LoneCore {
+public:
+  LoneCore()
+      : Folder(std::filesystem::temp_directory_path() /
+               ("mill-core-" + std::to_string(::getpid()))) {
+    std::filesystem::remove_all(Folder);
+    FleetSettings settings;
+    settings.Vm = "c1";
+    settings.Part = fleet::Duty::Core;
+    settings.Host = "127.0.0.1";
+    settings.LinkPort = Port = findFreePort(Duty.context());
+    settings.Seeds = {{"127.0.0.1", 1}};
+    settings.DataFolder = Folder.string();
+    settings.IsFirstStart = true;
+    Node = std::make_unique<CoreNode>(Duty, settings, ControlDialect{});
+    REQUIRE(Node->start());
+  }
+  ~LoneCore() {
+    Node.reset();
+    std::filesystem::remove_all(Folder);
+  }
+
+  /// False when \p condition did not hold within 10 s.
+  bool runUntil(const std::function<bool()> &condition) {
+    const auto end = base::readMonotonic() + 10s;
+    while (!condition() && base::readMonotonic() < end)
+      Duty.context().run_one_for(10ms);
+    return condition();
+  }
+
+  base::DutyThread Duty{"core", 64};
+  std::uint16_t Port = 0;
+
+private:
+  std::filesystem::path Folder;
+  std::unique_ptr<CoreNode> Node;
+};
+
+/// An entry's link to the core, and what came on it.
+class Follower {
+public:
+  Follower(LoneCore &core, ViewMark known)
+      : Connection(std::make_shared<Link>(core.Duty.context())) {
+    LinkHooks hooks;
+    hooks.OnFrame = [this](const Frame &frame) {
+      if (const auto *update = std::get_if<ViewUpdate>(&frame))
+        Whole = update->IsWhole ? update->Mark : Whole;
+      if (const auto *current = std::get_if<ViewCurrent>(&frame))
+        Current = current->Mark;
+    };
+    hooks.OnClosed = [](const std::string &) {};
+    Connection->open("127.0.0.1", core.Port, std::move(hooks));
+    Hello hello;
+    hello.Host = "10.0.0.9";
+    hello.WantsView = true;
+    hello.KnownView = known;
+    Connection->send(hello);
+  }
+  ~Follower() { Connection->close(); }
+
+  std::optional<ViewMark> Whole;
+  std::optional<ViewMark> Current;
+
+private:
+  std::shared_ptr<Link> Connection;
+};
+
+} // namespace
+
+TEST_CASE("A core sends its whole view to those who don't have it") {
+  LoneCore core;
+  std::optional<ViewMark> mark;
+  // The first tries may come before the core leads.
+  REQUIRE(core.runUntil([&] {
+    Follower first(core, {});
+    core.runUntil([&] { return first.Whole || first.Current; });
+    mark = first.Whole;
+    return mark.has_value();
+  }));
+
+  SECTION("one that has another view is sent this one") {
+    Follower behind(core, {mark->Term, mark->Number + 1});
+    CHECK(core.runUntil([&] { return behind.Whole == mark; }));
+  }
+  SECTION("one that has it is told that it is current") {
+    Follower same(core, *mark);
+    CHECK(core.runUntil([&] { return same.Current == mark; }));
+    CHECK_FALSE(same.Whole);
+  }
+}
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -126,6 +126,7 @@
   isCore @2 :Bool;
   incarnation @3 :UInt64;
   wantsView @4 :Bool;
+  knownView @5 :ViewMark;
 }
 # A call of a target or operator, passed to the leader.
 struct Call {
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -303,7 +303,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c59f1fea0c1a6883, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c59f1fea0c1a6883, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2178,6 +2178,9 @@
 
   inline bool getWantsView() const;
 
+  inline bool hasKnownView() const;
+  inline  ::magnoliamill::fleet::wire::ViewMark::Reader getKnownView() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2229,6 +2232,13 @@
   inline bool getWantsView();
   inline void setWantsView(bool value);
 
+  inline bool hasKnownView();
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder getKnownView();
+  inline void setKnownView( ::magnoliamill::fleet::wire::ViewMark::Reader value);
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder initKnownView();
+  inline void adoptKnownView(::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> disownKnownView();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2247,6 +2257,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline getKnownView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4948,6 +4959,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::hasKnownView() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasKnownView() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Reader Hello::Reader::getKnownView() const {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder Hello::Builder::getKnownView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline Hello::Pipeline::getKnownView() {
+  return  ::magnoliamill::fleet::wire::ViewMark::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Hello::Builder::setKnownView( ::magnoliamill::fleet::wire::ViewMark::Reader value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder Hello::Builder::initKnownView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::adoptKnownView(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> Hello::Builder::disownKnownView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
