--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -315,7 +315,6 @@
 }
 
 void EntryRequest::deliver() {
-  countOutcome(Route->Name, "answered", base::readMonotonic() - ArrivedAt);
   Flow.link().learn(Route->Name, static_cast<double>(Body.size()));
   LinkBytes = 0;
   Head.Length = Body.size();
@@ -340,6 +339,7 @@
     });
   if (!IsLast)
     return;
+  countOutcome(Route->Name, "answered", base::readMonotonic() - ArrivedAt);
   Sink.End();
   finish();
 }
