Entry: requests in the second half of the grace are refused at once

Ruled out: the upstream's own end, the client's deadline, the paced delivery (no answer had come yet). Now what comes after half of the grace is answered 503, not run, come back at once: another VM serves it.

--- a/packages/entry/RequestFlow.h
+++ b/packages/entry/RequestFlow.h
@@ -38,7 +38,10 @@
                               protocol::AnswerSink sink);
   /// The view has changed.
   void onView();
+  /// Refuses what comes from now on: this VM ends before it could be answered.
+  void refuseNew() { IsRefusingNew = true; }
   std::size_t countRequests() const { return Requests.size(); }
+  bool isRefusingNew() const { return IsRefusingNew; }
 
   // For the requests.
   base::DutyThread &duty() { return Duty; }
@@ -74,6 +77,7 @@
   std::map<std::string, dispatch::RetryBudget> Budgets;
   std::set<std::shared_ptr<EntryRequest>> Requests;
   std::set<std::shared_ptr<EntryRequest>> Waiting;
+  bool IsRefusingNew = false;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -13,6 +13,9 @@
 /// Closing idle ones earlier would meet requests that are under way on a busy
 /// link.
 constexpr base::Duration LeaveTime = std::chrono::milliseconds(4200);
+/// A request that comes on a kept connection after this part of the grace might
+/// not be answered within it: routes allow some seconds.
+constexpr int RefuseGraceDivisor = 2;
 /// With a shorter grace: what is left of it is for the last requests.
 constexpr int LeavePercentOfGrace = 70;
 /// How often the speeds of targets are reported: a slow target shows within a
@@ -39,7 +42,8 @@
     : Duty(duty), Settings(std::move(settings)), Dialect(std::move(dialect)),
       Source(duty, Settings, [this] { onView(); }),
       Flow(duty, Settings, Dialect, Source.view()), ReportTimer(duty.context()),
-      StopTimer(duty.context()), ForceTimer(duty.context()) {
+      StopTimer(duty.context()), ForceTimer(duty.context()),
+      RefuseTimer(duty.context()) {
   Clients = std::make_shared<gateway::HttpServer>(
       Duty, makeServerConfig(Settings.ClientListen),
       [this](gateway::HttpCall call, protocol::AnswerSink sink) {
@@ -131,6 +135,11 @@
     if (!ec)
       Clients->drain(end);
   });
+  RefuseTimer.expires_after(Settings.StopGrace / RefuseGraceDivisor);
+  RefuseTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      Flow.refuseNew();
+  });
   ForceTimer.expires_after(Settings.StopGrace - ForceMargin);
   ForceTimer.async_wait([this, end](const boost::system::error_code &ec) {
     if (ec)
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -24,6 +24,8 @@
 constexpr base::Duration NoHolderRetry = std::chrono::milliseconds(250);
 /// When a client may come back whose target is full.
 constexpr base::Duration BusyRetry = std::chrono::milliseconds(150);
+/// When a client may come back that another VM serves: at once, nearly.
+constexpr base::Duration OtherVmRetry = std::chrono::milliseconds(50);
 /// A connection that is reset sooner than any request is served was one too
 /// many for the target.
 constexpr base::Duration AtOnce = std::chrono::milliseconds(12);
@@ -65,7 +67,11 @@
   if (Flow.view().config().empty())
     return refuse(ResultCode::NotRunNotReady,
                   "this VM has no configuration yet", NoHolderRetry);
-  if (!readFacts() || !findRoute() || !takeLink())
+  if (!readFacts())
+    return;
+  if (Flow.isRefusingNew())
+    return refuse(ResultCode::NotRunNotReady, "this VM stops", OtherVmRetry);
+  if (!findRoute() || !takeLink())
     return;
   Flow.budgetOf(Service).onAnswer();
   tryNext();
--- a/packages/entry/tests/RequestFlowTest.cpp
+++ b/packages/entry/tests/RequestFlowTest.cpp
@@ -112,6 +112,9 @@
     REQUIRE(waitFor([this] { return Collected.isEnded(); }));
     return Collected.status();
   }
+  void refuseNew() {
+    Duty.run([&] { Flow->refuseNew(); });
+  }
   int countRequests() const { return Count; }
   bool tellsWhenToComeBack() const { return HasRetryAfter; }
 
@@ -152,6 +155,13 @@
     CHECK(entry.tellsWhenToComeBack());
     CHECK(entry.countRequests() == 2);
   }
+  SECTION("the VM ends soon: not run, and when to come back") {
+    Entry entry([](Peer &peer, int) { peer.send(Answer); });
+    entry.refuseNew();
+    CHECK(entry.ask("GET", "/read/1") == 503);
+    CHECK(entry.tellsWhenToComeBack());
+    CHECK(entry.countRequests() == 0);
+  }
   SECTION("refused first, then answered") {
     Entry entry([](Peer &peer, int number) {
       number == 1 ? refuse(peer) : peer.send(Answer);
