Entry: requests are refused after 60 % of the grace, not half

The test is right: clients may send for 3 s after SIGTERM. Ruled out: load (both runs failed in the same line, 503 for 200). Seen: the test passes (192 assertions).

--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -15,7 +15,7 @@
 constexpr base::Duration LeaveTime = std::chrono::milliseconds(4200);
 /// A request that comes on a kept connection after this part of the grace might
 /// not be answered within it: routes allow some seconds.
-constexpr int RefuseGraceDivisor = 2;
+constexpr int RefusePercentOfGrace = 60;
 /// With a shorter grace: what is left of it is for the last requests.
 constexpr int LeavePercentOfGrace = 70;
 /// How often the speeds of targets are reported: a slow target shows within a
@@ -135,7 +135,7 @@
     if (!ec)
       Clients->drain(end);
   });
-  RefuseTimer.expires_after(Settings.StopGrace / RefuseGraceDivisor);
+  RefuseTimer.expires_after(Settings.StopGrace * RefusePercentOfGrace / 100);
   RefuseTimer.async_wait([this](const boost::system::error_code &ec) {
     if (!ec)
       Flow.refuseNew();
