One way to listen and one to give a whole answer; reasons and claims read again

Cause: reading the whole change once more. Some times had no reason beside them. Left: the two functions that fill a server's settings from an address (their limits differ), the includes and constants that only look alike.

--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -25,11 +25,7 @@
   protocol::AnswerHead head;
   head.Status = status;
   head.Headers = std::move(headers);
-  head.Length = body.size();
-  sink.Head(std::move(head));
-  if (!body.empty())
-    sink.Chunk(std::move(body), [] {});
-  sink.End();
+  gateway::sendAnswer(sink, std::move(head), std::move(body));
 }
 
 } // namespace
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -23,6 +23,7 @@
   std::uint16_t Port = 0;
   /// Cores' addresses for heartbeats.
   std::vector<gateway::TargetAddress> Cores;
+  /// Between heartbeats; tests set the daemons' interval to the same.
   base::Duration Interval = std::chrono::milliseconds(300);
 };
 
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -38,6 +38,7 @@
 private:
   /// A target works off two or three requests of its queue in this time.
   static constexpr base::Duration First = std::chrono::milliseconds(50);
+  /// A target that has worked off its queue must not stay empty for long.
   static constexpr base::Duration Longest = std::chrono::milliseconds(400);
   static constexpr int MaxDoublings = 3;
 
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -6,11 +6,12 @@
 namespace magnoliamill::entry {
 namespace {
 
-/// Each look at time limits wakes the process.
+/// Each look at time limits wakes the process; the limits that clients have are
+/// seconds, so a limit may be late by this.
 constexpr base::Duration SweepInterval = std::chrono::milliseconds(250);
 /// The balancer takes a VM out after two misses, 2 s; a kept connection ends
 /// with its next answer, so most have ended by themselves after this time.
-/// Closing idle ones earlier would meet requests that are under way on a busy
+/// Closing idle ones earlier would reset requests that are under way on a busy
 /// link.
 constexpr base::Duration LeaveTime = std::chrono::milliseconds(4200);
 /// A request that comes on a kept connection after this part of the grace might
@@ -112,9 +113,7 @@
   head.Status = 404;
   if (call.Target == Dialect.ReadinessPath)
     head.Status = isReady() ? 200 : 503;
-  head.Length = 0;
-  sink.Head(std::move(head));
-  sink.End();
+  gateway::sendAnswer(sink, std::move(head));
 }
 
 void EntryNode::stop(std::function<void()> done) {
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -20,9 +20,11 @@
 
 /// For clients that don't say how long they wait.
 constexpr base::Duration DefaultPatience = std::chrono::seconds(30);
-/// When a client may come back whose key has no holder at present.
+/// When a client may come back whose key has no holder at present: a handover
+/// takes less, a lost holder more.
 constexpr base::Duration NoHolderRetry = std::chrono::milliseconds(250);
-/// When a client may come back whose target is full.
+/// When a client may come back whose target is full: it has finished a request
+/// or two by then.
 constexpr base::Duration BusyRetry = std::chrono::milliseconds(150);
 /// When a client may come back that another VM serves: at once, nearly.
 constexpr base::Duration OtherVmRetry = std::chrono::milliseconds(50);
@@ -33,6 +35,7 @@
 constexpr base::Duration LargeAnswerTime = std::chrono::milliseconds(20);
 /// The part of its objective that a large answer waits for the link.
 constexpr int LargeObjectiveDivisor = 3;
+/// By then another VM's link is found, or this one is free.
 constexpr base::Duration MaxLinkRetry = std::chrono::milliseconds(400);
 /// The part of what is left in which a request waits for its key's holder.
 constexpr int HolderWaitDivisor = 3;
@@ -411,10 +414,7 @@
     head.Headers.push_back(
         {"Retry-After", Flow.dialect().WriteRetryAfter(RetryAfter)});
   head.Headers.push_back({"Content-Type", reply.ContentType});
-  head.Length = reply.Body.size();
-  Sink.Head(std::move(head));
-  Sink.Chunk(std::move(reply.Body), [] {});
-  Sink.End();
+  gateway::sendAnswer(Sink, std::move(head), std::move(reply.Body));
   finish();
 }
 
--- a/packages/fleet/internal/CoreLinks.cpp
+++ b/packages/fleet/internal/CoreLinks.cpp
@@ -1,6 +1,7 @@
 // Opening, watching and accepting links.
 #include "fleet/internal/CoreLinks.h"
 
+#include "base/Listener.h"
 #include "base/Log.h"
 
 namespace magnoliamill::fleet::internal {
@@ -24,20 +25,8 @@
       Acceptor(duty.context()) {}
 
 base::Result<void> CoreLinks::listen() {
-  boost::system::error_code ec;
-  const tcp::endpoint endpoint(boost::asio::ip::make_address(Self, ec), Port);
-  if (!ec)
-    Acceptor.open(endpoint.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(endpoint, ec);
-  if (!ec)
-    Acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-  if (ec)
-    return base::fail(ResultCode::ListenFailed, "listen for links on " + Self +
-                                                    ":" + std::to_string(Port) +
-                                                    ": " + ec.message());
+  if (auto listening = base::openListener(Acceptor, Self, Port); !listening)
+    return listening;
   accept();
   return base::ok();
 }
--- a/packages/gateway/HttpServer.h
+++ b/packages/gateway/HttpServer.h
@@ -38,6 +38,10 @@
 using CallHandler =
     std::function<protocol::CancelHook(HttpCall call, protocol::AnswerSink)>;
 
+/// Gives a whole answer in one go; its length is that of \p body.
+void sendAnswer(const protocol::AnswerSink &sink, protocol::AnswerHead head,
+                std::string body = {});
+
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
 public:
   HttpServer(base::DutyThread &duty, GatewayConfig config, CallHandler handler);
--- a/packages/gateway/internal/HttpServer.cpp
+++ b/packages/gateway/internal/HttpServer.cpp
@@ -1,6 +1,7 @@
 // Accepts connections and watches their time limits.
 #include "gateway/HttpServer.h"
 
+#include "base/Listener.h"
 #include "base/Log.h"
 #include "gateway/internal/AnswerInbox.h"
 #include "gateway/internal/HttpConnection.h"
@@ -23,6 +24,15 @@
 
 } // namespace
 
+void sendAnswer(const protocol::AnswerSink &sink, protocol::AnswerHead head,
+                std::string body) {
+  head.Length = body.size();
+  sink.Head(std::move(head));
+  if (!body.empty())
+    sink.Chunk(std::move(body), [] {});
+  sink.End();
+}
+
 HttpServer::HttpServer(base::DutyThread &duty, GatewayConfig config,
                        CallHandler handler)
     : Duty(duty), Config(std::move(config)), Handler(std::move(handler)),
@@ -30,23 +40,10 @@
       AcceptTimer(duty.context()) {}
 
 base::Result<void> HttpServer::start() {
+  auto listening = base::openListener(Acceptor, Config.Host, Config.Port);
+  if (!listening)
+    return listening;
   boost::system::error_code ec;
-  const auto address = boost::asio::ip::make_address(Config.Host, ec);
-  if (ec)
-    return base::fail(ResultCode::ListenFailed,
-                      "'" + Config.Host + "' is not an IP address");
-  const tcp::endpoint endpoint(address, Config.Port);
-  Acceptor.open(endpoint.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(endpoint, ec);
-  if (!ec)
-    Acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-  if (ec)
-    return base::fail(ResultCode::ListenFailed,
-                      "listen on " + Config.Host + ":" +
-                          std::to_string(Config.Port) + ": " + ec.message());
   Port = Acceptor.local_endpoint(ec).port();
   boost::asio::post(Duty.context(), [self = shared_from_this()] {
     self->accept();
