Entry: a stopping VM logs what it owes and which requests it cuts off

The logs of the incident could not tell why a request was unfinished at the end of the stop grace period. "this VM is stopping" and the line of the forced stop now have owed_bytes, the gauge mill_entry_owed_bytes shows it every second, and "a request is cut off by the end of the stop" names each request with its stage: at_target, receiving, paced (waits for its turn on the link) or sending (the client's connection does not accept more).

No logic changed.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace magnoliamill::entry {
@@ -32,6 +33,21 @@
   bool MayWait = true;
 };
 
+/// What an unfinished request waits for.
+enum class RequestStage {
+  /// A holder of its key, or a permit.
+  WaitingForTarget,
+  /// The head of the target's answer.
+  AtTarget,
+  /// More of the answer's body.
+  Receiving,
+  /// Its turn on the VM's network link.
+  Paced,
+  /// The client's connection, which has not accepted the last part yet.
+  Sending,
+};
+std::string_view nameOf(RequestStage stage);
+
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
   EntryRequest(RequestHandler &handler, gateway::HttpCall call,
@@ -44,6 +60,12 @@
   /// if there is one now.
   void onView();
 
+  RequestStage stage() const;
+  /// Bytes of the answer, as far as known, that were not passed on yet.
+  std::uint64_t owedBytes() const;
+  /// Writes one log line on what is owed to the client and why.
+  void logUnfinished(std::string_view text) const;
+
 private:
   bool readMetadata();
   bool findRoute();
@@ -120,10 +142,10 @@
   boost::asio::steady_timer ReadTimer;
   boost::asio::steady_timer DeliveryTimer;
   protocol::CancelHook CancelCall;
-  /// When the request was last sent to a target, and when the head of the
-  /// answer arrived.
+  /// When the request was last sent to a target.
   base::MonoTime SentAt;
-  base::MonoTime HeadAt;
+  /// When the head of the answer arrived; not set before that.
+  std::optional<base::MonoTime> HeadAt;
   /// Targets to which the request was sent.
   std::vector<keyspace::TargetInstance> Tried;
   /// The permit that was asked for or granted; 0 for none.
@@ -149,6 +171,8 @@
   bool IsDelivering = false;
   /// The delivery waits for more of the body.
   bool IsDeliveryIdle = false;
+  /// The client's connection has not accepted the last part yet.
+  bool IsSending = false;
   bool IsBodyComplete = false;
 };
 
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -46,6 +46,10 @@
   /// they could be answered.
   void refuseNew() { IsRefusingNew = true; }
   std::size_t countRequests() const { return Requests.size(); }
+  /// Bytes of the answers in progress that were not passed on to clients yet.
+  std::uint64_t owedBytes() const;
+  /// Writes one log line with \p text for each unfinished request.
+  void logUnfinished(std::string_view text) const;
   bool isRefusingNew() const { return IsRefusingNew; }
 
   // Used by EntryRequest.
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -3,6 +3,9 @@
 #include "entry/EntryNode.h"
 
 #include "base/Log.h"
+#include "base/Metrics.h"
+
+#include <prometheus/gauge.h>
 
 namespace magnoliamill::entry {
 namespace {
@@ -85,6 +88,9 @@
       return;
     if (auto report = Handler.speeds().take(); !report.empty())
       Subscription.send(std::move(report));
+    base::gauge("mill_entry_owed_bytes",
+                "Bytes of answers in progress that were not passed on yet.")
+        .Set(static_cast<double>(Handler.owedBytes()));
     scheduleReport();
   });
 }
@@ -127,6 +133,7 @@
     return;
   base::logInfo("entry", "this VM is stopping",
                 {{"requests", Handler.countRequests()},
+                 {"owed_bytes", Handler.owedBytes()},
                  {"connections", Clients->countConnections()}});
   Clients->endKeepAlive();
   auto finish = std::make_shared<std::function<void()>>(std::move(done));
@@ -151,7 +158,9 @@
       return;
     base::logWarning("entry", base::ResultCode::Stopping,
                      "the stop grace period ended before the last answer",
-                     {{"requests", Handler.countRequests()}});
+                     {{"requests", Handler.countRequests()},
+                      {"owed_bytes", Handler.owedBytes()}});
+    Handler.logUnfinished("a request is cut off by the end of the stop");
     end();
   });
 }
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -183,6 +183,7 @@
   Tried.push_back(instance);
   ++target.InFlight;
   SentAt = base::readMonotonic();
+  HeadAt.reset();
   Head = {};
   Body.clear();
 
@@ -242,7 +243,7 @@
   HeadAt = base::readMonotonic();
   // The target has done its work; the rest of the answer occupies only links.
   if (Head.Status < FirstServerError)
-    endPermit(admission::PermitUse::Answered, HeadAt - SentAt);
+    endPermit(admission::PermitUse::Answered, *HeadAt - SentAt);
 }
 
 void EntryRequest::onDone(const keyspace::TargetInstance &instance,
@@ -405,8 +406,10 @@
   }
   auto part = Body.substr(DeliveredBytes, n);
   DeliveredBytes += n;
+  IsSending = n > 0;
   if (n > 0)
     Sink.Chunk(std::move(part), [self = shared_from_this(), n, IsLast] {
+      self->IsSending = false;
       if (self->IsFinished || IsLast)
         return;
       const auto now = base::readMonotonic();
@@ -445,11 +448,59 @@
                  {"target", Tried.back().Id},
                  {"tried", Tried.size()},
                  {"waited_ms", base::toMs(SentAt - ArrivedAt)},
-                 {"target_ms", base::toMs(HeadAt - SentAt)},
-                 {"delivery_ms", base::toMs(now - HeadAt)},
+                 {"target_ms", base::toMs(HeadAt.value_or(now) - SentAt)},
+                 {"delivery_ms", base::toMs(now - HeadAt.value_or(now))},
                  {"bytes", AnswerBytes}});
 }
 
+std::string_view nameOf(RequestStage stage) {
+  switch (stage) {
+  case RequestStage::WaitingForTarget:
+    return "waiting_for_target";
+  case RequestStage::AtTarget:
+    return "at_target";
+  case RequestStage::Receiving:
+    return "receiving";
+  case RequestStage::Paced:
+    return "paced";
+  case RequestStage::Sending:
+    return "sending";
+  }
+  return "";
+}
+
+RequestStage EntryRequest::stage() const {
+  if (Tried.empty())
+    return RequestStage::WaitingForTarget;
+  if (!HeadAt)
+    return RequestStage::AtTarget;
+  if (IsSending)
+    return RequestStage::Sending;
+  return IsDelivering && !IsDeliveryIdle ? RequestStage::Paced
+                                         : RequestStage::Receiving;
+}
+
+std::uint64_t EntryRequest::owedBytes() const {
+  if (!HeadAt)
+    return 0;
+  const std::uint64_t whole =
+      IsDelivering ? AnswerBytes : Head.Length.value_or(Body.size());
+  return whole - std::min<std::uint64_t>(whole, DeliveredBytes);
+}
+
+void EntryRequest::logUnfinished(std::string_view text) const {
+  const auto now = base::readMonotonic();
+  base::logWarning("entry", ResultCode::Stopping, text,
+                   {{"request", Metadata.Id},
+                    {"route", Route ? Route->Name : ""},
+                    {"target", Tried.empty() ? "" : Tried.back().Id},
+                    {"stage", nameOf(stage())},
+                    {"age_ms", base::toMs(now - ArrivedAt)},
+                    {"left_ms", base::toMs(Deadline - now)},
+                    {"delivered", DeliveredBytes},
+                    {"owed_bytes", owedBytes()}});
+}
+
 bool EntryRequest::isLarge() const { return AnswerBytes > LargeAnswerBytes; }
 
 void EntryRequest::requestMore(std::size_t bytes, std::function<void()> more) {
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -99,6 +99,18 @@
       .first->second;
 }
 
+std::uint64_t RequestHandler::owedBytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto &request : Requests)
+    bytes += request->owedBytes();
+  return bytes;
+}
+
+void RequestHandler::logUnfinished(std::string_view text) const {
+  for (const auto &request : Requests)
+    request->logUnfinished(text);
+}
+
 void RequestHandler::setWaiting(const std::shared_ptr<EntryRequest> &request,
                                 bool waiting) {
   if (waiting)
