--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -78,9 +78,27 @@
     std::lock_guard lock(Mutex);
     ++Runs[attempt];
   }
-  headers.push_back({"Upstream-Signature", "s." + attempt});
-  answer(sink, 200, std::move(headers), Config.Id);
-  return {};
+  if (Config.WorkTime <= base::Duration::zero()) {
+    finishRun(sink, attempt);
+    return {};
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(EventLoop.context());
+  timer->expires_after(Config.WorkTime);
+  timer->async_wait(
+      [this, timer, sink, attempt](const boost::system::error_code &ec) {
+        if (!ec)
+          finishRun(sink, attempt);
+      });
+  return [timer] { timer->cancel(); };
+}
+
+void FakeUpstream::finishRun(const protocol::AnswerSink &sink,
+                             const std::string &attempt) {
+  std::string body = Config.Id;
+  body.resize(std::max(body.size(), Config.AnswerBytes), '.');
+  answer(sink, 200,
+         {{"Attempt-Id", attempt}, {"Upstream-Signature", "s." + attempt}},
+         std::move(body));
 }
 
 bool FakeUpstream::holdsKey(std::uint32_t key) const {
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -27,6 +27,10 @@
   /// Time between heartbeats; tests configure the daemons with the same
   /// interval.
   base::Duration Interval = std::chrono::milliseconds(300);
+  /// How long a request runs.
+  base::Duration WorkTime{};
+  /// Size of the answers; they begin with the id. 0: the id alone.
+  std::size_t AnswerBytes = 0;
 };
 
 /// Runs on its own event loop thread. The public methods may be called from any
@@ -55,6 +59,7 @@
 
   protocol::CancelHook serve(const HttpCall &call,
                              const protocol::AnswerSink &sink);
+  void finishRun(const protocol::AnswerSink &sink, const std::string &attempt);
   void sendHeartbeat();
   void scheduleHeartbeat(base::Duration delay);
   std::string composeHeartbeat();
--- a/packages/entry/tests/LinkPacerTest.cpp
+++ b/packages/entry/tests/LinkPacerTest.cpp
@@ -1,5 +1,6 @@
 // Tests how long small answers wait for large ones on a narrow link.
 #include "entry/LinkPacer.h"
+#include "entry/LinkBudget.h"
 
 #include <catch2/catch.hpp>
 #include <vector>
@@ -100,6 +101,42 @@
   CHECK(now - Start <= 3 * timeOf(LargeBytes, LinkRate));
 }
 
+TEST_CASE("Large answers that were admitted are passed on within their latency "
+          "objective") {
+  constexpr std::size_t LargeBytes = 90'000;
+  constexpr auto Objective = 1200ms;
+  // 80 % of the link.
+  constexpr auto Interval = 180ms;
+  const std::string Route = "file";
+  LinkBudget budget(LinkRate);
+  budget.recordSize(Route, LargeBytes);
+  LinkPacer pacer(LinkRate);
+  std::vector<Transfer> transfers;
+  base::Duration longest{};
+  int ended = 0;
+  for (auto now = Start; now < Start + 20s; now += 1ms) {
+    if ((now - Start) % Interval == 0ms &&
+        budget.backlog(now) <= Objective / 3) {
+      budget.reserve(Route, now);
+      transfers.push_back({LargeBytes, now, now});
+    }
+    for (auto &transfer : transfers) {
+      if (transfer.Left == 0 || transfer.NextPart > now)
+        continue;
+      const auto part = std::min(transfer.Left, pacer.partBytes());
+      transfer.Left -= part;
+      transfer.NextPart = now + pacer.delayAfter(part, now);
+      if (transfer.Left > 0)
+        continue;
+      ++ended;
+      longest = std::max(longest, now - transfer.End);
+    }
+  }
+  CHECK(longest <= Objective);
+  // Half of the link is used.
+  CHECK(ended * LargeBytes >= LinkRate / 2 * 19);
+}
+
 TEST_CASE("Without a link limit there is no delay") {
   LinkPacer pacer(0);
   CHECK(pacer.delayAfter(100'000'000, Start) == base::Duration::zero());
