Entry: a stopping VM admits only requests that end before it exits

What callers saw: a reservation (not idempotent) sent 3.1 s after SIGTERM ran at its target for 2.7 s and got no answer; its outcome is unknown to the caller. Cause: requests were admitted until 60 % of the grace period, whatever their time limit. With a grace of 6 s and a route timeout of 4 s, what is admitted between 1.85 and 3.6 s may outlast the process. Now StopAdmission decides for each request: its deadline, and for large answers the time that the link needs for them and for what is owed, have to fit before the forced stop. Otherwise it is refused at once as not run, to return to another VM. What may take longer than the rest of the stop is never started, so nothing is cut off that was admitted after SIGTERM. Changed test: refuseNew() no longer exists; the section 'the VM is stopping' now sets the time left to the route's timeout, with the same checks, and a new section checks that a request that fits is answered.

--- a/packages/entry/EntryNode.h
+++ b/packages/entry/EntryNode.h
@@ -51,7 +51,6 @@
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer StopTimer;
   boost::asio::steady_timer ForceTimer;
-  boost::asio::steady_timer RefuseTimer;
   bool IsStopping = false;
   bool WasReady = false;
 };
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -72,6 +72,9 @@
   /// Reserves the VM's network link for the answer. Refuses the request and
   /// returns false if the backlog of reserved answers is too long.
   bool reserveLink();
+  /// Refuses the request and returns false if this VM stops and may exit before
+  /// the end of the answer.
+  bool fitsStop();
   void tryNext();
   /// Sends the request to \p target if it has room; otherwise waits for a
   /// holder or refuses the request.
--- a/packages/entry/LinkPacer.h
+++ b/packages/entry/LinkPacer.h
@@ -28,14 +28,19 @@
   base::Duration delayAfter(std::size_t bytes, base::MonoTime now) {
     if (Rate <= 0)
       return base::Duration::zero();
-    FreeAt =
-        std::max(FreeAt, now) +
-        std::chrono::duration_cast<base::Duration>(
-            std::chrono::duration<double>(static_cast<double>(bytes) / Rate));
+    FreeAt = std::max(FreeAt, now) + transferTime(static_cast<double>(bytes));
     const auto wait = FreeAt - now;
     return wait < MinWait ? base::Duration::zero() : wait;
   }
 
+  /// How long the pacer takes to let \p bytes pass.
+  base::Duration transferTime(double bytes) const {
+    if (Rate <= 0)
+      return base::Duration::zero();
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(bytes / Rate));
+  }
+
 private:
   /// Share of the link's rate that large answers may use; the rest is for small
   /// answers, requests, connections and the view.
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -8,6 +8,7 @@
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
 #include "entry/PermitClient.h"
+#include "entry/StopAdmission.h"
 #include "entry/TargetPool.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/SpeedReport.h"
@@ -42,15 +43,14 @@
                               protocol::AnswerSink sink);
   /// Applies the last change of the view.
   void onView();
-  /// Refuses requests that arrive from now on, because this VM stops before
-  /// they could be answered.
-  void refuseNew() { IsRefusingNew = true; }
+  /// Refuses from now on requests that could outlast \p grace, at the end of
+  /// which this VM exits. Returns when unfinished requests are cut off.
+  base::MonoTime beginStop(base::Duration grace);
   std::size_t countRequests() const { return Requests.size(); }
   /// Bytes of the answers in progress that were not passed on to clients yet.
   std::uint64_t owedBytes() const;
   /// Writes one log line with \p text for each unfinished request.
   void logUnfinished(std::string_view text) const;
-  bool isRefusingNew() const { return IsRefusingNew; }
 
   // Used by EntryRequest.
   base::EventLoopThread &loop() { return EventLoop; }
@@ -63,6 +63,9 @@
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
+  const StopAdmission &stopAdmission() const { return Stop; }
+  /// How long an answer of \p route takes to pass on while this VM stops.
+  base::Duration deliveryTime(const routing::Route &route) const;
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
@@ -96,7 +99,7 @@
   std::map<std::string, dispatch::RetryBudget> Budgets;
   std::set<std::shared_ptr<EntryRequest>> Requests;
   std::set<std::shared_ptr<EntryRequest>> Waiting;
-  bool IsRefusingNew = false;
+  StopAdmission Stop;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -20,19 +20,12 @@
 /// ended by then. Closing idle connections earlier would reset requests that
 /// are still on their way over a busy link.
 constexpr base::Duration DrainDelay = std::chrono::milliseconds(4200);
-/// Requests that arrive on keep-alive connections after this part of the stop
-/// grace period are refused: route timeouts are several seconds, so the answer
-/// might not arrive before the period ends.
-constexpr int RefusePercentOfGrace = 60;
 /// Limits DrainDelay if the stop grace period is short, so that the remaining
 /// time is left for the last requests.
 constexpr int DrainPercentOfGrace = 70;
 /// Interval of the reports on target speeds. A slow target becomes visible
 /// within a few reports.
 constexpr base::Duration ReportInterval = std::chrono::milliseconds(1000);
-/// Time between the forced stop and the end of the stop grace period, for
-/// sending the last answers.
-constexpr base::Duration ForcedStopMargin = std::chrono::milliseconds(150);
 /// How long an idle connection may still deliver a request while draining.
 constexpr base::Duration DrainIdleTime = std::chrono::milliseconds(300);
 
@@ -53,7 +46,7 @@
       Subscription(loop, Settings, [this] { onView(); }),
       Handler(loop, Settings, Format, Subscription.view()),
       ReportTimer(loop.context()), StopTimer(loop.context()),
-      ForceTimer(loop.context()), RefuseTimer(loop.context()) {
+      ForceTimer(loop.context()) {
   Clients = std::make_shared<gateway::HttpServer>(
       EventLoop, makeServerConfig(Settings.ClientListen),
       [this](gateway::HttpCall call, protocol::AnswerSink sink) {
@@ -147,12 +140,8 @@
     if (!ec)
       Clients->drain(end);
   });
-  RefuseTimer.expires_after(Settings.StopGrace * RefusePercentOfGrace / 100);
-  RefuseTimer.async_wait([this](const boost::system::error_code &ec) {
-    if (!ec)
-      Handler.refuseNew();
-  });
-  ForceTimer.expires_after(Settings.StopGrace - ForcedStopMargin);
+  const auto ForcedAt = Handler.beginStop(Settings.StopGrace);
+  ForceTimer.expires_after(base::delayUntil(ForcedAt));
   ForceTimer.async_wait([this, end](const boost::system::error_code &ec) {
     if (ec)
       return;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -78,10 +78,7 @@
                   "this VM has no configuration yet", NoHolderRetryAfter);
   if (!readMetadata())
     return;
-  if (Handler.isRefusingNew())
-    return refuse(ResultCode::NotRunNotReady, "this VM is stopping",
-                  OtherVmRetryAfter);
-  if (!findRoute() || !reserveLink())
+  if (!findRoute() || !fitsStop() || !reserveLink())
     return;
   Handler.retryBudgetOf(Service).onAnswer();
   tryNext();
@@ -117,6 +114,23 @@
   return true;
 }
 
+bool EntryRequest::fitsStop() {
+  const auto &stop = Handler.stopAdmission();
+  if (!stop.isStopping())
+    return true;
+  const auto delivery = Handler.deliveryTime(*Route);
+  if (stop.admits(Deadline, delivery))
+    return true;
+  base::logInfo("entry", "a request may outlast the stop of this VM",
+                {{"request", Metadata.Id},
+                 {"route", Route->Name},
+                 {"limit_ms", base::toMs(Deadline - ArrivedAt)},
+                 {"delivery_ms", base::toMs(delivery)},
+                 {"stop_left_ms", base::toMs(stop.endsAt() - ArrivedAt)}});
+  refuse(ResultCode::NotRunNotReady, "this VM is stopping", OtherVmRetryAfter);
+  return false;
+}
+
 bool EntryRequest::reserveLink() {
   const auto backlog = Handler.link().backlog(ArrivedAt);
   const auto own = Handler.link().expectedTime(Route->Name);
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -99,6 +99,19 @@
       .first->second;
 }
 
+base::MonoTime RequestHandler::beginStop(base::Duration grace) {
+  Stop.begin(base::readMonotonic(), grace);
+  return Stop.endsAt();
+}
+
+base::Duration RequestHandler::deliveryTime(const routing::Route &route) const {
+  const double bytes = Link.expectedBytes(route.Name);
+  // Small answers are sent between the parts of large ones.
+  if (bytes <= LargeAnswerBytes)
+    return base::Duration::zero();
+  return Outgoing.transferTime(static_cast<double>(owedBytes()) + bytes);
+}
+
 std::uint64_t RequestHandler::owedBytes() const {
   std::uint64_t bytes = 0;
   for (const auto &request : Requests)
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -18,6 +18,7 @@
 using gateway::tests::waitFor;
 using Peer = ScriptedServer::Peer;
 
+constexpr base::Duration RouteTimeout = 2s;
 constexpr const char *Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
                                 "Not-Run: yes\r\nContent-Length: 0\r\n\r\n";
 constexpr const char *Answer =
@@ -55,7 +56,7 @@
   route.Host = "shop.test";
   route.PathPrefix = prefix;
   route.Kind = kind;
-  route.Timeout = 2s;
+  route.Timeout = RouteTimeout;
   route.LatencyObjective = 500ms;
   route.MaxAttempts = 2;
   route.Shares = {{"vault", 1}};
@@ -117,8 +118,8 @@
     REQUIRE(waitFor([this] { return Collected.isEnded() || HasFailed; }));
     return Collected.status();
   }
-  void refuseNew() {
-    EventLoop.run([&] { Handler->refuseNew(); });
+  void beginStop(base::Duration grace) {
+    EventLoop.run([&] { Handler->beginStop(grace); });
   }
   std::string body() const { return Collected.body(); }
   bool hasFailed() const { return HasFailed; }
@@ -163,13 +164,19 @@
     CHECK(entry.hasRetryAfter());
     CHECK(entry.countRequests() == 2);
   }
-  SECTION("the VM is stopping: not run, with Retry-After") {
+  SECTION(
+      "the VM exits before the route's timeout: not run, with Retry-After") {
     Entry entry([](Peer &peer, int) { peer.send(Answer); });
-    entry.refuseNew();
+    entry.beginStop(RouteTimeout);
     CHECK(entry.request("GET", "/read/1") == 503);
     CHECK(entry.hasRetryAfter());
     CHECK(entry.countRequests() == 0);
   }
+  SECTION("the VM is stopping, but exits after the route's timeout: answered") {
+    Entry entry([](Peer &peer, int) { peer.send(Answer); });
+    entry.beginStop(2 * RouteTimeout);
+    CHECK(entry.request("GET", "/read/1") == 200);
+  }
   SECTION("refused, then answered") {
     Entry entry([](Peer &peer, int number) {
       number == 1 ? refuse(peer) : peer.send(Answer);
