Entry: a stopping VM passes its large answers on at the rate that the link allows

What callers saw: downloads cut in the middle 5.9 s after SIGTERM, although their targets had been done for more than four seconds. Cause: large answers are paced at 55 % of the link, in both directions, so that small traffic does not wait behind them. Ruled out: clients that read slowly; the log of the test says paced for all five, none sending. Now both pacers use 85 % of the link from SIGTERM on, and a download is passed on as it arrives instead of from its half: the half is kept back for a retry at another target, for which the VM has no time any more.

--- a/packages/entry/LinkPacer.h
+++ b/packages/entry/LinkPacer.h
@@ -12,9 +12,13 @@
 
 class LinkPacer {
 public:
+  /// Share of the link's rate that large answers may use; the rest is for small
+  /// answers, requests, connections and the view.
+  static constexpr double PacedShare = 0.55;
+
   /// \p rate is that of the direction in bytes/s; 0 for no limit.
   explicit LinkPacer(double rate)
-      : Rate(rate * PacedShare),
+      : LinkRate(rate), Rate(rate * PacedShare),
         PartBytes(rate <= 0 ? MaxPartBytes
                             : std::clamp(static_cast<std::size_t>(
                                              rate * MaxPartSeconds),
@@ -33,6 +37,10 @@
     return wait < MinWait ? base::Duration::zero() : wait;
   }
 
+  /// Passes on what is left as fast as the link allows, because the VM stops:
+  /// it gets no new connections that large answers could hold up.
+  void expedite() { Rate = LinkRate * ExpeditedShare; }
+
   /// How long the pacer takes to let \p bytes pass.
   base::Duration transferTime(double bytes) const {
     if (Rate <= 0)
@@ -42,9 +50,9 @@
   }
 
 private:
-  /// Share of the link's rate that large answers may use; the rest is for small
-  /// answers, requests, connections and the view.
-  static constexpr double PacedShare = 0.55;
+  /// The same while the VM stops; the rest is for the last small answers and
+  /// packet overhead.
+  static constexpr double ExpeditedShare = 0.85;
   /// Shorter waits are skipped: they are not worth waking the process.
   static constexpr base::Duration MinWait = std::chrono::milliseconds(5);
 
@@ -53,6 +61,7 @@
   static constexpr std::size_t MinPartBytes = 2u << 10;
   static constexpr std::size_t MaxPartBytes = 16u << 10;
 
+  double LinkRate;
   double Rate;
   std::size_t PartBytes;
   base::MonoTime FreeAt;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -381,7 +381,8 @@
   // both are done at the same time.
   const bool IsLargeDownload = Route->Kind == routing::RouteKind::Download &&
                                Head.Length.value_or(0) > LargeAnswerBytes;
-  if (IsLargeDownload && Body.size() * 2 >= *Head.Length)
+  const bool IsStopping = Handler.stopAdmission().isStopping();
+  if (IsLargeDownload && (IsStopping || Body.size() * 2 >= *Head.Length))
     startDelivery(*Head.Length);
 }
 
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -101,6 +101,8 @@
 
 base::MonoTime RequestHandler::beginStop(base::Duration grace) {
   Stop.begin(base::readMonotonic(), grace);
+  Incoming.expedite();
+  Outgoing.expedite();
   return Stop.endsAt();
 }
 
