Entry: large answers fill the link's budget by the share at which they are passed on

Cause: the budget drained at 85 % of the link while large answers are passed on at 55 %. What was owed at SIGTERM then did not fit into the grace period. Now an answer over 32 KiB counts by what it takes of the paced share, and the reservation is corrected once the head of the answer tells its size. What the link can't pass on in time is refused at once, to be served by another VM.

--- a/packages/entry/LinkBudget.h
+++ b/packages/entry/LinkBudget.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "entry/LinkPacer.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -33,16 +34,24 @@
     if (Rate <= 0)
       return base::Duration::zero();
     return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(expectedBytes(route) / Rate));
+        std::chrono::duration<double>(costOf(expectedBytes(route)) / Rate));
   }
 
   /// Reserves the link for an answer of \p route. Returns the reserved bytes,
   /// to be passed to release() if they are not sent.
   double reserve(const std::string &route, base::MonoTime now) {
     drain(now);
-    const double bytes = expectedBytes(route);
-    ReservedBytes += bytes;
-    return bytes;
+    const double cost = costOf(expectedBytes(route));
+    ReservedBytes += cost;
+    return cost;
+  }
+
+  /// Corrects a reservation when the size of the answer is known. Returns the
+  /// bytes that are reserved instead.
+  double adjust(double reserved, double bytes) {
+    const double cost = costOf(bytes);
+    ReservedBytes = std::max(0.0, ReservedBytes + cost - reserved);
+    return cost;
   }
 
   /// The mean size of the answers of \p route.
@@ -72,6 +81,14 @@
   /// Assumed size of a route's answers before the first one.
   static constexpr double DefaultAnswerBytes = 2000;
 
+  /// The bytes by which an answer fills the budget. Large answers are passed on
+  /// at a smaller share of the link, so they fill more of it than their size.
+  static double costOf(double bytes) {
+    return bytes > LargeAnswerBytes
+               ? bytes * UsableShare / LinkPacer::PacedShare
+               : bytes;
+  }
+
   /// Subtracts what the link has transferred since the last call.
   void drain(base::MonoTime now) {
     const std::chrono::duration<double> passed = now - DrainedAt;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -255,6 +255,9 @@
 
 void EntryRequest::onHead() {
   HeadAt = base::readMonotonic();
+  if (Head.Length)
+    ReservedLinkBytes = Handler.link().adjust(
+        ReservedLinkBytes, static_cast<double>(*Head.Length));
   // The target has done its work; the rest of the answer occupies only links.
   if (Head.Status < FirstServerError)
     endPermit(admission::PermitUse::Answered, *HeadAt - SentAt);
