Entry: small requests are not refused for a backlog of large answers

What callers saw: 503 for a small request while one large answer was passed on, and for every request after a HEAD request that names a length. Cause: since 'large answers fill the link's budget by the share at which they are passed on', small and large requests were judged by one backlog in which large answers counted 1.5 times; found by review before any landing. Now the budget keeps the large answers a second time, at the paced share, and only requests with large answers are judged by it. Instead of correcting reservations by the sizes in heads, which freed more than was still reserved, they are also judged by the bytes that are owed in fact. Test: 'A large answer leaves room for small ones' failed in both sections before, passes now.

--- a/packages/entry/LinkBudget.h
+++ b/packages/entry/LinkBudget.h
@@ -18,7 +18,8 @@
 class LinkBudget {
 public:
   /// \p rate is that of one direction of the link in bytes/s; 0 for no limit.
-  explicit LinkBudget(double rate) : Rate(rate * UsableShare) {}
+  explicit LinkBudget(double rate)
+      : Rate(rate * UsableShare), PacedRate(rate * LinkPacer::PacedShare) {}
 
   /// The time the link needs to transfer the reserved bytes.
   base::Duration backlog(base::MonoTime now) {
@@ -29,29 +30,32 @@
         std::chrono::duration<double>(ReservedBytes / Rate));
   }
 
+  /// The time until the reserved large answers have been passed on.
+  base::Duration largeBacklog(base::MonoTime now) {
+    drain(now);
+    if (Rate <= 0)
+      return base::Duration::zero();
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(ReservedLargeBytes / PacedRate));
+  }
+
   /// The time an average answer of \p route takes on the idle link.
   base::Duration expectedTime(const std::string &route) const {
     if (Rate <= 0)
       return base::Duration::zero();
     return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(costOf(expectedBytes(route)) / Rate));
+        std::chrono::duration<double>(expectedBytes(route) / Rate));
   }
 
   /// Reserves the link for an answer of \p route. Returns the reserved bytes,
   /// to be passed to release() if they are not sent.
   double reserve(const std::string &route, base::MonoTime now) {
     drain(now);
-    const double cost = costOf(expectedBytes(route));
-    ReservedBytes += cost;
-    return cost;
-  }
-
-  /// Corrects a reservation when the size of the answer is known. Returns the
-  /// bytes that are reserved instead.
-  double adjust(double reserved, double bytes) {
-    const double cost = costOf(bytes);
-    ReservedBytes = std::max(0.0, ReservedBytes + cost - reserved);
-    return cost;
+    const double bytes = expectedBytes(route);
+    ReservedBytes += bytes;
+    if (bytes > LargeAnswerBytes)
+      ReservedLargeBytes += bytes;
+    return bytes;
   }
 
   /// The mean size of the answers of \p route.
@@ -63,6 +67,8 @@
   /// Frees the reservation of an answer that was not sent.
   void release(double bytes) {
     ReservedBytes = std::max(0.0, ReservedBytes - bytes);
+    if (bytes > LargeAnswerBytes)
+      ReservedLargeBytes = std::max(0.0, ReservedLargeBytes - bytes);
   }
 
   /// Updates the mean answer size of \p route.
@@ -81,23 +87,21 @@
   /// Assumed size of a route's answers before the first one.
   static constexpr double DefaultAnswerBytes = 2000;
 
-  /// The bytes by which an answer fills the budget. Large answers are passed on
-  /// at a smaller share of the link, so they fill more of it than their size.
-  static double costOf(double bytes) {
-    return bytes > LargeAnswerBytes
-               ? bytes * UsableShare / LinkPacer::PacedShare
-               : bytes;
-  }
-
   /// Subtracts what the link has transferred since the last call.
   void drain(base::MonoTime now) {
     const std::chrono::duration<double> passed = now - DrainedAt;
     DrainedAt = now;
     ReservedBytes = std::max(0.0, ReservedBytes - passed.count() * Rate);
+    ReservedLargeBytes =
+        std::max(0.0, ReservedLargeBytes - passed.count() * PacedRate);
   }
 
   double Rate;
+  /// The rate at which large answers are passed on.
+  double PacedRate;
+  /// All reserved answers, large ones included.
   double ReservedBytes = 0;
+  double ReservedLargeBytes = 0;
   base::MonoTime DrainedAt;
   std::map<std::string, double> MeanBytes;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -132,10 +132,14 @@
 }
 
 bool EntryRequest::reserveLink() {
-  const auto backlog = Handler.link().backlog(ArrivedAt);
   const auto own = Handler.link().expectedTime(Route->Name);
   // Small answers are sent between the parts of large ones.
   const bool IsLarge = own > LargeAnswerTime;
+  auto backlog = Handler.link().backlog(ArrivedAt);
+  if (IsLarge)
+    backlog = std::max({backlog, Handler.link().largeBacklog(ArrivedAt),
+                        Handler.outgoing().transferTime(
+                            static_cast<double>(Handler.owedBytes()))});
   const auto limit = IsLarge ? Route->LatencyObjective / LargeObjectiveDivisor
                              : Route->LatencyObjective;
   if (backlog > limit) {
@@ -255,9 +259,6 @@
 
 void EntryRequest::onHead() {
   HeadAt = base::readMonotonic();
-  if (Head.Length)
-    ReservedLinkBytes = Handler.link().adjust(
-        ReservedLinkBytes, static_cast<double>(*Head.Length));
   // The target has done its work; the rest of the answer occupies only links.
   if (Head.Status < FirstServerError)
     endPermit(admission::PermitUse::Answered, *HeadAt - SentAt);
