Entry: a stopping VM refuses what still waits for a target and may outlast it

What callers saw: a request admitted before SIGTERM that waited for its key's holder was closed without an answer at the forced stop, although no target had seen it; a client of a route that must not run twice could not try another VM. Cause: StopAdmission was asked at arrival only; found by review. Now it is asked for every waiting request when the stop begins, and before each retry: what has to wait beyond the exit is refused at once as not run, and a failed attempt gets its true outcome instead of a retry that would be cut off. The margin before the forced stop covers a wait for a permit, which ends up to 120 ms after the deadline.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -60,6 +60,10 @@
   /// if there is one now.
   void onView();
 
+  /// This VM stops: refuses the request unless a target has it or the time
+  /// until the exit suffices for it.
+  void onStop();
+
   RequestStage stage() const;
   /// Bytes of the answer, as far as known, that were not passed on yet.
   std::uint64_t owedBytes() const;
@@ -96,7 +100,8 @@
   void onLost(const keyspace::TargetInstance &instance,
               const gateway::TargetOutcome &outcome);
   /// Takes a retry from the service's budget. False if the request has no
-  /// attempts or time left, or the budget is used up.
+  /// attempts or time left, this VM may exit before its end, or the budget is
+  /// used up.
   bool tryTakeRetry();
   gateway::AnswerKind classifyAnswer(const protocol::AnswerHead &head);
   void waitForHolder();
--- a/packages/entry/LinkPacer.h
+++ b/packages/entry/LinkPacer.h
@@ -38,7 +38,7 @@
   }
 
   /// Passes on what is left as fast as the link allows, because the VM stops:
-  /// it gets no new connections that large answers could hold up.
+  /// it soon gets no new connections, which large answers would hold up.
   void expedite() { Rate = LinkRate * ExpeditedShare; }
 
   /// How long the pacer takes to let \p bytes pass.
--- a/packages/entry/StopAdmission.h
+++ b/packages/entry/StopAdmission.h
@@ -29,9 +29,9 @@
   /// sending the last answers.
   static constexpr base::Duration ForcedStopMargin =
       std::chrono::milliseconds(150);
-  /// Time for writing an answer that is ready at the deadline. A VM with a
-  /// small share of a processor is late by tens of milliseconds.
-  static constexpr base::Duration AnswerMargin = std::chrono::milliseconds(100);
+  /// Time for refusing a request whose wait for a permit ends after its
+  /// deadline, and for writing the answer on a slow processor.
+  static constexpr base::Duration AnswerMargin = std::chrono::milliseconds(150);
 
   std::optional<base::MonoTime> EndsAt;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -131,6 +131,11 @@
   return false;
 }
 
+void EntryRequest::onStop() {
+  if (!IsFinished && Tried.empty())
+    fitsStop();
+}
+
 bool EntryRequest::reserveLink() {
   const auto own = Handler.link().expectedTime(Route->Name);
   // Small answers are sent between the parts of large ones.
@@ -346,7 +351,8 @@
 
 bool EntryRequest::tryTakeRetry() {
   if (Tried.size() >= Route->MaxAttempts ||
-      timeLeft() <= base::Duration::zero())
+      timeLeft() <= base::Duration::zero() ||
+      !Handler.stopAdmission().admits(Deadline, Handler.deliveryTime(*Route)))
     return false;
   return Handler.retryBudgetOf(Service).tryTake();
 }
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -103,6 +103,9 @@
   Stop.begin(base::readMonotonic(), grace);
   Incoming.expedite();
   Outgoing.expedite();
+  const auto unfinished = Requests;
+  for (const auto &request : unfinished)
+    request->onStop();
   return Stop.endsAt();
 }
 
