Tests: a VM that a test freezes has stopped before the test goes on

Cause: kill(SIGSTOP) returns while threads of the process still run: the kernel stops them once the thread that takes the signal is scheduled. The test of the status sent its change at once. Beside load the change was committed, fetched by the VM "frozen" and reported as in force before its last thread had stopped. What was seen: "timed out: only the frozen VM is pending". The status was right and the index that the test asked for is that of its change: the VM did have it in force. Now ChildProcess::freeze waits until the process is reported as stopped, which happens when its last thread has stopped. All tests that freeze a process use it; their checks are unchanged.

--- a/tests/SettingsFailureTest.cpp
+++ b/tests/SettingsFailureTest.cpp
@@ -339,7 +339,7 @@
           "[settings-faults]") {
   LocalCluster cluster("settings-status", 23100, makeThreeDiskPlan());
   startWithService(cluster);
-  cluster.vm("a4").signal(SIGSTOP);
+  cluster.vm("a4").freeze();
   auto answer = setUntilResolved(cluster, "a1", targetPath("x"), ActiveState, 0,
                                  "frozen-vm");
   REQUIRE(answer.Status == 200);
@@ -369,8 +369,8 @@
   auto leader = settingsLeader(cluster);
   std::string second = leader == "a1" ? "a2" : "a1";
   std::string left = leader == "a3" || second == "a3" ? "a2" : "a3";
-  cluster.vm(leader).signal(SIGSTOP);
-  cluster.vm(second).signal(SIGSTOP);
+  cluster.vm(leader).freeze();
+  cluster.vm(second).freeze();
   auto refused = std::map<std::string, std::uint64_t>();
   constexpr int Refusals = 8;
   std::vector<std::future<HttpResponse>> answers;
--- a/tests/cluster/ChildProcess.cpp
+++ b/tests/cluster/ChildProcess.cpp
@@ -1,6 +1,7 @@
 // Implements ChildProcess with posix_spawn and waitpid.
 #include "cluster/ChildProcess.h"
 
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <spawn.h>
@@ -50,6 +51,18 @@
     kill(Pid, number);
 }
 
+void ChildProcess::freeze() {
+  signal(SIGSTOP);
+  if (ExitCode)
+    return;
+  // WNOWAIT leaves the state to be read again: by a second freeze, or by wait.
+  siginfo_t info{};
+  while (waitid(P_PID, static_cast<id_t>(Pid), &info,
+                WSTOPPED | WEXITED | WNOWAIT) < 0 &&
+         errno == EINTR) {
+  }
+}
+
 int ChildProcess::wait() {
   if (ExitCode)
     return *ExitCode;
--- a/tests/cluster/ChildProcess.h
+++ b/tests/cluster/ChildProcess.h
@@ -22,6 +22,9 @@
 
   /// Sends the signal \p number unless the process is known to have ended.
   void signal(int number);
+  /// Freezes the process with SIGSTOP and returns when all its threads have
+  /// stopped: kill() returns while they still run. SIGCONT resumes them.
+  void freeze();
   /// Waits for the process to end. Returns its exit code, or 128 + the number
   /// of the signal that ended it.
   int wait();
--- a/tests/cluster/FaultFixture.cpp
+++ b/tests/cluster/FaultFixture.cpp
@@ -100,7 +100,7 @@
 void FaultFixture::freeze(const std::string &process) {
   Load->excludeEntry(process);
   Stops[process] = readMonotonicUs();
-  Cluster.vm(process).signal(SIGSTOP);
+  Cluster.vm(process).freeze();
   std::this_thread::sleep_for(FreezeDuration);
   Cluster.vm(process).signal(SIGCONT);
 }
