--- a/packages/gateway/internal/TargetClient.cpp
+++ b/packages/gateway/internal/TargetClient.cpp
@@ -20,7 +20,6 @@
 /// Collects the answer to a grant or probe.
 struct ExchangeAnswer {
   std::string Body;
-  protocol::CancelHook Cancel;
 };
 
 base::Result<std::string> toExchangeResult(const TargetOutcome &outcome,
