Settings: a VM fetches from a live replica of its own data centre first

Cause: SettingsParticipant::replicas() ordered the replicas by liveness alone and then by id, so that all followers of all data centres fetched from the replica with the lowest id. Decision: the own data centre was meant, as it spares links between data centres; but a live replica comes before a silent one of the own data centre. The order is now a function of its own without I/O, orderReplicas.

--- a/packages/node/SettingsParticipant.h
+++ b/packages/node/SettingsParticipant.h
@@ -92,6 +92,7 @@
   void startFollower();
   void afterApply();
   protocol::FetchReply readAfter(const protocol::FetchRequest &request) const;
+  /// Other VMs with a disk, in the order in which they are tried.
   std::vector<base::VmId> replicas() const;
   struct ProposeProgress {
     std::uint32_t TriesLeft = 0;
--- a/packages/node/internal/SettingsParticipant.cpp
+++ b/packages/node/internal/SettingsParticipant.cpp
@@ -5,6 +5,7 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "node/MembershipPolicy.h"
+#include "node/ReplicaOrder.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -149,21 +150,17 @@
 }
 
 std::vector<base::VmId> SettingsParticipant::replicas() const {
-  std::vector<base::VmId> found;
+  std::vector<settings::VmView> found;
   auto add = [&](const settings::VmView &vm) {
     if (vm.HasDisk && vm.Id != Node.Vm &&
-        std::ranges::find(found, vm.Id) == found.end())
-      found.push_back(vm.Id);
+        std::ranges::find(found, vm.Id, &settings::VmView::Id) == found.end())
+      found.push_back(vm);
   };
   for (const auto &[id, vm] : View->Vms)
     add(vm);
   if (View->Vms.empty())
     std::ranges::for_each(Node.Seeds, add);
-  // VMs that answer first.
-  std::stable_partition(
-      found.begin(), found.end(),
-      [this](const base::VmId &vm) { return Hooks.IsAlive(vm); });
-  return found;
+  return orderReplicas(found, Node.DataCentre, Hooks.IsAlive);
 }
 
 void SettingsParticipant::receive(consensus::Message message) {
