Two texts in ordinary technical English

The text of result code 1009 (DuplicateField), in the code and in its table, and the help text of mill_ring_refused.

--- a/packages/base/internal/ResultCode.cpp
+++ b/packages/base/internal/ResultCode.cpp
@@ -23,7 +23,7 @@
     {ResultCode::ListenFailed, "ListenFailed",
      "A listen address could not be opened."},
     {ResultCode::DuplicateField, "DuplicateField",
-     "A member stands twice in a JSON object."},
+     "A member occurs twice in a JSON object."},
     {ResultCode::BadRequest, "BadRequest",
      "The request line, a header or the body is malformed."},
     {ResultCode::HeaderTooLarge, "HeaderTooLarge",
--- a/packages/node/internal/Node.cpp
+++ b/packages/node/internal/Node.cpp
@@ -204,7 +204,7 @@
       base::gauge("mill_requests_open", "Callers' requests in this VM.");
   static auto &Refused =
       base::gauge("mill_ring_refused",
-                  "Tasks refused because a ring was full, all duties.");
+                  "Tasks refused because the ring of a thread was full.");
   InForce.Set(static_cast<double>(SettingsGroup->inForce()));
   Leads.Set(DataCentre->isLeader() ? 1 : 0);
   LeadsSettings.Set(SettingsGroup->isLeader() ? 1 : 0);
