Entry: a stopping VM counts answers that wait for their targets

The admission after SIGTERM added the bytes of the answers whose head had arrived to the deadline of the new request. It left out the answers that targets still work on, so a large answer admitted before could delay the new one past the end of the stop: the client saw the connection close in the middle of an answer. And it added what the link passes on before the deadline, so requests that fit were refused.

The forecast is now code of its own, OwedAnswers.h: every owed answer arrives as late as it may, and the link is busy from one of these times on with all answers due then or later. No order of arrival ends later.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/EntryFormat.h"
+#include "entry/OwedAnswers.h"
 #include "entry/PermitClient.h"
 #include "entry/TargetPool.h"
 #include "gateway/HttpServer.h"
@@ -63,6 +64,8 @@
   RequestStage stage() const;
   /// Bytes of the answer, as far as known, that were not passed on yet.
   std::uint64_t owedBytes() const;
+  /// What the link has to pass on for this request; nothing without a route.
+  std::optional<OwedAnswer> owedAnswer() const;
   /// Writes one log line on what is owed to the client and why.
   void logUnfinished(std::string_view text) const;
 
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -64,8 +64,10 @@
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
   const StopAdmission &stopAdmission() const { return Stop; }
-  /// How long an answer of \p route takes to pass on while this VM stops.
-  base::Duration deliveryTime(const routing::Route &route) const;
+  /// How long after \p deadline, that of a request in progress, its answer of
+  /// \p route has been passed on at the latest.
+  base::Duration deliveryTime(const routing::Route &route,
+                              base::MonoTime deadline) const;
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -118,7 +118,7 @@
   const auto &stop = Handler.stopAdmission();
   if (!stop.isStopping())
     return true;
-  const auto delivery = Handler.deliveryTime(*Route);
+  const auto delivery = Handler.deliveryTime(*Route, Deadline);
   if (stop.admits(Deadline, delivery))
     return true;
   base::logInfo("entry", "a request may outlast the stop of this VM",
@@ -506,6 +506,14 @@
   return whole - std::min<std::uint64_t>(whole, DeliveredBytes);
 }
 
+std::optional<OwedAnswer> EntryRequest::owedAnswer() const {
+  if (!Route)
+    return std::nullopt;
+  if (!HeadAt)
+    return OwedAnswer{Deadline, Handler.link().expectedBytes(Route->Name)};
+  return OwedAnswer{base::readMonotonic(), static_cast<double>(owedBytes())};
+}
+
 void EntryRequest::logUnfinished(std::string_view text) const {
   const auto now = base::readMonotonic();
   base::logWarning("entry", ResultCode::Stopping, text,
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -3,6 +3,7 @@
 
 #include "base/Hash.h"
 #include "entry/EntryRequest.h"
+#include "entry/OwedAnswers.h"
 
 namespace magnoliamill::entry {
 namespace {
@@ -106,12 +107,17 @@
   return Stop.endsAt();
 }
 
-base::Duration RequestHandler::deliveryTime(const routing::Route &route) const {
-  const double bytes = Link.expectedBytes(route.Name);
+base::Duration RequestHandler::deliveryTime(const routing::Route &route,
+                                            base::MonoTime deadline) const {
   // Small answers are sent between the parts of large ones.
-  if (bytes <= LargeAnswerBytes)
+  if (Link.expectedBytes(route.Name) <= LargeAnswerBytes)
     return base::Duration::zero();
-  return Outgoing.transferTime(static_cast<double>(owedBytes()) + bytes);
+  std::vector<OwedAnswer> answers;
+  answers.reserve(Requests.size());
+  for (const auto &request : Requests)
+    if (const auto answer = request->owedAnswer())
+      answers.push_back(*answer);
+  return latestDelivery(std::move(answers), deadline, Outgoing) - deadline;
 }
 
 std::uint64_t RequestHandler::owedBytes() const {
