--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/EntryFormat.h"
+#include "entry/OwedAnswers.h"
 #include "entry/PermitClient.h"
 #include "entry/TargetPool.h"
 #include "gateway/HttpServer.h"
@@ -67,6 +68,8 @@
   RequestStage stage() const;
   /// Bytes of the answer, as far as known, that were not passed on yet.
   std::uint64_t owedBytes() const;
+  /// What the link has to pass on for this request; nothing without a route.
+  std::optional<OwedAnswer> owedAnswer() const;
   /// Writes one log line on what is owed to the client and why.
   void logUnfinished(std::string_view text) const;
 
@@ -76,9 +79,10 @@
   /// Reserves the VM's network link for the answer. Refuses the request and
   /// returns false if the backlog of reserved answers is too long.
   bool reserveLink();
-  /// Refuses the request and returns false if this VM stops and may exit before
-  /// the end of the answer.
-  bool fitsStop();
+  /// False if this VM stops and may exit before the end of the answer.
+  bool fitsStop() const;
+  /// Refuses the request and returns true unless it fits.
+  bool refuseUnlessFitsStop();
   void tryNext();
   /// Sends the request to \p target if it has room; otherwise waits for a
   /// holder or refuses the request.
--- a/packages/entry/StopAdmission.h
+++ b/packages/entry/StopAdmission.h
@@ -10,6 +10,10 @@
 
 class StopAdmission {
 public:
+  /// Time for refusing a request whose wait for a permit ends after its
+  /// deadline, and for writing the answer on a slow processor.
+  static constexpr base::Duration AnswerMargin = std::chrono::milliseconds(150);
+
   /// The VM exits \p grace after \p now.
   void begin(base::MonoTime now, base::Duration grace) {
     EndsAt = now + grace - ForcedStopMargin;
@@ -29,9 +33,6 @@
   /// sending the last answers.
   static constexpr base::Duration ForcedStopMargin =
       std::chrono::milliseconds(150);
-  /// Time for refusing a request whose wait for a permit ends after its
-  /// deadline, and for writing the answer on a slow processor.
-  static constexpr base::Duration AnswerMargin = std::chrono::milliseconds(150);
 
   std::optional<base::MonoTime> EndsAt;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -78,7 +78,7 @@
                   "this VM has no configuration yet", NoHolderRetryAfter);
   if (!readMetadata())
     return;
-  if (!findRoute() || !fitsStop() || !reserveLink())
+  if (!findRoute() || refuseUnlessFitsStop() || !reserveLink())
     return;
   Handler.retryBudgetOf(Service).onAnswer();
   tryNext();
@@ -114,26 +114,30 @@
   return true;
 }
 
-bool EntryRequest::fitsStop() {
+bool EntryRequest::fitsStop() const {
   const auto &stop = Handler.stopAdmission();
-  if (!stop.isStopping())
-    return true;
-  const auto delivery = Handler.deliveryTime(*Route);
-  if (stop.admits(Deadline, delivery))
-    return true;
-  base::logInfo("entry", "a request may outlast the stop of this VM",
-                {{"request", Metadata.Id},
-                 {"route", Route->Name},
-                 {"limit_ms", base::toMs(Deadline - ArrivedAt)},
-                 {"delivery_ms", base::toMs(delivery)},
-                 {"stop_left_ms", base::toMs(stop.endsAt() - ArrivedAt)}});
+  return !stop.isStopping() ||
+         stop.admits(Deadline, Handler.deliveryTime(*Route, Deadline));
+}
+
+bool EntryRequest::refuseUnlessFitsStop() {
+  if (fitsStop())
+    return false;
+  base::logInfo(
+      "entry", "a request may outlast the stop of this VM",
+      {{"request", Metadata.Id},
+       {"route", Route->Name},
+       {"limit_ms", base::toMs(Deadline - ArrivedAt)},
+       {"delivery_ms", base::toMs(Handler.deliveryTime(*Route, Deadline))},
+       {"stop_left_ms",
+        base::toMs(base::delayUntil(Handler.stopAdmission().endsAt()))}});
   refuse(ResultCode::NotRunNotReady, "this VM is stopping", OtherVmRetryAfter);
-  return false;
+  return true;
 }
 
 void EntryRequest::onStop() {
   if (!IsFinished && Tried.empty())
-    fitsStop();
+    refuseUnlessFitsStop();
 }
 
 bool EntryRequest::reserveLink() {
@@ -351,8 +355,7 @@
 
 bool EntryRequest::tryTakeRetry() {
   if (Tried.size() >= Route->MaxAttempts ||
-      timeLeft() <= base::Duration::zero() ||
-      !Handler.stopAdmission().admits(Deadline, Handler.deliveryTime(*Route)))
+      timeLeft() <= base::Duration::zero() || !fitsStop())
     return false;
   return Handler.retryBudgetOf(Service).tryTake();
 }
@@ -513,6 +516,14 @@
   return whole - std::min<std::uint64_t>(whole, DeliveredBytes);
 }
 
+std::optional<OwedAnswer> EntryRequest::owedAnswer() const {
+  if (!Route)
+    return std::nullopt;
+  if (!HeadAt)
+    return OwedAnswer{Deadline, Handler.link().expectedBytes(Route->Name)};
+  return OwedAnswer{base::readMonotonic(), static_cast<double>(owedBytes())};
+}
+
 void EntryRequest::logUnfinished(std::string_view text) const {
   const auto now = base::readMonotonic();
   base::logWarning("entry", ResultCode::Stopping, text,
