Target client: bound what is read of an answer and not passed on

Cause: input that its receiver never gets was read until the call's deadline. A chunk size, a chunk extension and a trailer were buffered whole, without a limit; interim answers, late answers and bodies of refusals were read without end. A refusal with a malformed body lost its promise that nothing had run, and a late answer that stalled was reported as the truncation of the call's own. What callers saw: calls that ended only at their deadline, with memory that grew by what the target sent; a request that had not run reported as unknown. Evidence: in 4 s a scripted target could send 568 MB as the body of a refusal. Now an incomplete element may have 64 KiB, as a head had before, and all unused input of a call 4 MiB, which is more than a late download, and 8 bytes per byte of body for chunk framing. Beyond that the connection is closed; the call fails with TargetProtocol, so its outcome stays unknown. A refusal is reported as such whatever follows its head, after 100 ms at the latest. Header fields without end and bytes after an answer were handled before and are kept.

--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
-#include <limits>
 
 namespace magnoliamill::gateway::internal {
 
@@ -18,9 +17,10 @@
 
 namespace {
 
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 /// Maximum number of bytes of a refusal's body that are kept as its message.
 constexpr std::size_t MaxRefusalBytes = 4u << 10;
+/// A refusal is reported after this time even if its body is incomplete.
+constexpr base::Duration RefusalBodyTimeout = std::chrono::milliseconds(100);
 constexpr std::size_t FirstReadBytes = 8u << 10;
 
 } // namespace
@@ -100,7 +100,7 @@
   if (IsConnecting)
     return fail(ResultCode::TargetUnreachable,
                 "the target did not accept a connection in time");
-  fail(IsHeadSeen ? ResultCode::AnswerTruncated : ResultCode::TargetTimeout,
+  fail(isAnswering() ? ResultCode::AnswerTruncated : ResultCode::TargetTimeout,
        "the deadline passed");
 }
 
@@ -138,7 +138,7 @@
 
 void TargetExchange::resetParser() {
   Parser.emplace();
-  Parser->header_limit(MaxAnswerHeaderBytes);
+  Parser->header_limit(UnusedInputLimit::MaxElementBytes);
   Parser->body_limit(boost::none);
   Parser->skip(Call.Request.Method == "HEAD");
 }
@@ -203,9 +203,14 @@
     ErrorCode ec;
     const std::size_t n = Parser->put(input.data(), ec);
     input.consume(n);
-    filled = chunk.size() - body.size;
+    const std::size_t added = chunk.size() - body.size - filled;
+    filled += added;
+    const bool IsElementOpen = n == 0 && ec == http::error::need_more;
+    if (!UnusedInput.accept(n, IsRefused || IsStale ? 0 : added,
+                            IsElementOpen ? input.size() : 0))
+      ec = http::error::buffer_overflow;
     if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
-      fail(ResultCode::TargetProtocol, ec.message());
+      IsRefused ? complete() : fail(ResultCode::TargetProtocol, ec.message());
       return false;
     }
     if (Parser->is_header_done() && !IsHeadSeen && !onHeader())
@@ -226,17 +231,14 @@
 
 /// Handles a complete head. Returns false if the call has ended.
 bool TargetExchange::onHeader() {
-  const auto &response = Parser->get();
-  if (response.result_int() < 200) {
+  if (Parser->get().result_int() < 200) {
     // An interim answer (1xx); the final one follows.
     resetParser();
     return true;
   }
   IsHeadSeen = true;
   HeadAt = base::readMonotonic();
-  const bool IsCloseDelimited =
-      !Parser->is_done() && !Parser->chunked() && !Parser->content_length();
-  if (IsCloseDelimited && !Call.AcceptsCloseDelimited) {
+  if (isCloseDelimited(*Parser) && !Call.AcceptsCloseDelimited) {
     // A truncation of a body that ends with the connection can't be detected.
     IsHeadSeen = false;
     fail(ResultCode::TargetProtocol,
@@ -249,12 +251,7 @@
 /// Classifies the answer by its head. Returns false if the call has ended.
 bool TargetExchange::classifyAnswer() {
   const auto &response = Parser->get();
-  std::optional<std::uint64_t> length;
-  if (const auto given = Parser->content_length())
-    length = *given;
-  else if (Parser->is_done())
-    length = 0;
-  auto head = readAnswerHead(response, length);
+  auto head = readAnswerHead(response, readBodyLength(*Parser));
   auto verdict = isRefusedBeforeRunning(response) ? AnswerKind::NotRun
                                                   : AnswerKind::Deliver;
   if (Call.Classify)
@@ -267,6 +264,8 @@
   }
   IsRefused = verdict == AnswerKind::NotRun;
   IsStale = verdict == AnswerKind::Stale;
+  if (IsRefused)
+    armTimer(std::min(Call.Deadline, HeadAt + RefusalBodyTimeout));
   if (IsRefused || IsStale)
     return true;
   stripForForwarding(head.Headers);
@@ -314,7 +313,7 @@
 
 void TargetExchange::onConnectionLost(ErrorCode ec) {
   // A close-delimited answer ends with an orderly close, not with a reset.
-  if (ec == boost::asio::error::eof && Parser && IsHeadSeen && !IsStale) {
+  if (ec == boost::asio::error::eof && Parser && isAnswering()) {
     ErrorCode result;
     Parser->put_eof(result);
     if (!result && Parser->is_done())
@@ -326,7 +325,7 @@
     return;
   if (IsRefused)
     return complete();
-  if (IsHeadSeen)
+  if (isAnswering())
     return fail(ResultCode::AnswerTruncated,
                 "the answer was truncated: " + ec.message());
   fail(ResultCode::TargetReset, ec.message());
@@ -374,9 +373,10 @@
   outcome.MayHaveRun = IsWritten;
   outcome.Code = code;
   outcome.Message = std::move(message);
-  if (IsHeadSeen)
+  if (isAnswering())
     outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
-  outcome.Latency = (IsHeadSeen ? HeadAt : base::readMonotonic()) - StartedAt;
+  outcome.Latency =
+      (isAnswering() ? HeadAt : base::readMonotonic()) - StartedAt;
   finish(std::move(outcome));
 }
 
--- a/packages/gateway/internal/TargetExchange.h
+++ b/packages/gateway/internal/TargetExchange.h
@@ -5,6 +5,7 @@
 #include "gateway/TargetClient.h"
 #include "gateway/internal/ConnectionPool.h"
 #include "gateway/internal/TargetMessage.h"
+#include "gateway/internal/UnusedInputLimit.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -45,6 +46,8 @@
   bool parseSome(std::string &chunk);
   bool onHeader();
   bool classifyAnswer();
+  /// True from the head of the answer to the call's own request on.
+  bool isAnswering() const { return IsHeadSeen && !IsStale; }
   void resetParser();
   void discardStaleAnswer();
   void deliver(std::string chunk);
@@ -66,6 +69,8 @@
   ConnectionPtr Connection;
   TargetRequest Message;
   std::optional<TargetResponseParser> Parser;
+  /// Over all answers on the connections of this call.
+  UnusedInputLimit UnusedInput;
   base::MonoTime StartedAt;
   /// The time the timer is armed for, on the clock of base::readMonotonic.
   base::MonoTime TimerExpiry;
--- a/packages/gateway/internal/TargetMessage.cpp
+++ b/packages/gateway/internal/TargetMessage.cpp
@@ -67,6 +67,19 @@
   return head;
 }
 
+std::optional<std::uint64_t>
+readBodyLength(const TargetResponseParser &parser) {
+  if (const auto length = parser.content_length())
+    return *length;
+  if (parser.is_done())
+    return 0;
+  return std::nullopt;
+}
+
+bool isCloseDelimited(const TargetResponseParser &parser) {
+  return !parser.is_done() && !parser.chunked() && !parser.content_length();
+}
+
 bool isRefusedBeforeRunning(const TargetResponse &response) {
   return response.result_int() >= 400 && response["Mill-Not-Run"] == "1";
 }
--- a/packages/gateway/internal/TargetMessage.h
+++ b/packages/gateway/internal/TargetMessage.h
@@ -27,6 +27,12 @@
 protocol::AnswerHead readAnswerHead(const TargetResponse &response,
                                     std::optional<std::uint64_t> length);
 
+/// Returns the length of the body, if the head states it.
+std::optional<std::uint64_t> readBodyLength(const TargetResponseParser &parser);
+
+/// True if the body ends with the connection.
+bool isCloseDelimited(const TargetResponseParser &parser);
+
 /// True if the target states that it refused the request before running it.
 bool isRefusedBeforeRunning(const TargetResponse &response);
 
--- a/packages/gateway/tests/Support.cpp
+++ b/packages/gateway/tests/Support.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// Size of the writes of an endless answer.
+constexpr std::size_t BlockBytes = 16u << 10;
 constexpr auto WaitLimit = std::chrono::seconds(10);
 
 std::size_t readContentLength(std::string_view head) {
@@ -136,6 +138,16 @@
   sendAll(Socket, bytes);
 }
 
+std::size_t ScriptedServer::Peer::sendEndlessly(std::string_view bytes) {
+  std::string block;
+  while (block.size() < BlockBytes)
+    block += bytes;
+  std::size_t sent = 0;
+  while (sendAll(Socket, block))
+    sent += block.size();
+  return sent;
+}
+
 void ScriptedServer::Peer::awaitClose() {
   std::string rest;
   while (receive(Socket, rest) > 0)
--- a/packages/gateway/tests/Support.h
+++ b/packages/gateway/tests/Support.h
@@ -19,6 +19,10 @@
 
 namespace magnoliamill::gateway::tests {
 
+/// Upper limit of the bytes that the buffers of a connection hold on both
+/// sides: what a peer accepts beyond the bytes that were read from it.
+constexpr std::size_t MaxSocketBufferBytes = 40u << 20;
+
 /// Waits until \p condition holds; false after 10 s.
 bool waitFor(const std::function<bool()> &condition);
 
@@ -64,6 +68,9 @@
     /// connection.
     std::string readRequest();
     void send(std::string_view bytes);
+    /// Sends \p bytes again and again until the peer closes the connection.
+    /// Returns the number of bytes that the socket has accepted.
+    std::size_t sendEndlessly(std::string_view bytes);
     /// Reads until the peer closes the connection.
     void awaitClose();
     /// Shuts the connection down in both directions.
