Entry: bound the memory of the answers that wait for their clients

Cause: the body of an answer was buffered without a limit until the answer was complete or the deadline passed. What callers saw: with a target that sends a body without end, an idempotent request ended unknown at its deadline instead of being repeated, and the VM's memory grew by what the target sent: 635 to 825 MB in the 2 s of one request in the test. Now the answers of an entry share 64 MiB, a quarter of the memory of a small VM. An answer may hold as much as it leaves free: one gets at most half, and many that grow at the same time leave room for small ones. What was passed on is freed, so a download may be larger than the memory. An answer that gets no more is given up: its connection is closed, the request is repeated if it is idempotent, and its outcome is unknown otherwise.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -2,6 +2,7 @@
 // of a target, a refusal that guarantees it has not run, or an unknown outcome.
 #pragma once
 
+#include "entry/AnswerBody.h"
 #include "entry/EntryFormat.h"
 #include "entry/PermitClient.h"
 #include "entry/TargetPool.h"
@@ -166,7 +167,7 @@
   bool MayHaveRun = false;
   AnswerMetadata RefusalMetadata;
   protocol::AnswerHead Head;
-  std::string Body;
+  AnswerBody Body;
   /// Size of the whole body; set when the delivery starts.
   std::size_t AnswerBytes = 0;
   /// Bytes of the body that were passed on to the client.
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
+#include "entry/AnswerMemory.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -66,6 +67,8 @@
   const StopAdmission &stopAdmission() const { return Stop; }
   /// How long an answer of \p route takes to pass on while this VM stops.
   base::Duration deliveryTime(const routing::Route &route) const;
+  /// For the answers that wait for their clients.
+  const std::shared_ptr<AnswerMemory> &answerMemory() { return Memory; }
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
@@ -91,6 +94,8 @@
   TargetPool Pool;
   LinkPacer Incoming;
   LinkPacer Outgoing;
+  /// Shared with requests, which may be destroyed later than this object.
+  std::shared_ptr<AnswerMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
   LinkBudget Link;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -66,7 +66,7 @@
     : Handler(handler), Request(std::move(call)), Sink(std::move(sink)),
       ArrivedAt(base::readMonotonic()), Timer(handler.loop().context()),
       ReadTimer(handler.loop().context()),
-      DeliveryTimer(handler.loop().context()) {}
+      DeliveryTimer(handler.loop().context()), Body(handler.answerMemory()) {}
 
 base::Duration EntryRequest::timeLeft() const {
   return Deadline - base::readMonotonic();
@@ -226,17 +226,23 @@
   // small ones completely, large ones by half.
   sink.Chunk = [self](const std::string &data,
                       const std::function<void()> &more) {
-    self->Body += data;
+    if (!self->Body.append(data))
+      return std::exchange(self->CancelCall, nullptr)();
     self->onBodyGrown();
     self->requestMore(data.size(), more);
   };
   sink.End = [] {};
   sink.Fail = [](const protocol::RequestFailure &) {};
-  auto cancel = Handler.client().call(
-      std::move(call), std::move(sink),
-      [self, instance](const gateway::TargetOutcome &outcome) {
-        self->onDone(instance, outcome);
-      });
+  auto cancel =
+      Handler.client().call(std::move(call), std::move(sink),
+                            [self, instance](gateway::TargetOutcome outcome) {
+                              if (self->Body.hasOverflowed()) {
+                                outcome.Code = ResultCode::TargetProtocol;
+                                outcome.Message =
+                                    "the answer exceeds the memory for answers";
+                              }
+                              self->onDone(instance, outcome);
+                            });
   if (!IsFinished)
     CancelCall = std::move(cancel);
 }
@@ -422,7 +428,7 @@
     IsDeliveryIdle = true;
     return;
   }
-  auto part = Body.substr(DeliveredBytes, n);
+  auto part = Body.take(n);
   DeliveredBytes += n;
   IsSending = n > 0;
   if (n > 0)
@@ -592,6 +598,7 @@
   IsFinished = true;
   endPermit(admission::PermitUse::Abandoned);
   Handler.link().release(ReservedLinkBytes);
+  Body.clear();
   Timer.cancel();
   ReadTimer.cancel();
   DeliveryTimer.cancel();
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -17,6 +17,10 @@
     std::chrono::milliseconds(500);
 constexpr base::Duration MaxIdle = std::chrono::seconds(8);
 
+/// Memory for the answers that wait for their clients. With the growth of the
+/// buffers it stays below half of a VM with 256 MiB.
+constexpr std::size_t AnswerMemoryBytes = 64u << 20;
+
 gateway::TargetClientConfig makeClientConfig(const EntryFormat &format,
                                              const LinkPacer &pacer) {
   gateway::TargetClientConfig config;
@@ -38,6 +42,7 @@
       Pool(settings.DataCentre, base::hash64(settings.Vm, 1)),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
+      Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
       Client(loop, makeClientConfig(format, Incoming)),
       Permits(loop, settings.LinkPort),
       Link(settings.LinkMbps * BytesPerMegabit) {}
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -205,6 +205,48 @@
   }
 }
 
+TEST_CASE("An answer without end is given up, and its outcome is unknown") {
+  struct Form {
+    const char *Title;
+    std::string Start;
+    /// Repeated until the connection is closed.
+    std::string Rest;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nMark: yes\r\n";
+  const std::vector<Form> forms{{"without a length", head + "\r\n", "body"},
+                                {"in chunks",
+                                 head + "Transfer-Encoding: chunked\r\n\r\n",
+                                 "400\r\n" + std::string(1024, 'x') + "\r\n"}};
+  for (const auto &form : forms) {
+    std::atomic<std::size_t> accepted{0};
+    const auto script = [&](Peer &peer, int number) {
+      peer.send(number == 1 ? form.Start : Answer);
+      if (number == 1)
+        accepted = peer.sendEndlessly(form.Rest);
+    };
+    // Half of the memory for answers.
+    constexpr std::size_t MaxBytes =
+        (34u << 20) + gateway::tests::MaxSocketBufferBytes;
+
+    DYNAMIC_SECTION(form.Title << ", not idempotent: not sent again") {
+      Entry entry(script);
+      CHECK(entry.request("POST", "/order/1") == 502);
+      CHECK_FALSE(entry.hasRetryAfter());
+      CHECK(entry.countRequests() == 1);
+      REQUIRE(waitFor([&] { return accepted > 0; }));
+      CHECK(accepted < MaxBytes);
+    }
+    DYNAMIC_SECTION(form.Title << ", idempotent: answered by another target") {
+      Entry entry(script);
+      CHECK(entry.request("GET", "/read/1") == 200);
+      CHECK(entry.body() == "ok");
+      CHECK(entry.countRequests() == 2);
+      REQUIRE(waitFor([&] { return accepted > 0; }));
+      CHECK(accepted < MaxBytes);
+    }
+  }
+}
+
 TEST_CASE("A large answer is passed on while it is received") {
   const std::string whole(200u << 10, 'x');
   const auto SendHead = [&](Peer &peer) {
