--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -29,6 +29,16 @@
   gateway::sendAnswer(sink, std::move(head), std::move(body));
 }
 
+/// Sends parts of a body for as long as the caller takes them.
+void sendEndlessPart(boost::asio::io_context &context,
+                     const protocol::AnswerSink &sink) {
+  constexpr std::size_t PartBytes = 64u << 10;
+  sink.Chunk(std::string(PartBytes, '.'), [&context, sink] {
+    boost::asio::post(context,
+                      [&context, sink] { sendEndlessPart(context, sink); });
+  });
+}
+
 } // namespace
 
 FakeUpstream::FakeUpstream(FakeUpstreamConfig config)
@@ -78,6 +88,10 @@
     std::lock_guard lock(Mutex);
     ++Runs[attempt];
   }
+  if (Config.EndlessKey == key) {
+    answerEndlessly(sink, attempt);
+    return {};
+  }
   if (Config.WorkTime <= base::Duration::zero()) {
     finishRun(sink, attempt);
     return {};
@@ -101,6 +115,16 @@
          std::move(body));
 }
 
+void FakeUpstream::answerEndlessly(const protocol::AnswerSink &sink,
+                                   const std::string &attempt) {
+  protocol::AnswerHead head;
+  head.Status = 200;
+  head.Headers = {{"Attempt-Id", attempt},
+                  {"Upstream-Signature", "s." + attempt}};
+  sink.Head(std::move(head));
+  sendEndlessPart(EventLoop.context(), sink);
+}
+
 bool FakeUpstream::holdsKey(std::uint32_t key) const {
   std::lock_guard lock(Mutex);
   if (base::readMonotonic() >= HoldExpiresAt)
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   base::Duration WorkTime{};
   /// Size of the answers; they begin with the id. 0: the id alone.
   std::size_t AnswerBytes = 0;
+  /// Requests for this key get a body without end.
+  std::optional<std::uint32_t> EndlessKey = std::nullopt;
 };
 
 /// Runs on its own event loop thread. The public methods may be called from any
@@ -60,6 +63,8 @@
   protocol::CancelHook serve(const HttpCall &call,
                              const protocol::AnswerSink &sink);
   void finishRun(const protocol::AnswerSink &sink, const std::string &attempt);
+  void answerEndlessly(const protocol::AnswerSink &sink,
+                       const std::string &attempt);
   void sendHeartbeat();
   void scheduleHeartbeat(base::Duration delay);
   std::string composeHeartbeat();
