--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
+#include "entry/AnswerMemory.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -68,6 +69,8 @@
   /// \p route has been passed on at the latest.
   base::Duration deliveryTime(const routing::Route &route,
                               base::MonoTime deadline) const;
+  /// For the answers that wait for their clients.
+  const std::shared_ptr<AnswerMemory> &answerMemory() { return Memory; }
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
@@ -93,6 +96,8 @@
   TargetPool Pool;
   LinkPacer Incoming;
   LinkPacer Outgoing;
+  /// Shared with requests, which may be destroyed later than this object.
+  std::shared_ptr<AnswerMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
   LinkBudget Link;
