--- a/packages/fleet/FleetSettings.h
+++ b/packages/fleet/FleetSettings.h
@@ -56,6 +56,8 @@
   base::Duration HeartbeatInterval = std::chrono::milliseconds(1000);
   /// "hold_ms": how long a target keeps its stripes after a heartbeat.
   base::Duration HoldTime = std::chrono::seconds(4);
+  /// "target_drain_ms": how long a target that leaves still gets requests.
+  base::Duration TargetDrainTime = std::chrono::seconds(2);
   /// "stop_grace_s": time from SIGTERM to the forced exit.
   base::Duration StopGrace = std::chrono::seconds(6);
   /// "retry_percent": retries allowed per 100 requests of a service.
--- a/packages/fleet/internal/FleetSettings.cpp
+++ b/packages/fleet/internal/FleetSettings.cpp
@@ -121,6 +121,7 @@
           .value_or(0));
   readDuration(reader, "heartbeat_interval_ms", fleet.HeartbeatInterval);
   readDuration(reader, "hold_ms", fleet.HoldTime);
+  readDuration(reader, "target_drain_ms", fleet.TargetDrainTime);
   if (auto seconds =
           reader.readNumber("stop_grace_s", MinStopGraceS, MaxStopGraceS))
     fleet.StopGrace = std::chrono::duration_cast<base::Duration>(
--- a/packages/fleet/tests/FleetSettingsTest.cpp
+++ b/packages/fleet/tests/FleetSettingsTest.cpp
@@ -49,6 +49,17 @@
   CHECK(firstFault(WithGrace("\"10\"")) == base::ResultCode::WrongType);
 }
 
+TEST_CASE("The drain time of targets is read in milliseconds") {
+  const auto WithDrain = [](const std::string &ms) {
+    return replaced(Entry, "\"duty\"",
+                    "\"target_drain_ms\":" + ms + ",\"duty\"");
+  };
+  CHECK(checkFleetSettings(WithDrain("1500")).Settings->TargetDrainTime ==
+        std::chrono::milliseconds(1500));
+  CHECK(firstFault(WithDrain("0")) == base::ResultCode::OutOfRange);
+  CHECK(firstFault(WithDrain("\"1500\"")) == base::ResultCode::WrongType);
+}
+
 TEST_CASE("Faults in the settings file are reported with result codes") {
   CHECK(firstFault("{") == base::ResultCode::JsonMalformed);
   CHECK(firstFault(replaced(Entry, "\"host\"", "\"vm\"")) ==
