Platform: read a target's announcement of its exit and its request for a pause

Answers may say that their target leaves, and a 503 for how long the target wants no requests. Neither was decoded, so entries could not respect them.

--- a/packages/entry/EntryFormat.h
+++ b/packages/entry/EntryFormat.h
@@ -38,6 +38,11 @@
   bool IsNotRun = false;
   /// The address now belongs to another target.
   bool IsWrongTarget = false;
+  /// The target is leaving and will exit.
+  bool IsLeaving = false;
+  /// How long the target wants no requests from this VM; zero if it did not
+  /// ask.
+  base::Duration AskedPause{};
 };
 
 /// Callbacks and names provided by the platform adapter.
