Entry: respect targets that leave or ask for a pause

A target that announced its exit in its answers still got requests from this VM after its drain time, because an entry knew only the view; and a target that refused with 503 and a time to come back got the next requests at once. Callers saw refusals, or requests lost with a target that exited.

TargetNotices keeps what each target instance said and decides whether it may get a request. It is checked before a permit is asked for, when one is granted, in the choice of a target, and immediately before each write, which also covers the repetition on a new connection. It is independent of the view, so a view that loses and finds the target does not clear it; a new instance at the same address starts without notices. A request that only a closed target could serve is refused at once as not run, also if it waits for a permit there; Retry-After is what is left of the pause, at most a third of the remaining time.

Without keys a leaving target is chosen only after healthy ones, except where a permit names it. A keyed holder is used until shortly before its drain time ends.

The fixture of RequestHandlerTest moves to EntryFixture.h; its tests are unchanged.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -59,6 +59,9 @@
   /// The view has changed: continues a request that waits for the key's holder
   /// if there is one now.
   void onView();
+  /// \p target asked for a pause: refuses a request that waits for a permit
+  /// there.
+  void onPause(const keyspace::TargetInstance &target);
 
   RequestStage stage() const;
   /// Bytes of the answer, as far as known, that were not passed on yet.
@@ -79,6 +82,9 @@
   /// Sends the request to \p target if it has room; otherwise waits for a
   /// holder or refuses the request.
   void trySend(PooledTarget *target);
+  /// Refuses the request and returns true if no target may get it now because
+  /// of what the targets told about themselves.
+  bool refuseIfClosed();
   /// Asks for a permit and returns true, unless the request is to be sent
   /// without one.
   bool askPermit();
@@ -130,6 +136,11 @@
   void finish();
   base::Duration timeLeft() const;
 
+  /// Retry-After value while the key has no holder. A handover takes less time,
+  /// replacing a lost holder takes more.
+  static constexpr base::Duration NoHolderRetryAfter =
+      std::chrono::milliseconds(250);
+
   RequestHandler &Handler;
   gateway::HttpCall Request;
   protocol::AnswerSink Sink;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -60,6 +60,10 @@
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
   PermitClient &permits() { return Permits; }
+  /// Takes from an answer of \p target to \p request what the target tells
+  /// about itself. Requests that wait for a permit there may be refused.
+  void readNotices(const keyspace::TargetInstance &target,
+                   const AnswerMetadata &answer, std::string_view request);
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
--- /dev/null
+++ b/packages/entry/TargetNotices.h
@@ -0,0 +1,59 @@
+// What targets told this VM about themselves in their answers: that they leave,
+// or that they want no requests for a while. Decides whether a target may get a
+// request. Performs no I/O.
+#pragma once
+
+#include "base/Time.h"
+#include "keyspace/Types.h"
+
+#include <map>
+
+namespace magnoliamill::entry {
+
+/// Belongs to target instances, not to addresses: the next target at an address
+/// starts without notices. Independent of the view, since a target that the
+/// view lost and found again is still the same one.
+class TargetNotices {
+public:
+  /// A target that leaves gets requests for \p drain after its first
+  /// notice.
+  explicit TargetNotices(base::Duration drain);
+
+  /// The target said that it leaves. False if that was known.
+  bool onLeaving(const keyspace::TargetInstance &instance, base::MonoTime now);
+  /// The target asked for no requests for \p pause. False if an earlier notice
+  /// asked for a pause that lasts as long.
+  bool onPause(const keyspace::TargetInstance &instance, base::Duration pause,
+               base::MonoTime now);
+
+  bool isLeaving(const keyspace::TargetInstance &instance) const;
+  /// The time from which the target may get requests: \p now if it may at
+  /// present, MonoTime::max() if it never may again.
+  base::MonoTime opensAt(const keyspace::TargetInstance &instance,
+                         base::MonoTime now) const;
+  bool isOpen(const keyspace::TargetInstance &instance,
+              base::MonoTime now) const {
+    return opensAt(instance, now) <= now;
+  }
+  std::size_t size() const { return Notices.size(); }
+
+  /// Maximum number of targets with notices, so that targets which are gone
+  /// don't accumulate. Those with the oldest notices are forgotten.
+  static constexpr std::size_t MaxTargets = 1024;
+
+private:
+  struct Notice {
+    base::MonoTime ReceivedAt;
+    base::MonoTime PausedUntil{};
+    base::MonoTime DrainedAt = base::MonoTime::max();
+  };
+
+  Notice &put(const keyspace::TargetInstance &instance, base::MonoTime now);
+  /// Makes room for another target.
+  void forget(base::MonoTime now);
+
+  base::Duration DrainTime;
+  std::map<keyspace::TargetInstance, Notice> Notices;
+};
+
+} // namespace magnoliamill::entry
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -5,6 +5,7 @@
 
 #include "base/Time.h"
 #include "dispatch/TargetHealth.h"
+#include "entry/TargetNotices.h"
 #include "fleet/View.h"
 #include "gateway/TargetClient.h"
 
@@ -70,9 +71,10 @@
 
 class TargetPool {
 public:
-  /// \p centre is the entry's data centre. \p seed seeds the random choice.
-  TargetPool(std::string centre, std::uint64_t seed)
-      : DataCentre(std::move(centre)), Random(seed) {}
+  /// \p centre is the entry's data centre. \p seed seeds the random choice. A
+  /// target that leaves gets requests for \p drain.
+  TargetPool(std::string centre, std::uint64_t seed, base::Duration drain)
+      : DataCentre(std::move(centre)), Random(seed), Notices(drain) {}
 
   /// Replaces the targets by those of the view. Targets that remain keep their
   /// measurements.
@@ -83,24 +85,42 @@
 
   PooledTarget *find(const keyspace::TargetInstance &instance);
 
+  /// What targets told about themselves. Decides on each request, also on those
+  /// for which choose() is not called.
+  TargetNotices &notices() { return Notices; }
+  const TargetNotices &notices() const { return Notices; }
+
+  /// The time from which some ready target of \p service may get requests
+  /// according to the notices; \p now if there is no ready target.
+  base::MonoTime opensAt(std::string_view service, base::MonoTime now) const;
+
   /// The ready target of \p service with the lowest expected latency, excluding
-  /// those in \p tried; null if there is none. A target in another data centre
-  /// must be faster by CrossDataCentreFactor.
+  /// those in \p tried and those that may get no requests; null if there is
+  /// none. A target in another data centre must be faster by
+  /// CrossDataCentreFactor. Targets that leave come after the others, and those
+  /// that failed or refused requests recently come last.
   PooledTarget *choose(std::string_view service,
                        const std::vector<keyspace::TargetInstance> &tried,
                        base::MonoTime now);
 
-  /// The data centres that have ready targets of \p service: the entry's own
-  /// first, the others in a random order.
-  std::vector<std::string> listDataCentres(std::string_view service);
+  /// The data centres that have ready targets of \p service which may get
+  /// requests: the entry's own first, the others in a random order.
+  std::vector<std::string> listDataCentres(std::string_view service,
+                                           base::MonoTime now);
 
 private:
+  /// Order of preference of targets, the best first.
+  enum class Rank : std::uint8_t { Normal, Leaving, Avoided };
+
   void put(const fleet::Target &target);
   void remove(const keyspace::TargetInstance &instance);
   double expectedLatencyUs(const PooledTarget &target) const;
+  Rank rankOf(const PooledTarget &target, base::MonoTime now) const;
+  bool mayGetRequests(const PooledTarget &target, base::MonoTime now) const;
 
   std::string DataCentre;
   std::mt19937_64 Random;
+  TargetNotices Notices;
   std::map<keyspace::TargetInstance, PooledTarget> Targets;
   std::map<std::string, std::vector<PooledTarget *>, std::less<>> ByService;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -20,9 +20,6 @@
 
 /// Used for clients that don't send a timeout.
 constexpr base::Duration DefaultClientTimeout = std::chrono::seconds(30);
-/// Retry-After value while the key has no holder. A handover takes less time,
-/// replacing a lost holder takes more.
-constexpr base::Duration NoHolderRetryAfter = std::chrono::milliseconds(250);
 /// Retry-After value if the target is at capacity. It finishes one or two
 /// requests in this time.
 constexpr base::Duration BusyRetryAfter = std::chrono::milliseconds(150);
@@ -159,7 +156,7 @@
 void EntryRequest::tryNext() {
   if (timeLeft() <= base::Duration::zero())
     return onTimer();
-  if (!askPermit())
+  if (!refuseIfClosed() && !askPermit())
     trySend(chooseTarget());
 }
 
@@ -214,6 +211,11 @@
   call.Idempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   call.AcceptsCloseDelimited = true;
   auto self = shared_from_this();
+  // Connecting takes time, and a request may be sent again on a new connection.
+  call.MayWrite = [self, instance] {
+    return self->Handler.pool().notices().isOpen(instance,
+                                                 base::readMonotonic());
+  };
   call.Classify = [self](const protocol::AnswerHead &head) {
     return self->classifyAnswer(head);
   };
@@ -246,6 +248,9 @@
   const auto metadata = Handler.format().ReadAnswer(head.Status, head.Headers);
   if (!metadata.Id.empty() && metadata.Id != Metadata.Id)
     return gateway::AnswerKind::Stale;
+  // Another target at the address speaks only for itself.
+  if (!metadata.IsWrongTarget)
+    Handler.readNotices(Tried.back(), metadata, Metadata.Id);
   RefusalMetadata = metadata;
   if (metadata.IsNotRun)
     return gateway::AnswerKind::NotRun;
@@ -267,9 +272,13 @@
                           const gateway::TargetOutcome &outcome) {
   CancelCall = nullptr;
   const auto now = base::readMonotonic();
+  // The target closed to requests while the call was being connected.
+  const bool IsClosed = outcome.Code == ResultCode::NotRunLeaseLost;
+  const auto failure =
+      IsClosed ? admission::PermitUse::Abandoned : admission::PermitUse::Failed;
   endPermit(outcome.Answered && outcome.Status < FirstServerError
                 ? admission::PermitUse::Answered
-                : admission::PermitUse::Failed,
+                : failure,
             outcome.Latency);
   PooledTarget *target = Handler.pool().find(instance);
   if (target && target->InFlight > 0)
@@ -295,7 +304,7 @@
   }
   if (outcome.Code == ResultCode::NotRunTargetRefused)
     return onRefused(instance);
-  if (target)
+  if (target && !IsClosed)
     target->Health.onFailure(now);
   const bool IsImmediateReset = outcome.Code == ResultCode::TargetReset &&
                                 outcome.Latency < ImmediateResetLimit;
@@ -315,6 +324,8 @@
                  {"view_number", Handler.view().version().Number}});
   if (!IsKeyed && tryTakeRetry())
     return tryNext();
+  if (refuseIfClosed())
+    return;
   refuse(ResultCode::NotRunTargetRefused, "the target refused the request",
          RefusalMetadata.IsWrongTarget ? NoHolderRetryAfter : BusyRetryAfter);
 }
@@ -331,8 +342,11 @@
   const bool IsIdempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   const PooledTarget *next = chooseTarget();
   // Retrying the same holder while it refuses requests is useless.
+  const auto now = base::readMonotonic();
   const bool IsUseful =
-      next && (!IsKeyed || next->hasRoom(base::readMonotonic()));
+      next && (!IsKeyed ||
+               (next->hasRoom(now) && Handler.pool().notices().isOpen(
+                                          next->Description.Instance, now)));
   if ((IsIdempotent || !MayHaveRun) && IsUseful && tryTakeRetry())
     return tryNext();
   if (MayHaveRun)
@@ -340,6 +354,8 @@
                     ? ResultCode::OutcomeUnknownDeadline
                     : ResultCode::OutcomeUnknownTargetLost,
                 outcome.Message);
+  if (refuseIfClosed())
+    return;
   refuse(ResultCode::NotRunNoTarget, outcome.Message, BusyRetryAfter);
 }
 
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -12,6 +12,9 @@
 
 /// Data centres that are asked for a target of a service without keys.
 constexpr std::size_t MaxDataCentres = 3;
+/// Upper bound of Retry-After during a target's pause: the remaining time
+/// divided by this. Clients wait no longer.
+constexpr int MaxPauseDivisor = 3;
 
 } // namespace
 
@@ -25,7 +28,7 @@
                        holder->Description.Instance, true});
     return steps;
   }
-  auto centres = Handler.pool().listDataCentres(Service);
+  auto centres = Handler.pool().listDataCentres(Service, base::readMonotonic());
   centres.resize(std::min(centres.size(), MaxDataCentres));
   // Traffic between data centres is charged by the byte: large answers wait for
   // a target of the own data centre, small ones go where a slot is free.
@@ -84,9 +87,11 @@
   if (result.Decision == PermitDecision::Granted) {
     PooledTarget *target = Handler.pool().find(result.Target);
     const bool IsCurrent = target && (!IsKeyed || target == chooseTarget());
-    if (IsCurrent && timeLeft() > base::Duration::zero())
+    const bool IsOpen =
+        Handler.pool().notices().isOpen(result.Target, base::readMonotonic());
+    if (IsCurrent && IsOpen && timeLeft() > base::Duration::zero())
       return send(*target);
-    // The key has moved while the request waited.
+    // While the request waited, the key has moved or the target has closed.
     endPermit(admission::PermitUse::Abandoned);
     SkipsPermit = true;
     return tryNext();
@@ -100,6 +105,35 @@
   tryNext();
 }
 
+void EntryRequest::onPause(const keyspace::TargetInstance &target) {
+  const bool IsQueued = !IsFinished && IsKeyed && Permit != 0 && Tried.empty();
+  if (!IsQueued)
+    return;
+  const auto *holder = Handler.view().holderOf(Service, *Metadata.Key);
+  if (holder && *holder == target)
+    refuseIfClosed();
+}
+
+bool EntryRequest::refuseIfClosed() {
+  const auto now = base::readMonotonic();
+  const TargetPool &pool = Handler.pool();
+  auto opens = now;
+  if (!IsKeyed)
+    opens = pool.opensAt(Service, now);
+  else if (const auto *holder = Handler.view().holderOf(Service, *Metadata.Key))
+    opens = pool.notices().opensAt(*holder, now);
+  if (opens <= now)
+    return false;
+  if (opens == base::MonoTime::max())
+    refuse(ResultCode::NotRunNoTarget,
+           "the target of the request is about to exit", NoHolderRetryAfter);
+  else
+    refuse(ResultCode::NotRunQueueFull,
+           "the target of the request asked for no requests",
+           std::min(opens - now, timeLeft() / MaxPauseDivisor));
+  return true;
+}
+
 void EntryRequest::endPermit(admission::PermitUse use, base::Duration latency) {
   if (Permit != 0)
     Handler.permits().end(std::exchange(Permit, 0), use, latency);
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -2,8 +2,12 @@
 #include "entry/RequestHandler.h"
 
 #include "base/Hash.h"
+#include "base/Log.h"
+#include "base/Metrics.h"
 #include "entry/EntryRequest.h"
 
+#include <prometheus/counter.h>
+
 namespace magnoliamill::entry {
 namespace {
 
@@ -28,6 +32,13 @@
   return config;
 }
 
+void countNotice(const std::string &kind) {
+  base::counter("mill_entry_target_notices_total",
+                "What targets told about themselves in answers.",
+                {{"notice", kind}})
+      .Increment();
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(base::EventLoopThread &loop,
@@ -35,7 +46,8 @@
                                const EntryFormat &format,
                                const fleet::View &view)
     : EventLoop(loop), Settings(settings), Format(format), View(view),
-      Pool(settings.DataCentre, base::hash64(settings.Vm, 1)),
+      Pool(settings.DataCentre, base::hash64(settings.Vm, 1),
+           settings.TargetDrainTime),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
       Client(loop, makeClientConfig(format, Incoming)),
@@ -71,6 +83,30 @@
     request->onView();
 }
 
+void RequestHandler::readNotices(const keyspace::TargetInstance &target,
+                                 const AnswerMetadata &answer,
+                                 std::string_view request) {
+  const auto now = base::readMonotonic();
+  if (answer.IsLeaving && Pool.notices().onLeaving(target, now)) {
+    countNotice("leaving");
+    base::logInfo("entry", "a target says that it leaves",
+                  {{"target", target.Id},
+                   {"request", request},
+                   {"left_ms", base::toMs(Settings.TargetDrainTime)}});
+  }
+  if (answer.AskedPause <= base::Duration::zero() ||
+      !Pool.notices().onPause(target, answer.AskedPause, now))
+    return;
+  countNotice("pause");
+  base::logInfo("entry", "a target asks for no requests",
+                {{"target", target.Id},
+                 {"request", request},
+                 {"pause_ms", base::toMs(answer.AskedPause)}});
+  const auto running = Requests;
+  for (const auto &it : running)
+    it->onPause(target);
+}
+
 void RequestHandler::updateLeastPriorities() {
   LeastPriorities.clear();
   for (const auto &[name, route] : View.config().routes()) {
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -79,11 +79,38 @@
   return expected;
 }
 
-std::vector<std::string> TargetPool::listDataCentres(std::string_view service) {
+TargetPool::Rank TargetPool::rankOf(const PooledTarget &target,
+                                    base::MonoTime now) const {
+  if (target.Health.isEjected(now) || !target.hasRoom(now))
+    return Rank::Avoided;
+  return Notices.isLeaving(target.Description.Instance) ? Rank::Leaving
+                                                        : Rank::Normal;
+}
+
+bool TargetPool::mayGetRequests(const PooledTarget &target,
+                                base::MonoTime now) const {
+  return target.Description.State == fleet::TargetState::Ready &&
+         Notices.isOpen(target.Description.Instance, now);
+}
+
+base::MonoTime TargetPool::opensAt(std::string_view service,
+                                   base::MonoTime now) const {
+  std::optional<base::MonoTime> first;
+  if (auto it = ByService.find(service); it != ByService.end())
+    for (const PooledTarget *target : it->second)
+      if (target->Description.State == fleet::TargetState::Ready) {
+        const auto opens = Notices.opensAt(target->Description.Instance, now);
+        first = std::min(first.value_or(opens), opens);
+      }
+  return first.value_or(now);
+}
+
+std::vector<std::string> TargetPool::listDataCentres(std::string_view service,
+                                                     base::MonoTime now) {
   std::vector<std::string> centres;
   if (auto it = ByService.find(service); it != ByService.end())
     for (const PooledTarget *target : it->second)
-      if (target->Description.State == fleet::TargetState::Ready)
+      if (mayGetRequests(*target, now))
         centres.push_back(target->Description.DataCentre);
   std::ranges::sort(centres);
   centres.erase(std::unique(centres.begin(), centres.end()), centres.end());
@@ -101,32 +128,23 @@
   if (it == ByService.end())
     return nullptr;
   PooledTarget *best = nullptr;
-  double least = 0;
-  // Targets that failed or refused requests recently are used only if there are
-  // no others.
-  for (const bool IncludeAvoided : {false, true}) {
-    for (PooledTarget *target : it->second) {
-      const bool IsExcluded =
-          target->Description.State != fleet::TargetState::Ready ||
-          std::ranges::find(tried, target->Description.Instance) != tried.end();
-      const bool IsAvoided =
-          target->Health.isEjected(now) || !target->hasRoom(now);
-      if (IsExcluded || (IsAvoided && !IncludeAvoided))
-        continue;
-      // Keeps entries with the same measurements from all choosing the same
-      // target.
-      const double jitter =
-          std::uniform_real_distribution<double>(0.8, 1.2)(Random);
-      const double value = expectedLatencyUs(*target) * jitter;
-      if (!best || value < least) {
-        best = target;
-        least = value;
-      }
+  std::pair<Rank, double> least;
+  for (PooledTarget *target : it->second) {
+    if (!mayGetRequests(*target, now) ||
+        std::ranges::find(tried, target->Description.Instance) != tried.end())
+      continue;
+    // Keeps entries with the same measurements from all choosing the same
+    // target.
+    const double jitter =
+        std::uniform_real_distribution<double>(0.8, 1.2)(Random);
+    const std::pair value(rankOf(*target, now),
+                          expectedLatencyUs(*target) * jitter);
+    if (!best || value < least) {
+      best = target;
+      least = value;
     }
-    if (best)
-      return best;
   }
-  return nullptr;
+  return best;
 }
 
 } // namespace magnoliamill::entry
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -1,153 +1,16 @@
 // Tests the answer to the client after its request was refused, lost or
 // answered by targets, over several attempts.
-#include "entry/RequestHandler.h"
-#include "gateway/tests/Support.h"
+#include "EntryFixture.h"
 
-#include <catch2/catch.hpp>
 #include <thread>
 
 using namespace magnoliamill;
 using namespace magnoliamill::entry;
+using namespace magnoliamill::entry::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
-using gateway::tests::AnswerCollector;
-using gateway::tests::ScopedEventLoop;
-using gateway::tests::ScriptedServer;
-using gateway::tests::waitFor;
-using Peer = ScriptedServer::Peer;
-
-constexpr base::Duration RouteTimeout = 2s;
-constexpr const char *Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
-                                "Not-Run: yes\r\nContent-Length: 0\r\n\r\n";
-constexpr const char *Answer =
-    "HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Length: 2\r\n\r\nok";
-
-bool hasHeader(const Headers &headers, std::string_view name) {
-  return std::ranges::any_of(
-      headers, [name](const auto &header) { return header.Name == name; });
-}
-
-EntryFormat makeFormat() {
-  EntryFormat format;
-  format.ReadRequest = [](const Headers &) {
-    return base::Result<RequestMetadata>(
-        RequestMetadata{"r-1", 3s, {}, "shop.test"});
-  };
-  format.AddTargetHeaders = [](Headers &, const std::string &) {};
-  format.ReadAnswer = [](std::uint16_t, const Headers &headers) {
-    AnswerMetadata metadata;
-    metadata.IsNotRun = hasHeader(headers, "Not-Run");
-    metadata.IsFromTarget = hasHeader(headers, "Mark");
-    return metadata;
-  };
-  format.WriteRetryAfter = [](base::Duration time) {
-    return std::to_string(base::toMs(time));
-  };
-  format.DeadlineHeader = "Left-Ms";
-  return format;
-}
-
-routing::Route makeRoute(const std::string &prefix, routing::RouteKind kind) {
-  routing::Route route;
-  route.Name = "route" + prefix;
-  route.Version = 1;
-  route.Host = "shop.test";
-  route.PathPrefix = prefix;
-  route.Kind = kind;
-  route.Timeout = RouteTimeout;
-  route.LatencyObjective = 500ms;
-  route.MaxAttempts = 2;
-  route.Shares = {{"vault", 1}};
-  return route;
-}
-
-/// A request handler with two targets of one service, which both run \p script.
-/// The script's second argument counts the requests over both targets.
-class Entry {
-public:
-  using Script = std::function<void(Peer &, int)>;
-
-  explicit Entry(Script script)
-      : RunScript(std::move(script)), First(makeScript()),
-        Second(makeScript()) {
-    Settings.Vm = "f1";
-    Settings.DataCentre = "dc-a";
-    fleet::ViewUpdate update;
-    update.Version = {1, 1};
-    update.IsWhole = true;
-    update.Items.Routes = {makeRoute("/read/", routing::RouteKind::Idempotent),
-                           makeRoute("/order/", routing::RouteKind::AtMostOnce),
-                           makeRoute("/file/", routing::RouteKind::Download)};
-    routing::Service vault;
-    vault.Name = "vault";
-    vault.Version = 1;
-    update.Items.Services = {vault};
-    for (const auto *server : {&First, &Second}) {
-      fleet::Target target;
-      target.Instance = {"t-" + std::to_string(server->address().Port), 1};
-      target.Address = "127.0.0.1:" + std::to_string(server->address().Port);
-      target.Service = "vault";
-      target.DataCentre = "dc-a";
-      update.Targets.push_back(target);
-    }
-    EventLoop.run([&] {
-      Handler = std::make_unique<RequestHandler>(EventLoop.EventLoop, Settings,
-                                                 Format, View);
-      View.apply(update);
-      Handler->onView();
-    });
-  }
-  ~Entry() {
-    EventLoop.run([&] { Handler.reset(); });
-  }
-
-  /// Sends a request, waits for the answer and returns its status.
-  int request(const std::string &method, const std::string &path) {
-    gateway::HttpCall call;
-    call.Method = method;
-    call.Target = path;
-    auto sink = Collected.makeSink();
-    sink.Head = [this, take = sink.Head](const protocol::AnswerHead &head) {
-      HasRetryAfter = hasHeader(head.Headers, "Retry-After");
-      take(head);
-    };
-    sink.Fail = [this](const protocol::RequestFailure &) { HasFailed = true; };
-    EventLoop.run([&] { Handler->handle(std::move(call), std::move(sink)); });
-    REQUIRE(waitFor([this] { return Collected.isEnded() || HasFailed; }));
-    return Collected.status();
-  }
-  void beginStop(base::Duration grace) {
-    EventLoop.run([&] { Handler->beginStop(grace); });
-  }
-  std::string body() const { return Collected.body(); }
-  bool hasFailed() const { return HasFailed; }
-  int countRequests() const { return Count; }
-  bool hasRetryAfter() const { return HasRetryAfter; }
-
-private:
-  ScriptedServer::Script makeScript() {
-    return [this](Peer &peer, std::size_t) {
-      while (!peer.readRequest().empty())
-        RunScript(peer, ++Count);
-    };
-  }
-
-  Script RunScript;
-  std::atomic<int> Count{0};
-  std::atomic<bool> HasRetryAfter{false};
-  std::atomic<bool> HasFailed{false};
-  ScriptedServer First;
-  ScriptedServer Second;
-  ScopedEventLoop EventLoop;
-  fleet::FleetSettings Settings;
-  EntryFormat Format = makeFormat();
-  fleet::View View;
-  std::unique_ptr<RequestHandler> Handler;
-  AnswerCollector Collected;
-};
-
 void refuse(Peer &peer) { peer.send(Refusal); }
 /// Closes the connection after the request was read, so that it may have run.
 void loseConnection(Peer &peer) {
--- a/packages/entry/tests/TargetPoolTest.cpp
+++ b/packages/entry/tests/TargetPoolTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 const base::MonoTime Start{1h};
+constexpr base::Duration DrainTime = 2s;
 
 fleet::View makeView() {
   fleet::ViewUpdate update;
@@ -36,7 +37,7 @@
 
 TEST_CASE(
     "Requests without a key stay in the data centre while it has capacity") {
-  TargetPool pool("dc-a", 1);
+  TargetPool pool("dc-a", 1, DrainTime);
   pool.updateAll(makeView());
   int far = 0;
   for (int n = 0; n < 200; ++n)
@@ -80,8 +81,59 @@
   CHECK(pool.choose("other", {}, Start) == nullptr);
 }
 
+TEST_CASE("Targets that gave notice are avoided or left alone") {
+  TargetPool pool("dc-a", 1, DrainTime);
+  const auto view = makeView();
+  pool.updateAll(view);
+  const auto choose = [&](base::MonoTime now) {
+    const auto *target = pool.choose("vault", {}, now);
+    return target ? target->Description.Instance.Id : "";
+  };
+
+  SECTION("a target that leaves is chosen after all healthy ones") {
+    pool.notices().onLeaving({"near-1", 1}, Start);
+    pool.notices().onLeaving({"near-2", 1}, Start);
+    for (int n = 0; n < 50; ++n)
+      CHECK(choose(Start) == "far");
+    pool.find({"far", 1})->InFlight = MaxInFlight;
+    CHECK(choose(Start) != "far");
+  }
+  SECTION("a pause holds even if there is no other target") {
+    for (const auto *id : {"near-1", "near-2", "far"})
+      pool.notices().onPause({id, 1}, 1s, Start);
+    CHECK(choose(Start + 999ms).empty());
+    CHECK(pool.opensAt("vault", Start) == Start + 1s);
+    CHECK(pool.listDataCentres("vault", Start).empty());
+    CHECK_FALSE(choose(Start + 1s).empty());
+    CHECK(pool.listDataCentres("vault", Start + 1s).size() == 2);
+  }
+  SECTION("so does the end of the drain time") {
+    for (const auto *id : {"near-1", "near-2", "far"})
+      pool.notices().onLeaving({id, 1}, Start);
+    CHECK_FALSE(choose(Start).empty());
+    CHECK(choose(Start + DrainTime).empty());
+    CHECK(pool.opensAt("vault", Start + DrainTime) == base::MonoTime::max());
+  }
+  SECTION("the first target that opens counts") {
+    pool.notices().onLeaving({"near-1", 1}, Start - DrainTime);
+    pool.notices().onPause({"near-2", 1}, 2s, Start);
+    CHECK(pool.opensAt("vault", Start) == Start);
+    pool.notices().onPause({"far", 1}, 1s, Start);
+    CHECK(pool.opensAt("vault", Start) == Start + 1s);
+    CHECK(choose(Start + 1s) == "far");
+    CHECK(pool.opensAt("other", Start) == Start);
+  }
+  SECTION("a view that still has the target as ready changes nothing") {
+    pool.notices().onLeaving({"near-1", 1}, Start);
+    pool.updateAll(fleet::View());
+    pool.updateAll(view);
+    CHECK(pool.notices().isLeaving({"near-1", 1}));
+    CHECK_FALSE(pool.notices().isOpen({"near-1", 1}, Start + DrainTime));
+  }
+}
+
 TEST_CASE("Targets are added and removed with the view") {
-  TargetPool pool("dc-a", 1);
+  TargetPool pool("dc-a", 1, DrainTime);
   auto view = makeView();
   pool.updateAll(view);
   fleet::ViewUpdate update;
