--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -2,7 +2,9 @@
 // of a target, a refusal that guarantees it has not run, or an unknown outcome.
 #pragma once
 
+#include "entry/AnswerBody.h"
 #include "entry/EntryFormat.h"
+#include "entry/OwedAnswers.h"
 #include "entry/PermitClient.h"
 #include "entry/TargetPool.h"
 #include "gateway/HttpServer.h"
@@ -59,6 +61,9 @@
   /// The view has changed: continues a request that waits for the key's holder
   /// if there is one now.
   void onView();
+  /// \p target asked for a pause: refuses a request that waits for a permit
+  /// there.
+  void onPause(const keyspace::TargetInstance &target);
 
   /// This VM stops: refuses the request unless a target has it or the time
   /// until the exit suffices for it.
@@ -67,6 +72,8 @@
   RequestStage stage() const;
   /// Bytes of the answer, as far as known, that were not passed on yet.
   std::uint64_t owedBytes() const;
+  /// What the link has to pass on for this request; nothing without a route.
+  std::optional<OwedAnswer> owedAnswer() const;
   /// Writes one log line on what is owed to the client and why.
   void logUnfinished(std::string_view text) const;
 
@@ -76,13 +83,17 @@
   /// Reserves the VM's network link for the answer. Refuses the request and
   /// returns false if the backlog of reserved answers is too long.
   bool reserveLink();
-  /// Refuses the request and returns false if this VM stops and may exit before
-  /// the end of the answer.
-  bool fitsStop();
+  /// False if this VM stops and may exit before the end of the answer.
+  bool fitsStop() const;
+  /// Refuses the request and returns true unless it fits.
+  bool refuseUnlessFitsStop();
   void tryNext();
   /// Sends the request to \p target if it has room; otherwise waits for a
   /// holder or refuses the request.
   void trySend(PooledTarget *target);
+  /// Refuses the request and returns true if no target may get it now because
+  /// of what the targets told about themselves.
+  bool refuseIfClosed();
   /// Asks for a permit and returns true, unless the request is to be sent
   /// without one.
   bool askPermit();
@@ -135,6 +146,11 @@
   void finish();
   base::Duration timeLeft() const;
 
+  /// Retry-After value while the key has no holder. A handover takes less time,
+  /// replacing a lost holder takes more.
+  static constexpr base::Duration NoHolderRetryAfter =
+      std::chrono::milliseconds(250);
+
   RequestHandler &Handler;
   gateway::HttpCall Request;
   protocol::AnswerSink Sink;
@@ -171,7 +187,7 @@
   bool MayHaveRun = false;
   AnswerMetadata RefusalMetadata;
   protocol::AnswerHead Head;
-  std::string Body;
+  AnswerBody Body;
   /// Size of the whole body; set when the delivery starts.
   std::size_t AnswerBytes = 0;
   /// Bytes of the body that were passed on to the client.
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
+#include "entry/AnswerMemory.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -60,12 +61,20 @@
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
   PermitClient &permits() { return Permits; }
+  /// Takes from an answer of \p target to \p request what the target tells
+  /// about itself. Requests that wait for a permit there may be refused.
+  void readNotices(const keyspace::TargetInstance &target,
+                   const AnswerMetadata &answer, std::string_view request);
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
   const StopAdmission &stopAdmission() const { return Stop; }
-  /// How long an answer of \p route takes to pass on while this VM stops.
-  base::Duration deliveryTime(const routing::Route &route) const;
+  /// How long after \p deadline, that of a request in progress, its answer of
+  /// \p route has been passed on at the latest.
+  base::Duration deliveryTime(const routing::Route &route,
+                              base::MonoTime deadline) const;
+  /// For the answers that wait for their clients.
+  const std::shared_ptr<AnswerMemory> &answerMemory() { return Memory; }
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
@@ -91,6 +100,8 @@
   TargetPool Pool;
   LinkPacer Incoming;
   LinkPacer Outgoing;
+  /// Shared with requests, which may be destroyed later than this object.
+  std::shared_ptr<AnswerMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
   LinkBudget Link;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -20,9 +20,6 @@
 
 /// Used for clients that don't send a timeout.
 constexpr base::Duration DefaultClientTimeout = std::chrono::seconds(30);
-/// Retry-After value while the key has no holder. A handover takes less time,
-/// replacing a lost holder takes more.
-constexpr base::Duration NoHolderRetryAfter = std::chrono::milliseconds(250);
 /// Retry-After value if the target is at capacity. It finishes one or two
 /// requests in this time.
 constexpr base::Duration BusyRetryAfter = std::chrono::milliseconds(150);
@@ -66,7 +63,7 @@
     : Handler(handler), Request(std::move(call)), Sink(std::move(sink)),
       ArrivedAt(base::readMonotonic()), Timer(handler.loop().context()),
       ReadTimer(handler.loop().context()),
-      DeliveryTimer(handler.loop().context()) {}
+      DeliveryTimer(handler.loop().context()), Body(handler.answerMemory()) {}
 
 base::Duration EntryRequest::timeLeft() const {
   return Deadline - base::readMonotonic();
@@ -78,7 +75,7 @@
                   "this VM has no configuration yet", NoHolderRetryAfter);
   if (!readMetadata())
     return;
-  if (!findRoute() || !fitsStop() || !reserveLink())
+  if (!findRoute() || refuseUnlessFitsStop() || !reserveLink())
     return;
   Handler.retryBudgetOf(Service).onAnswer();
   tryNext();
@@ -114,26 +111,30 @@
   return true;
 }
 
-bool EntryRequest::fitsStop() {
+bool EntryRequest::fitsStop() const {
   const auto &stop = Handler.stopAdmission();
-  if (!stop.isStopping())
-    return true;
-  const auto delivery = Handler.deliveryTime(*Route);
-  if (stop.admits(Deadline, delivery))
-    return true;
-  base::logInfo("entry", "a request may outlast the stop of this VM",
-                {{"request", Metadata.Id},
-                 {"route", Route->Name},
-                 {"limit_ms", base::toMs(Deadline - ArrivedAt)},
-                 {"delivery_ms", base::toMs(delivery)},
-                 {"stop_left_ms", base::toMs(stop.endsAt() - ArrivedAt)}});
+  return !stop.isStopping() ||
+         stop.admits(Deadline, Handler.deliveryTime(*Route, Deadline));
+}
+
+bool EntryRequest::refuseUnlessFitsStop() {
+  if (fitsStop())
+    return false;
+  base::logInfo(
+      "entry", "a request may outlast the stop of this VM",
+      {{"request", Metadata.Id},
+       {"route", Route->Name},
+       {"limit_ms", base::toMs(Deadline - ArrivedAt)},
+       {"delivery_ms", base::toMs(Handler.deliveryTime(*Route, Deadline))},
+       {"stop_left_ms",
+        base::toMs(base::delayUntil(Handler.stopAdmission().endsAt()))}});
   refuse(ResultCode::NotRunNotReady, "this VM is stopping", OtherVmRetryAfter);
-  return false;
+  return true;
 }
 
 void EntryRequest::onStop() {
   if (!IsFinished && Tried.empty())
-    fitsStop();
+    refuseUnlessFitsStop();
 }
 
 bool EntryRequest::reserveLink() {
@@ -168,7 +169,7 @@
 void EntryRequest::tryNext() {
   if (timeLeft() <= base::Duration::zero())
     return onTimer();
-  if (!askPermit())
+  if (!refuseIfClosed() && !askPermit())
     trySend(chooseTarget());
 }
 
@@ -223,6 +224,11 @@
   call.Idempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   call.AcceptsCloseDelimited = true;
   auto self = shared_from_this();
+  // Connecting takes time, and a request may be sent again on a new connection.
+  call.MayWrite = [self, instance] {
+    return self->Handler.pool().notices().isOpen(instance,
+                                                 base::readMonotonic());
+  };
   call.Classify = [self](const protocol::AnswerHead &head) {
     return self->classifyAnswer(head);
   };
@@ -235,17 +241,23 @@
   // small ones completely, large ones by half.
   sink.Chunk = [self](const std::string &data,
                       const std::function<void()> &more) {
-    self->Body += data;
+    if (!self->Body.append(data))
+      return std::exchange(self->CancelCall, nullptr)();
     self->onBodyGrown();
     self->requestMore(data.size(), more);
   };
   sink.End = [] {};
   sink.Fail = [](const protocol::RequestFailure &) {};
-  auto cancel = Handler.client().call(
-      std::move(call), std::move(sink),
-      [self, instance](const gateway::TargetOutcome &outcome) {
-        self->onDone(instance, outcome);
-      });
+  auto cancel =
+      Handler.client().call(std::move(call), std::move(sink),
+                            [self, instance](gateway::TargetOutcome outcome) {
+                              if (self->Body.hasOverflowed()) {
+                                outcome.Code = ResultCode::TargetProtocol;
+                                outcome.Message =
+                                    "the answer exceeds the memory for answers";
+                              }
+                              self->onDone(instance, outcome);
+                            });
   if (!IsFinished)
     CancelCall = std::move(cancel);
 }
@@ -255,6 +267,9 @@
   const auto metadata = Handler.format().ReadAnswer(head.Status, head.Headers);
   if (!metadata.Id.empty() && metadata.Id != Metadata.Id)
     return gateway::AnswerKind::Stale;
+  // Another target at the address speaks only for itself.
+  if (!metadata.IsWrongTarget)
+    Handler.readNotices(Tried.back(), metadata, Metadata.Id);
   RefusalMetadata = metadata;
   if (metadata.IsNotRun)
     return gateway::AnswerKind::NotRun;
@@ -273,9 +288,13 @@
                           const gateway::TargetOutcome &outcome) {
   CancelCall = nullptr;
   const auto now = base::readMonotonic();
+  // The target closed to requests while the call was being connected.
+  const bool IsClosed = outcome.Code == ResultCode::NotRunLeaseLost;
+  const auto failure =
+      IsClosed ? admission::PermitUse::Abandoned : admission::PermitUse::Failed;
   endPermit(outcome.Answered && outcome.Status < FirstServerError
                 ? admission::PermitUse::Answered
-                : admission::PermitUse::Failed,
+                : failure,
             outcome.Latency);
   PooledTarget *target = Handler.pool().find(instance);
   if (target && target->InFlight > 0)
@@ -301,7 +320,7 @@
   }
   if (outcome.Code == ResultCode::NotRunTargetRefused)
     return onRefused(instance);
-  if (target)
+  if (target && !IsClosed)
     target->Health.onFailure(now);
   const bool IsImmediateReset = outcome.Code == ResultCode::TargetReset &&
                                 outcome.Latency < ImmediateResetLimit;
@@ -321,6 +340,8 @@
                  {"view_number", Handler.view().version().Number}});
   if (!IsKeyed && tryTakeRetry())
     return tryNext();
+  if (refuseIfClosed())
+    return;
   refuse(ResultCode::NotRunTargetRefused, "the target refused the request",
          RefusalMetadata.IsWrongTarget ? NoHolderRetryAfter : BusyRetryAfter);
 }
@@ -337,8 +358,11 @@
   const bool IsIdempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   const PooledTarget *next = chooseTarget();
   // Retrying the same holder while it refuses requests is useless.
+  const auto now = base::readMonotonic();
   const bool IsUseful =
-      next && (!IsKeyed || next->hasRoom(base::readMonotonic()));
+      next && (!IsKeyed ||
+               (next->hasRoom(now) && Handler.pool().notices().isOpen(
+                                          next->Description.Instance, now)));
   if ((IsIdempotent || !MayHaveRun) && IsUseful && tryTakeRetry())
     return tryNext();
   if (MayHaveRun)
@@ -346,13 +370,14 @@
                     ? ResultCode::OutcomeUnknownDeadline
                     : ResultCode::OutcomeUnknownTargetLost,
                 outcome.Message);
+  if (refuseIfClosed())
+    return;
   refuse(ResultCode::NotRunNoTarget, outcome.Message, BusyRetryAfter);
 }
 
 bool EntryRequest::tryTakeRetry() {
   if (Tried.size() >= Route->MaxAttempts ||
-      timeLeft() <= base::Duration::zero() ||
-      !Handler.stopAdmission().admits(Deadline, Handler.deliveryTime(*Route)))
+      timeLeft() <= base::Duration::zero() || !fitsStop())
     return false;
   return Handler.retryBudgetOf(Service).tryTake();
 }
@@ -429,7 +454,7 @@
     IsDeliveryIdle = true;
     return;
   }
-  auto part = Body.substr(DeliveredBytes, n);
+  auto part = Body.take(n);
   DeliveredBytes += n;
   IsSending = n > 0;
   if (n > 0)
@@ -513,6 +538,14 @@
   return whole - std::min<std::uint64_t>(whole, DeliveredBytes);
 }
 
+std::optional<OwedAnswer> EntryRequest::owedAnswer() const {
+  if (!Route)
+    return std::nullopt;
+  if (!HeadAt)
+    return OwedAnswer{Deadline, Handler.link().expectedBytes(Route->Name)};
+  return OwedAnswer{base::readMonotonic(), static_cast<double>(owedBytes())};
+}
+
 void EntryRequest::logUnfinished(std::string_view text) const {
   const auto now = base::readMonotonic();
   base::logWarning("entry", ResultCode::Stopping, text,
@@ -599,6 +632,7 @@
   IsFinished = true;
   endPermit(admission::PermitUse::Abandoned);
   Handler.link().release(ReservedLinkBytes);
+  Body.clear();
   Timer.cancel();
   ReadTimer.cancel();
   DeliveryTimer.cancel();
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -2,7 +2,12 @@
 #include "entry/RequestHandler.h"
 
 #include "base/Hash.h"
+#include "base/Log.h"
+#include "base/Metrics.h"
 #include "entry/EntryRequest.h"
+#include "entry/OwedAnswers.h"
+
+#include <prometheus/counter.h>
 
 namespace magnoliamill::entry {
 namespace {
@@ -17,6 +22,10 @@
     std::chrono::milliseconds(500);
 constexpr base::Duration MaxIdle = std::chrono::seconds(8);
 
+/// Memory for the answers that wait for their clients. With the growth of the
+/// buffers it stays below half of a VM with 256 MiB.
+constexpr std::size_t AnswerMemoryBytes = 64u << 20;
+
 gateway::TargetClientConfig makeClientConfig(const EntryFormat &format,
                                              const LinkPacer &pacer) {
   gateway::TargetClientConfig config;
@@ -28,6 +37,13 @@
   return config;
 }
 
+void countNotice(const std::string &kind) {
+  base::counter("mill_entry_target_notices_total",
+                "What targets told about themselves in answers.",
+                {{"notice", kind}})
+      .Increment();
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(base::EventLoopThread &loop,
@@ -35,9 +51,11 @@
                                const EntryFormat &format,
                                const fleet::View &view)
     : EventLoop(loop), Settings(settings), Format(format), View(view),
-      Pool(settings.DataCentre, base::hash64(settings.Vm, 1)),
+      Pool(settings.DataCentre, base::hash64(settings.Vm, 1),
+           settings.TargetDrainTime),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
+      Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
       Client(loop, makeClientConfig(format, Incoming)),
       Permits(loop, settings.LinkPort),
       Link(settings.LinkMbps * BytesPerMegabit) {}
@@ -71,6 +89,30 @@
     request->onView();
 }
 
+void RequestHandler::readNotices(const keyspace::TargetInstance &target,
+                                 const AnswerMetadata &answer,
+                                 std::string_view request) {
+  const auto now = base::readMonotonic();
+  if (answer.IsLeaving && Pool.notices().onLeaving(target, now)) {
+    countNotice("leaving");
+    base::logInfo("entry", "a target says that it leaves",
+                  {{"target", target.Id},
+                   {"request", request},
+                   {"left_ms", base::toMs(Settings.TargetDrainTime)}});
+  }
+  if (answer.AskedPause <= base::Duration::zero() ||
+      !Pool.notices().onPause(target, answer.AskedPause, now))
+    return;
+  countNotice("pause");
+  base::logInfo("entry", "a target asks for no requests",
+                {{"target", target.Id},
+                 {"request", request},
+                 {"pause_ms", base::toMs(answer.AskedPause)}});
+  const auto running = Requests;
+  for (const auto &it : running)
+    it->onPause(target);
+}
+
 void RequestHandler::updateLeastPriorities() {
   LeastPriorities.clear();
   for (const auto &[name, route] : View.config().routes()) {
@@ -109,12 +151,17 @@
   return Stop.endsAt();
 }
 
-base::Duration RequestHandler::deliveryTime(const routing::Route &route) const {
-  const double bytes = Link.expectedBytes(route.Name);
+base::Duration RequestHandler::deliveryTime(const routing::Route &route,
+                                            base::MonoTime deadline) const {
   // Small answers are sent between the parts of large ones.
-  if (bytes <= LargeAnswerBytes)
+  if (Link.expectedBytes(route.Name) <= LargeAnswerBytes)
     return base::Duration::zero();
-  return Outgoing.transferTime(static_cast<double>(owedBytes()) + bytes);
+  std::vector<OwedAnswer> answers;
+  answers.reserve(Requests.size());
+  for (const auto &request : Requests)
+    if (const auto answer = request->owedAnswer())
+      answers.push_back(*answer);
+  return latestDelivery(std::move(answers), deadline, Outgoing) - deadline;
 }
 
 std::uint64_t RequestHandler::owedBytes() const {
