--- a/packages/entry/LinkBudget.h
+++ b/packages/entry/LinkBudget.h
@@ -24,27 +24,18 @@
   /// The time the link needs to transfer the reserved bytes.
   base::Duration backlog(base::MonoTime now) {
     drain(now);
-    if (Rate <= 0)
-      return base::Duration::zero();
-    return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(ReservedBytes / Rate));
+    return transferTime(ReservedBytes, Rate);
   }
 
   /// The time until the reserved large answers have been passed on.
   base::Duration largeBacklog(base::MonoTime now) {
     drain(now);
-    if (Rate <= 0)
-      return base::Duration::zero();
-    return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(ReservedLargeBytes / PacedRate));
+    return transferTime(ReservedLargeBytes, PacedRate);
   }
 
   /// The time an average answer of \p route takes on the idle link.
   base::Duration expectedTime(const std::string &route) const {
-    if (Rate <= 0)
-      return base::Duration::zero();
-    return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(expectedBytes(route) / Rate));
+    return transferTime(expectedBytes(route), Rate);
   }
 
   /// Reserves the link for an answer of \p route. Returns the reserved bytes,
@@ -87,6 +78,13 @@
   /// Assumed size of a route's answers before the first one.
   static constexpr double DefaultAnswerBytes = 2000;
 
+  static base::Duration transferTime(double bytes, double rate) {
+    if (rate <= 0)
+      return base::Duration::zero();
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(bytes / rate));
+  }
+
   /// Subtracts what the link has transferred since the last call.
   void drain(base::MonoTime now) {
     const std::chrono::duration<double> passed = now - DrainedAt;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -23,8 +23,6 @@
 /// Retry-After value if the target is at capacity. It finishes one or two
 /// requests in this time.
 constexpr base::Duration BusyRetryAfter = std::chrono::milliseconds(150);
-/// Retry-After value if another VM can serve the client almost immediately.
-constexpr base::Duration OtherVmRetryAfter = std::chrono::milliseconds(50);
 /// A connection that is reset within this time, which is shorter than any
 /// request takes, exceeded the target's connection limit.
 constexpr base::Duration ImmediateResetLimit = std::chrono::milliseconds(12);
@@ -111,32 +109,6 @@
   return true;
 }
 
-bool EntryRequest::fitsStop() const {
-  const auto &stop = Handler.stopAdmission();
-  return !stop.isStopping() ||
-         stop.admits(Deadline, Handler.deliveryTime(*Route, Deadline));
-}
-
-bool EntryRequest::refuseUnlessFitsStop() {
-  if (fitsStop())
-    return false;
-  base::logInfo(
-      "entry", "a request may outlast the stop of this VM",
-      {{"request", Metadata.Id},
-       {"route", Route->Name},
-       {"limit_ms", base::toMs(Deadline - ArrivedAt)},
-       {"delivery_ms", base::toMs(Handler.deliveryTime(*Route, Deadline))},
-       {"stop_left_ms",
-        base::toMs(base::delayUntil(Handler.stopAdmission().endsAt()))}});
-  refuse(ResultCode::NotRunNotReady, "this VM is stopping", OtherVmRetryAfter);
-  return true;
-}
-
-void EntryRequest::onStop() {
-  if (!IsFinished && Tried.empty())
-    refuseUnlessFitsStop();
-}
-
 bool EntryRequest::reserveLink() {
   const auto own = Handler.link().expectedTime(Route->Name);
   // Small answers are sent between the parts of large ones.
@@ -503,62 +475,6 @@
                  {"bytes", AnswerBytes}});
 }
 
-std::string_view nameOf(RequestStage stage) {
-  switch (stage) {
-  case RequestStage::WaitingForTarget:
-    return "waiting_for_target";
-  case RequestStage::AtTarget:
-    return "at_target";
-  case RequestStage::Receiving:
-    return "receiving";
-  case RequestStage::Paced:
-    return "paced";
-  case RequestStage::Sending:
-    return "sending";
-  }
-  return "";
-}
-
-RequestStage EntryRequest::stage() const {
-  if (Tried.empty())
-    return RequestStage::WaitingForTarget;
-  if (!HeadAt)
-    return RequestStage::AtTarget;
-  if (IsSending)
-    return RequestStage::Sending;
-  return IsDelivering && !IsDeliveryIdle ? RequestStage::Paced
-                                         : RequestStage::Receiving;
-}
-
-std::uint64_t EntryRequest::owedBytes() const {
-  if (!HeadAt)
-    return 0;
-  const std::uint64_t whole =
-      IsDelivering ? AnswerBytes : Head.Length.value_or(Body.size());
-  return whole - std::min<std::uint64_t>(whole, DeliveredBytes);
-}
-
-std::optional<OwedAnswer> EntryRequest::owedAnswer() const {
-  if (!Route)
-    return std::nullopt;
-  if (!HeadAt)
-    return OwedAnswer{Deadline, Handler.link().expectedBytes(Route->Name)};
-  return OwedAnswer{base::readMonotonic(), static_cast<double>(owedBytes())};
-}
-
-void EntryRequest::logUnfinished(std::string_view text) const {
-  const auto now = base::readMonotonic();
-  base::logWarning("entry", ResultCode::Stopping, text,
-                   {{"request", Metadata.Id},
-                    {"route", Route ? Route->Name : ""},
-                    {"target", Tried.empty() ? "" : Tried.back().Id},
-                    {"stage", nameOf(stage())},
-                    {"age_ms", base::toMs(now - ArrivedAt)},
-                    {"left_ms", base::toMs(Deadline - now)},
-                    {"delivered", DeliveredBytes},
-                    {"owed_bytes", owedBytes()}});
-}
-
 bool EntryRequest::isLarge() const { return AnswerBytes > LargeAnswerBytes; }
 
 void EntryRequest::requestMore(std::size_t bytes, std::function<void()> more) {
--- a/packages/entry/tests/LinkRefusalTest.cpp
+++ b/packages/entry/tests/LinkRefusalTest.cpp
@@ -1,20 +1,12 @@
 // Tests which requests a narrow link refuses while a large answer is on it.
-#include "entry/RequestHandler.h"
-#include "gateway/tests/Support.h"
-
-#include <catch2/catch.hpp>
+#include "entry/tests/EntryFixture.h"
 
 using namespace magnoliamill;
 using namespace magnoliamill::entry;
-using namespace std::chrono_literals;
+using namespace magnoliamill::entry::tests;
 
 namespace {
 
-using gateway::tests::AnswerCollector;
-using gateway::tests::ScopedEventLoop;
-using gateway::tests::ScriptedServer;
-using gateway::tests::waitFor;
-
 constexpr double LinkMbps = 5;
 constexpr base::Duration SmallObjective = 500ms;
 /// Takes 400 ms of the whole link.
@@ -25,45 +17,18 @@
          std::to_string(bytes) + "\r\n\r\n";
 }
 
-EntryFormat makeFormat() {
-  EntryFormat format;
-  format.ReadRequest = [](const Headers &) {
-    return base::Result<RequestMetadata>(
-        RequestMetadata{"r-1", 9s, {}, "shop.test"});
-  };
-  format.AddTargetHeaders = [](Headers &, const std::string &) {};
-  format.ReadAnswer = [](std::uint16_t, const Headers &) {
-    AnswerMetadata metadata;
-    metadata.IsFromTarget = true;
-    return metadata;
-  };
-  format.WriteRetryAfter = [](base::Duration time) {
-    return std::to_string(base::toMs(time));
-  };
-  format.DeadlineHeader = "Left-Ms";
-  return format;
-}
-
 routing::Route makeRoute(const std::string &prefix, routing::RouteKind kind,
                          base::Duration objective) {
-  routing::Route route;
-  route.Name = "route" + prefix;
-  route.Version = 1;
-  route.Host = "shop.test";
-  route.PathPrefix = prefix;
-  route.Kind = kind;
-  route.Timeout = 9s;
+  auto route = entry::tests::makeRoute(prefix, kind);
   route.LatencyObjective = objective;
-  route.MaxAttempts = 2;
-  route.Shares = {{"vault", 1}};
   return route;
 }
 
 /// A request handler on a narrow link, with one target that answers at once:
 /// "/file/" with LargeBytes, everything else with two bytes.
-class Entry {
+class NarrowEntry {
 public:
-  Entry() {
+  NarrowEntry() {
     Settings.Vm = "f1";
     Settings.DataCentre = "dc-a";
     Settings.LinkMbps = LinkMbps;
@@ -90,7 +55,7 @@
       Handler->onView();
     });
   }
-  ~Entry() {
+  ~NarrowEntry() {
     EventLoop.run([&] { Handler.reset(); });
   }
 
@@ -138,7 +103,7 @@
 } // namespace
 
 TEST_CASE("A large answer leaves room for small ones") {
-  Entry entry;
+  NarrowEntry entry;
   // Its size is known from then on.
   REQUIRE(entry.request("GET", "/file/1") == 200);
 
