--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -86,8 +86,8 @@
 /// The script's second argument counts the requests over both targets.
 class Entry {
 public:
-  explicit Entry(Script script, EntryOptions options = {})
-      : RunScript(std::move(script)), Options(std::move(options)),
+  explicit Entry(Script script, const EntryOptions &options = {})
+      : RunScript(std::move(script)), Options(options),
         First(makeScript(FirstCount)), Second(makeScript(SecondCount)) {
     Settings.Vm = "f1";
     Settings.DataCentre = "dc-a";
