Entries log the rate of requests that targets name

The header is decoded once into AnswerMetadata::RateLimit; TargetNotices keeps the newest one of each target instance; a change is one log line (a target changes the rate of requests it takes) and counts in mill_entry_target_notices_total with the notices rate_limit and rate_limit_lifted. Nothing decides by it yet.

--- a/packages/entry/EntryFormat.h
+++ b/packages/entry/EntryFormat.h
@@ -43,6 +43,9 @@
   /// How long the target wants no requests from this VM; zero if it did not
   /// ask.
   base::Duration AskedPause{};
+  /// Requests per second that the target takes from all VMs together, if it
+  /// limits them.
+  std::optional<double> RateLimit;
 };
 
 /// Callbacks and names provided by the platform adapter.
--- a/packages/entry/TargetNotices.h
+++ b/packages/entry/TargetNotices.h
@@ -1,12 +1,13 @@
 // What targets told this VM about themselves in their answers: that they leave,
-// or that they want no requests for a while. Decides whether a target may get a
-// request. Performs no I/O.
+// that they want no requests for a while, or how many requests they take.
+// Decides whether a target may get a request. Performs no I/O.
 #pragma once
 
 #include "base/Time.h"
 #include "keyspace/Types.h"
 
 #include <map>
+#include <optional>
 
 namespace magnoliamill::entry {
 
@@ -25,7 +26,15 @@
   /// asked for a pause that lasts as long.
   bool onPause(const keyspace::TargetInstance &instance, base::Duration pause,
                base::MonoTime now);
+  /// An answer of the target named the requests per second that it takes from
+  /// all VMs together, or none if it takes any number. False if that was known.
+  bool onRateLimit(const keyspace::TargetInstance &instance,
+                   std::optional<double> limit, base::MonoTime now);
 
+  /// The requests per second that the target takes; not set if it takes any
+  /// number.
+  std::optional<double>
+  rateLimit(const keyspace::TargetInstance &instance) const;
   bool isLeaving(const keyspace::TargetInstance &instance) const;
   /// The time from which the target may get requests: \p now if it may at
   /// present, MonoTime::max() if it never may again.
@@ -46,6 +55,7 @@
     base::MonoTime ReceivedAt;
     base::MonoTime PausedUntil{};
     base::MonoTime DrainedAt = base::MonoTime::max();
+    std::optional<double> RateLimit;
   };
 
   Notice &put(const keyspace::TargetInstance &instance, base::MonoTime now);
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -100,6 +100,13 @@
                    {"request", request},
                    {"left_ms", base::toMs(Settings.TargetDrainTime)}});
   }
+  if (Pool.notices().onRateLimit(target, answer.RateLimit, now)) {
+    countNotice(answer.RateLimit ? "rate_limit" : "rate_limit_lifted");
+    base::logInfo("entry", "a target changes the rate of requests it takes",
+                  {{"target", target.Id},
+                   {"request", request},
+                   {"per_second", answer.RateLimit.value_or(-1)}});
+  }
   if (answer.AskedPause <= base::Duration::zero() ||
       !Pool.notices().onPause(target, answer.AskedPause, now))
     return;
--- a/packages/entry/internal/TargetNotices.cpp
+++ b/packages/entry/internal/TargetNotices.cpp
@@ -32,6 +32,21 @@
   return true;
 }
 
+bool TargetNotices::onRateLimit(const keyspace::TargetInstance &instance,
+                                std::optional<double> limit,
+                                base::MonoTime now) {
+  if (limit == rateLimit(instance))
+    return false;
+  put(instance, now).RateLimit = limit;
+  return true;
+}
+
+std::optional<double>
+TargetNotices::rateLimit(const keyspace::TargetInstance &instance) const {
+  auto it = Notices.find(instance);
+  return it == Notices.end() ? std::nullopt : it->second.RateLimit;
+}
+
 bool TargetNotices::isLeaving(const keyspace::TargetInstance &instance) const {
   auto it = Notices.find(instance);
   return it != Notices.end() && it->second.DrainedAt != base::MonoTime::max();
@@ -60,7 +75,7 @@
 void TargetNotices::forget(base::MonoTime now) {
   std::erase_if(Notices, [now](const auto &it) {
     return it.second.PausedUntil <= now &&
-           it.second.DrainedAt == base::MonoTime::max();
+           it.second.DrainedAt == base::MonoTime::max() && !it.second.RateLimit;
   });
   if (Notices.size() < MaxTargets)
     return;
--- a/packages/entry/tests/TargetNoticesTest.cpp
+++ b/packages/entry/tests/TargetNoticesTest.cpp
@@ -105,3 +105,16 @@
     CHECK(notices.isLeaving(instance(TargetNotices::MaxTargets)));
   }
 }
+
+TEST_CASE("A target's rate is known until an answer names none") {
+  TargetNotices notices(DrainTime);
+  CHECK_FALSE(notices.onRateLimit(First, std::nullopt, Start));
+  CHECK(notices.onRateLimit(First, 6.5, Start));
+  CHECK(notices.rateLimit(First) == 6.5);
+  CHECK_FALSE(notices.rateLimit(Next));
+  CHECK_FALSE(notices.onRateLimit(First, 6.5, Start + 1s));
+  CHECK(notices.onRateLimit(First, 3.0, Start + 1s));
+  CHECK(notices.rateLimit(First) == 3.0);
+  CHECK(notices.onRateLimit(First, std::nullopt, Start + 2s));
+  CHECK_FALSE(notices.rateLimit(First));
+}
