--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -71,8 +71,12 @@
   if (IsCrashed)
     return {};
   const std::string attempt(findHeader(call.Headers, "Attempt-Id"));
-  std::vector<protocol::HttpHeader> headers{{"Attempt-Id", attempt}};
+  {
+    std::lock_guard lock(Mutex);
+    Arrivals.push_back(base::readMonotonic());
+  }
   const auto refuse = [&] {
+    auto headers = answerHeaders(attempt);
     headers.push_back({"Not-Executed", "1"});
     answer(sink, 421, std::move(headers), {});
   };
@@ -110,17 +114,26 @@
                              const std::string &attempt) {
   std::string body = Config.Id;
   body.resize(std::max(body.size(), Config.AnswerBytes), '.');
-  answer(sink, 200,
-         {{"Attempt-Id", attempt}, {"Upstream-Signature", "s." + attempt}},
-         std::move(body));
+  auto headers = answerHeaders(attempt);
+  headers.push_back({"Upstream-Signature", "s." + attempt});
+  answer(sink, 200, std::move(headers), std::move(body));
+}
+
+std::vector<protocol::HttpHeader>
+FakeUpstream::answerHeaders(const std::string &attempt) const {
+  std::vector<protocol::HttpHeader> headers{{"Attempt-Id", attempt}};
+  std::lock_guard lock(Mutex);
+  if (RateLimit)
+    headers.push_back({"Server-Limit", std::to_string(*RateLimit)});
+  return headers;
 }
 
 void FakeUpstream::answerEndlessly(const protocol::AnswerSink &sink,
                                    const std::string &attempt) {
   protocol::AnswerHead head;
   head.Status = 200;
-  head.Headers = {{"Attempt-Id", attempt},
-                  {"Upstream-Signature", "s." + attempt}};
+  head.Headers = answerHeaders(attempt);
+  head.Headers.push_back({"Upstream-Signature", "s." + attempt});
   sink.Head(std::move(head));
   sendEndlessPart(EventLoop.context(), sink);
 }
@@ -238,6 +251,16 @@
   boost::asio::post(EventLoop.context(), [this] { IsCrashed = true; });
 }
 
+void FakeUpstream::limitRate(std::optional<double> perSecond) {
+  std::lock_guard lock(Mutex);
+  RateLimit = perSecond;
+}
+
+std::vector<base::MonoTime> FakeUpstream::arrivals() const {
+  std::lock_guard lock(Mutex);
+  return Arrivals;
+}
+
 std::map<std::string, int> FakeUpstream::runs() const {
   std::lock_guard lock(Mutex);
   return Runs;
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -50,6 +50,12 @@
   /// Simulates a crash: sends no more heartbeats and answers no more requests.
   void crash();
 
+  /// Names in its answers the requests per second that it takes from all VMs
+  /// together, or none from now on. It serves the others, too.
+  void limitRate(std::optional<double> perSecond);
+  /// When each request arrived, also those that were refused.
+  std::vector<base::MonoTime> arrivals() const;
+
   /// Number of runs by attempt id.
   std::map<std::string, int> runs() const;
   /// Number of keys held now.
@@ -63,6 +69,9 @@
   protocol::CancelHook serve(const HttpCall &call,
                              const protocol::AnswerSink &sink);
   void finishRun(const protocol::AnswerSink &sink, const std::string &attempt);
+  /// The headers of each answer to \p attempt.
+  std::vector<protocol::HttpHeader>
+  answerHeaders(const std::string &attempt) const;
   void answerEndlessly(const protocol::AnswerSink &sink,
                        const std::string &attempt);
   void sendHeartbeat();
@@ -86,6 +95,8 @@
   std::vector<keyspace::KeyRange> Released;
   base::MonoTime HoldExpiresAt;
   std::map<std::string, int> Runs;
+  std::vector<base::MonoTime> Arrivals;
+  std::optional<double> RateLimit;
   bool IsDraining = false;
   bool DrainAcknowledged = false;
 };
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -47,6 +47,8 @@
     metadata.IsLeaving = hasHeader(headers, "Leaving");
     if (const auto ms = valueOf(headers, "Pause-Ms"); !ms.empty())
       metadata.AskedPause = std::chrono::milliseconds(std::stoi(ms));
+    if (const auto rate = valueOf(headers, "Rate"); !rate.empty())
+      metadata.RateLimit = std::stod(rate);
     metadata.IsFromTarget = hasHeader(headers, "Mark");
     return metadata;
   };
--- a/packages/entry/tests/RequestNoticesTest.cpp
+++ b/packages/entry/tests/RequestNoticesTest.cpp
@@ -22,6 +22,11 @@
             "\r\nContent-Length: 0\r\n\r\n");
 }
 
+void answerLimited(Peer &peer, double perSecond) {
+  peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nRate: " +
+            std::to_string(perSecond) + "\r\nContent-Length: 2\r\n\r\nok");
+}
+
 /// A core on loopback that queues permits until it is told to grant them.
 class Core {
 public:
@@ -262,3 +267,49 @@
     CHECK(entry.countAtSecond() == 1);
   }
 }
+
+TEST_CASE("Without permits a target gets no more requests than the rate that "
+          "it named") {
+  constexpr double RateLimit = 10;
+  constexpr int RequestCount = 50;
+
+  SECTION("the holder of a key: the others are refused at once") {
+    Entry entry([](Peer &peer, int) { answerLimited(peer, RateLimit); },
+                {true});
+    const auto start = base::readMonotonic();
+    int refused = 0;
+    for (int n = 0; n < RequestCount; ++n)
+      if (entry.request("POST", "/order/1") == 503) {
+        ++refused;
+        CHECK(entry.retryAfterMs() > 0);
+        CHECK(entry.retryAfterMs() <= 1000 / RateLimit);
+      }
+    const std::chrono::duration<double> taken = base::readMonotonic() - start;
+    CHECK(entry.countRequests() <= 2 + RateLimit * taken.count());
+    CHECK(refused == RequestCount - entry.countRequests());
+
+    SECTION("and a later one is served") {
+      std::this_thread::sleep_for(200ms);
+      CHECK(entry.request("POST", "/order/1") == 200);
+    }
+  }
+  SECTION("without keys, another target gets the others") {
+    Entry entry([](Peer &peer, int number) {
+      number == 1 ? answerLimited(peer, 0.1) : answer(peer, number);
+    });
+    for (int n = 0; n < RequestCount; ++n)
+      CHECK(entry.request("POST", "/order/1") == 200);
+    CHECK(std::min(entry.countAtFirst(), entry.countAtSecond()) == 1);
+  }
+  SECTION("a target that names none any more gets all requests") {
+    Entry entry(
+        [](Peer &peer, int number) {
+          number == 1 ? answerLimited(peer, RateLimit) : answer(peer, number);
+        },
+        {true});
+    CHECK(entry.request("POST", "/order/1") == 200);
+    std::this_thread::sleep_for(200ms);
+    for (int n = 0; n < RequestCount; ++n)
+      CHECK(entry.request("POST", "/order/1") == 200);
+  }
+}
