Permits and entries keep the rate of requests that a target names

What callers saw: nothing at first.

Entries decide alone, while the rate holds for all of them together.

Change: the entry passes on what an answer names with the end of its permit, and the core that issues the permits of a target keeps the rate for all entries (dispatch/RateLimiter). estimateWait includes the rate, so that requests that would come too late are refused at once; tick() grants what the rate allows by then. Requests without a permit (no core, a retry) use the entry's own share: the rate divided by the number of entries, which the cores tell. The first request of a share starts at a random time, so that the shares don't add up at once.

Why it works: one place counts, and the ways around it add at most another rate; the rule allows 1.5 times the limit and 5 more in 4 s.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -1,10 +1,12 @@
-// Issues permits to send a request to a target: counts its slots for all
-// entries, queues by urgency, and refuses at once what would be answered too
-// late. Answers the load of more requests than slots. Performs no I/O.
+// Issues permits to send a request to a target: counts its slots and keeps the
+// rate that it named for all entries, queues by urgency, and refuses at once
+// what would be answered too late. Answers the load of more requests than slots
+// or than the rate. Performs no I/O.
 #pragma once
 
 #include "base/Time.h"
 #include "dispatch/FairQueue.h"
+#include "dispatch/RateLimiter.h"
 #include "dispatch/TargetHealth.h"
 #include "keyspace/Types.h"
 
@@ -92,6 +94,12 @@
   /// Removes all targets that are not in \p kept, which is sorted.
   Answers removeAllExcept(std::span<const keyspace::TargetInstance> kept);
 
+  /// The target answered under permit \p id: it takes \p perSecond requests
+  /// from all entries, or any number. Must be called before release(). Returns
+  /// the target if that is new.
+  std::optional<keyspace::TargetInstance>
+  limitRate(const PermitId &id, std::optional<double> perSecond,
+            base::MonoTime now);
   Answers request(const PermitId &id, const PermitRequest &request,
                   base::MonoTime now);
   /// Ends a permit or the wait for one. \p latency is the time the target took
@@ -100,8 +108,9 @@
                   base::MonoTime now);
   /// Ends all permits and waits of a requester whose link was lost.
   Answers releaseAll(std::uint64_t requester, base::MonoTime now);
-  /// Refuses requests whose time has run out while they waited, and ends
-  /// permits that were not released in time.
+  /// Grants permits that the targets' rates allow by now, refuses requests
+  /// whose time has run out while they waited, and ends permits that were not
+  /// released in time.
   Answers tick(base::MonoTime now);
 
   std::size_t countGranted() const { return Granted.size(); }
@@ -111,6 +120,7 @@
   struct Target {
     PermitTarget Description;
     dispatch::TargetHealth Health;
+    dispatch::RateLimiter Rate;
     std::uint32_t InUse = 0;
   };
   /// Targets that serve the same requests: the holder of keys, or all targets
@@ -143,13 +153,18 @@
   base::Duration meanServiceTime(const Target &target) const;
   base::Duration meanServiceTime(const Pool &pool) const;
   /// Time until a request that is queued now would start.
-  base::Duration estimateWait(const Pool &pool, bool IsUrgent) const;
+  base::Duration estimateWait(const Pool &pool, bool IsUrgent,
+                              base::MonoTime now) const;
+  /// Time until the rates of the pool's targets allow a request behind \p ahead
+  /// others; zero if a target has no limit.
+  base::Duration estimateRateWait(const Pool &pool, std::int64_t ahead,
+                                  base::MonoTime now) const;
   /// When the holder of keys may be used again, if its requests have failed and
   /// one is on its way already; requests without keys go to other targets.
   std::optional<base::MonoTime> findEjectionEnd(const Pool &pool,
                                                 base::MonoTime now) const;
   void grant(const std::string &name, const PermitId &id, Target &target,
-             base::MonoTime deadline, Answers &answers);
+             base::MonoTime deadline, base::MonoTime now, Answers &answers);
   void refuse(const PermitId &id, base::Duration wait, Answers &answers);
   /// Grants permits to waiting requests while the pool has room.
   void serve(const std::string &name, base::MonoTime now, Answers &answers);
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -135,7 +135,7 @@
   bool IsBestEjected = false;
   for (const auto &instance : pool.Members) {
     Target &target = Targets.at(instance);
-    if (target.InUse >= limitOf(pool, target))
+    if (target.InUse >= limitOf(pool, target) || !target.Rate.isOpen(now))
       continue;
     const bool IsEjected = target.Health.isEjected(now);
     const auto expected = meanServiceTime(target) * (1 + target.InUse);
@@ -148,8 +148,8 @@
   return best;
 }
 
-base::Duration PermitIssuer::estimateWait(const Pool &pool,
-                                          bool IsUrgent) const {
+base::Duration PermitIssuer::estimateWait(const Pool &pool, bool IsUrgent,
+                                          base::MonoTime now) const {
   std::int64_t slots = 0;
   std::int64_t running = 0;
   for (const auto &instance : pool.Members) {
@@ -159,9 +159,29 @@
   }
   const auto ahead = static_cast<std::int64_t>(pool.Queue.countAheadOf(
       IsUrgent ? settings::Urgency::Urgent : settings::Urgency::Normal));
-  return meanServiceTime(pool) *
-         (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
-         std::max<std::int64_t>(slots, 1);
+  const auto SlotWait =
+      meanServiceTime(pool) *
+      (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
+      std::max<std::int64_t>(slots, 1);
+  return std::max(SlotWait, estimateRateWait(pool, ahead, now));
+}
+
+base::Duration PermitIssuer::estimateRateWait(const Pool &pool,
+                                              std::int64_t ahead,
+                                              base::MonoTime now) const {
+  double perSecond = 0;
+  auto opens = base::MonoTime::max();
+  for (const auto &instance : pool.Members) {
+    const auto &rate = Targets.at(instance).Rate;
+    if (!rate.isLimited())
+      return base::Duration::zero();
+    perSecond += 1 / std::chrono::duration<double>(rate.interval()).count();
+    opens = std::min(opens, rate.opensAt(now));
+  }
+  return opens - now +
+         std::chrono::duration_cast<base::Duration>(
+             std::chrono::duration<double>(static_cast<double>(ahead) /
+                                           perSecond));
 }
 
 std::optional<base::MonoTime>
@@ -175,6 +195,21 @@
   return holder.Health.ejectedUntil();
 }
 
+std::optional<TargetInstance>
+PermitIssuer::limitRate(const PermitId &id, std::optional<double> perSecond,
+                        base::MonoTime now) {
+  const auto permit = Granted.find(id);
+  if (permit == Granted.end())
+    return std::nullopt;
+  const auto it = Targets.find(permit->second.Target);
+  if (it == Targets.end())
+    return std::nullopt;
+  auto &rate = it->second.Rate;
+  const auto before = rate.interval();
+  rate.setLimit(perSecond, now);
+  return rate.interval() == before ? std::nullopt : std::optional(it->first);
+}
+
 PermitIssuer::Answers PermitIssuer::request(const PermitId &id,
                                             const PermitRequest &request,
                                             base::MonoTime now) {
@@ -191,10 +226,10 @@
   }
   Target *target = chooseTarget(*pool, now);
   if (target && pool->Queue.size() == 0) {
-    grant(name, id, *target, now + request.Timeout, answers);
+    grant(name, id, *target, now + request.Timeout, now, answers);
     return answers;
   }
-  const auto wait = estimateWait(*pool, request.IsUrgent);
+  const auto wait = estimateWait(*pool, request.IsUrgent, now);
   const auto limit = request.LatencyObjective * AdmittedPercent / 100;
   const auto excess = wait + meanServiceTime(*pool) - limit;
   if (!request.MayWait || excess > base::Duration::zero()) {
@@ -216,8 +251,9 @@
 
 void PermitIssuer::grant(const std::string &name, const PermitId &id,
                          Target &target, base::MonoTime deadline,
-                         Answers &answers) {
+                         base::MonoTime now, Answers &answers) {
   ++target.InUse;
+  target.Rate.onSent(now);
   Granted[id] = {target.Description.Instance, name, deadline};
   answers.push_back(
       {id, PermitDecision::Granted, target.Description.Instance, {}});
@@ -243,7 +279,7 @@
       return;
     const auto info = it->second.Queue.pop([](auto &) { return true; });
     const auto waiter = Waiting.extract(info->Id).mapped();
-    grant(name, waiter.Id, *target, waiter.Deadline, answers);
+    grant(name, waiter.Id, *target, waiter.Deadline, now, answers);
   }
 }
 
@@ -300,8 +336,9 @@
     const auto last = now + meanServiceTime(pool);
     for (const auto &info : pool.Queue.removeIf(
              [&](const auto &it) { return it.Deadline <= last; }))
-      refuse(Waiting.extract(info.Id).mapped().Id, estimateWait(pool, false),
-             answers);
+      refuse(Waiting.extract(info.Id).mapped().Id,
+             estimateWait(pool, false, now), answers);
+    serve(name, now, answers);
   }
   std::vector<PermitId> expired;
   for (const auto &[id, permit] : Granted)
--- a/packages/admission/tests/PermitIssuerTest.cpp
+++ b/packages/admission/tests/PermitIssuerTest.cpp
@@ -1,7 +1,10 @@
 // Tests which requests are granted a permit, wait or are refused.
 #include "admission/PermitIssuer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <vector>
 
 using namespace magnoliamill;
 using namespace magnoliamill::admission;
@@ -184,3 +187,107 @@
     CHECK(it.ask(makeKeyed()).Decision == PermitDecision::Granted);
   }
 }
+
+TEST_CASE("The permits for a target keep the rate that it named") {
+  constexpr double RateLimit = 6.5;
+  constexpr base::Duration Window = 4s;
+  constexpr std::ptrdiff_t MostAllowed = 44; // 1.5 times the limit, and 5
+  constexpr base::Duration WorkTime = 80ms;
+  PermitIssuer issuer(1);
+  issuer.put({Fast, "orders", "dc-a", 3});
+  auto now = Start;
+  std::uint64_t last = 0;
+  std::vector<base::MonoTime> granted;
+  std::vector<base::Duration> RetryTimes;
+  std::map<PermitId, base::MonoTime> running;
+  std::optional<double> named = RateLimit;
+  const auto take = [&](const PermitIssuer::Answers &answers) {
+    for (const auto &it : answers)
+      if (it.Decision == PermitDecision::Granted) {
+        granted.push_back(now);
+        running[it.Id] = now;
+      } else if (it.Decision == PermitDecision::Refused) {
+        RetryTimes.push_back(it.RetryAfter);
+      }
+  };
+  // Ten entries ask for 50 permits a second, and each answer names the limit.
+  const auto play = [&](base::Duration time) {
+    for (const auto end = now + time; now < end; now += 10ms) {
+      take(issuer.tick(now));
+      for (const auto &[id, at] : std::map(running))
+        if (now - at >= WorkTime) {
+          running.erase(id);
+          issuer.limitRate(id, named, now);
+          take(issuer.release(id, PermitUse::Answered, WorkTime, now));
+        }
+      auto request = makeKeyed();
+      request.LatencyObjective = 300ms;
+      request.Timeout = 800ms;
+      if (++last % 2 == 0)
+        take(issuer.request({last % 10, last}, request, now));
+    }
+  };
+  const auto mostInWindow = [&](base::MonoTime first) {
+    std::ptrdiff_t most = 0;
+    for (auto it = std::ranges::lower_bound(granted, first);
+         it != granted.end(); ++it)
+      most =
+          std::max(most, std::ranges::lower_bound(granted, *it + Window) - it);
+    return most;
+  };
+
+  play(500ms);
+  const auto known = now;
+  play(20s);
+  const auto served = static_cast<double>(
+      granted.end() - std::ranges::lower_bound(granted, known));
+
+  SECTION("not more in any window, and not much less") {
+    CHECK(mostInWindow(known) <= MostAllowed);
+    CHECK(served >= 0.9 * RateLimit * 20);
+  }
+  SECTION("the others are refused at once, with a time to return") {
+    CHECK(RetryTimes.size() >= 700);
+    CHECK(std::ranges::all_of(RetryTimes, [](const auto &it) {
+      return it > base::Duration::zero();
+    }));
+    CHECK(issuer.countWaiting() <= 2);
+  }
+  SECTION("as many as there are slots once it names none") {
+    named.reset();
+    play(1s);
+    const auto before = granted.size();
+    play(4s);
+    CHECK(granted.size() - before >= 120);
+
+    SECTION("naming it again does not allow a burst") {
+      named = RateLimit;
+      play(500ms);
+      const auto again = now;
+      play(8s);
+      CHECK(mostInWindow(again) <= MostAllowed);
+    }
+  }
+  SECTION("a target that takes none is asked now and then whether it does") {
+    named = 0;
+    play(1s);
+    const auto before = granted.size();
+    play(20s);
+    CHECK(granted.size() - before >= 3);
+    CHECK(granted.size() - before <= 6);
+  }
+}
+
+TEST_CASE("A service uses its other targets when one limits its rate") {
+  Fixture it;
+  it.measure(Fast, 50ms);
+  it.measure(Slow, 100ms);
+  const auto request = makeRequest();
+  REQUIRE(it.ask(request).Target == Fast);
+  it.Issuer.limitRate({1, it.Last}, 1.0, Start);
+  it.Issuer.release({1, it.Last}, PermitUse::Answered, 50ms, Start);
+  CHECK(it.ask(request).Target == Slow);
+  CHECK(it.ask(request).Target == Slow);
+  // Both slots of the other one are in use.
+  CHECK(it.ask(request).Decision == PermitDecision::Queued);
+}
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -94,6 +94,11 @@
   /// Refuses the request and returns true if no target may get it now because
   /// of what the targets told about themselves.
   bool refuseIfClosed();
+  /// Refuses the request and returns true if this VM may send no more requests
+  /// without a permit to the targets that could get it.
+  bool refuseIfRateReached();
+  /// The same for \p opens, the time from which a target may get the request.
+  bool refuseUntil(base::MonoTime opens, std::string message);
   /// Asks for a permit and returns true, unless the request is to be sent
   /// without one.
   bool askPermit();
@@ -186,6 +191,8 @@
   /// True if a target may have run the request.
   bool MayHaveRun = false;
   AnswerMetadata RefusalMetadata;
+  /// What the target's answer says about the target. Not set before the answer.
+  std::optional<fleet::TargetNotice> Notice;
   protocol::AnswerHead Head;
   AnswerBody Body;
   /// Size of the whole body; set when the delivery starts.
--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace magnoliamill::entry {
@@ -42,7 +43,10 @@
                     admission::PermitRequest request, ResultHook done);
   /// Ends a permit, or the wait for one: \p done is then not called any more.
   void end(std::uint64_t number, admission::PermitUse use,
-           base::Duration latency);
+           base::Duration latency,
+           std::optional<fleet::TargetNotice> notice = std::nullopt);
+  /// How many entries ask the cores for permits, this one among them.
+  std::uint32_t entryCount() const;
 
 private:
   struct Pending {
@@ -70,6 +74,8 @@
   std::map<std::uint64_t, std::string> Granted;
   boost::asio::steady_timer Timer;
   bool IsTimerArmed = false;
+  /// The number of entries that ask it, by core.
+  std::map<std::string, std::uint32_t> EntryCounts;
   std::uint64_t NextNumber = 1;
 };
 
--- a/packages/entry/TargetNotices.h
+++ b/packages/entry/TargetNotices.h
@@ -4,10 +4,13 @@
 #pragma once
 
 #include "base/Time.h"
+#include "dispatch/RateLimiter.h"
 #include "keyspace/Types.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 
 namespace magnoliamill::entry {
 
@@ -17,8 +20,9 @@
 class TargetNotices {
 public:
   /// A target that leaves gets requests for \p drain after its first
-  /// notice.
-  explicit TargetNotices(base::Duration drain);
+  /// notice. \p seed spreads the times at which VMs start to send to a target
+  /// that limits the rate.
+  explicit TargetNotices(base::Duration drain, std::uint64_t seed = 0);
 
   /// The target said that it leaves. False if that was known.
   bool onLeaving(const keyspace::TargetInstance &instance, base::MonoTime now);
@@ -27,23 +31,33 @@
   bool onPause(const keyspace::TargetInstance &instance, base::Duration pause,
                base::MonoTime now);
   /// An answer of the target named the requests per second that it takes from
-  /// all VMs together, or none if it takes any number. False if that was known.
+  /// all VMs together, or none if it takes any number. \p SenderCount VMs send
+  /// to it. False if that was known.
   bool onRateLimit(const keyspace::TargetInstance &instance,
-                   std::optional<double> limit, base::MonoTime now);
+                   std::optional<double> limit, std::uint32_t SenderCount,
+                   base::MonoTime now);
+  /// A request is sent to the target without a permit. Permits keep the rate by
+  /// themselves.
+  void onSentWithoutPermit(const keyspace::TargetInstance &instance,
+                           base::MonoTime now);
 
   /// The requests per second that the target takes; not set if it takes any
   /// number.
   std::optional<double>
   rateLimit(const keyspace::TargetInstance &instance) const;
   bool isLeaving(const keyspace::TargetInstance &instance) const;
-  /// The time from which the target may get requests: \p now if it may at
-  /// present, MonoTime::max() if it never may again.
+  /// The time from which the target may get requests with a permit: \p now if
+  /// it may at present, MonoTime::max() if it never may again.
   base::MonoTime opensAt(const keyspace::TargetInstance &instance,
                          base::MonoTime now) const;
   bool isOpen(const keyspace::TargetInstance &instance,
               base::MonoTime now) const {
     return opensAt(instance, now) <= now;
   }
+  /// The same for requests without a permit, of which this VM may send its
+  /// share of the target's rate.
+  base::MonoTime opensWithoutPermit(const keyspace::TargetInstance &instance,
+                                    base::MonoTime now) const;
   std::size_t size() const { return Notices.size(); }
 
   /// Maximum number of targets with notices, so that targets which are gone
@@ -56,6 +70,8 @@
     base::MonoTime PausedUntil{};
     base::MonoTime DrainedAt = base::MonoTime::max();
     std::optional<double> RateLimit;
+    /// This VM's share of the rate.
+    dispatch::RateLimiter Share;
   };
 
   Notice &put(const keyspace::TargetInstance &instance, base::MonoTime now);
@@ -63,6 +79,7 @@
   void forget(base::MonoTime now);
 
   base::Duration DrainTime;
+  std::mt19937_64 Random;
   std::map<keyspace::TargetInstance, Notice> Notices;
 };
 
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -74,7 +74,7 @@
   /// \p centre is the entry's data centre. \p seed seeds the random choice. A
   /// target that leaves gets requests for \p drain.
   TargetPool(std::string centre, std::uint64_t seed, base::Duration drain)
-      : DataCentre(std::move(centre)), Random(seed), Notices(drain) {}
+      : DataCentre(std::move(centre)), Random(seed), Notices(drain, seed) {}
 
   /// Replaces the targets by those of the view. Targets that remain keep their
   /// measurements.
@@ -92,13 +92,20 @@
 
   /// The time from which some ready target of \p service may get requests
   /// according to the notices; \p now if there is no ready target.
-  base::MonoTime opensAt(std::string_view service, base::MonoTime now) const;
+  base::MonoTime opensAt(std::string_view service, base::MonoTime now) const {
+    return findOpening(service, now, &TargetNotices::opensAt);
+  }
+  /// The same for requests without a permit.
+  base::MonoTime opensWithoutPermit(std::string_view service,
+                                    base::MonoTime now) const {
+    return findOpening(service, now, &TargetNotices::opensWithoutPermit);
+  }
 
-  /// The ready target of \p service with the lowest expected latency, excluding
-  /// those in \p tried and those that may get no requests; null if there is
-  /// none. A target in another data centre must be faster by
-  /// CrossDataCentreFactor. Targets that leave come after the others, and those
-  /// that failed or refused requests recently come last.
+  /// The ready target of \p service with the lowest expected latency for a
+  /// request without a permit, excluding those in \p tried and those that may
+  /// get no requests; null if there is none. A target in another data centre
+  /// must be faster by CrossDataCentreFactor. Targets that leave come after the
+  /// others, and those that failed or refused requests recently come last.
   PooledTarget *choose(std::string_view service,
                        const std::vector<keyspace::TargetInstance> &tried,
                        base::MonoTime now);
@@ -114,6 +121,10 @@
 
   void put(const fleet::Target &target);
   void remove(const keyspace::TargetInstance &instance);
+  using Opening = base::MonoTime (TargetNotices::*)(
+      const keyspace::TargetInstance &, base::MonoTime) const;
+  base::MonoTime findOpening(std::string_view service, base::MonoTime now,
+                             Opening opening) const;
   double expectedLatencyUs(const PooledTarget &target) const;
   Rank rankOf(const PooledTarget &target, base::MonoTime now) const;
   bool mayGetRequests(const PooledTarget &target, base::MonoTime now) const;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -147,6 +147,8 @@
 
 void EntryRequest::trySend(PooledTarget *target) {
   const auto now = base::readMonotonic();
+  if (refuseIfRateReached())
+    return;
   if (target && IsKeyed && !target->hasRoom(now))
     return refuse(ResultCode::NotRunQueueFull,
                   "the key's holder is at capacity",
@@ -179,7 +181,10 @@
   Tried.push_back(instance);
   ++target.InFlight;
   SentAt = base::readMonotonic();
+  if (Permit == 0)
+    Handler.pool().notices().onSentWithoutPermit(instance, SentAt);
   HeadAt.reset();
+  Notice.reset();
   Head = {};
   Body.clear();
 
@@ -240,8 +245,10 @@
   if (!metadata.Id.empty() && metadata.Id != Metadata.Id)
     return gateway::AnswerKind::Stale;
   // Another target at the address speaks only for itself.
-  if (!metadata.IsWrongTarget)
+  if (!metadata.IsWrongTarget) {
     Handler.readNotices(Tried.back(), metadata, Metadata.Id);
+    Notice = fleet::TargetNotice{metadata.RateLimit};
+  }
   RefusalMetadata = metadata;
   if (metadata.IsNotRun)
     return gateway::AnswerKind::NotRun;
@@ -332,9 +339,9 @@
   // Retrying the same holder while it refuses requests is useless.
   const auto now = base::readMonotonic();
   const bool IsUseful =
-      next && (!IsKeyed ||
-               (next->hasRoom(now) && Handler.pool().notices().isOpen(
-                                          next->Description.Instance, now)));
+      next && (!IsKeyed || (next->hasRoom(now) &&
+                            Handler.pool().notices().opensWithoutPermit(
+                                next->Description.Instance, now) <= now));
   if ((IsIdempotent || !MayHaveRun) && IsUseful && tryTakeRetry())
     return tryNext();
   if (MayHaveRun)
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -122,21 +122,36 @@
     opens = pool.opensAt(Service, now);
   else if (const auto *holder = Handler.view().holderOf(Service, *Metadata.Key))
     opens = pool.notices().opensAt(*holder, now);
+  return refuseUntil(opens, "the target of the request asked for no requests");
+}
+
+bool EntryRequest::refuseIfRateReached() {
+  const auto now = base::readMonotonic();
+  const TargetPool &pool = Handler.pool();
+  auto opens = now;
+  if (!IsKeyed)
+    opens = pool.opensWithoutPermit(Service, now);
+  else if (const auto *holder = Handler.view().holderOf(Service, *Metadata.Key))
+    opens = pool.notices().opensWithoutPermit(*holder, now);
+  return refuseUntil(opens, "the target of the request limits its rate");
+}
+
+bool EntryRequest::refuseUntil(base::MonoTime opens, std::string message) {
+  const auto now = base::readMonotonic();
   if (opens <= now)
     return false;
   if (opens == base::MonoTime::max())
     refuse(ResultCode::NotRunNoTarget,
            "the target of the request is about to exit", NoHolderRetryAfter);
   else
-    refuse(ResultCode::NotRunQueueFull,
-           "the target of the request asked for no requests",
+    refuse(ResultCode::NotRunQueueFull, std::move(message),
            std::min(opens - now, timeLeft() / MaxPauseDivisor));
   return true;
 }
 
 void EntryRequest::endPermit(admission::PermitUse use, base::Duration latency) {
   if (Permit != 0)
-    Handler.permits().end(std::exchange(Permit, 0), use, latency);
+    Handler.permits().end(std::exchange(Permit, 0), use, latency, Notice);
 }
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -48,7 +48,8 @@
 }
 
 void PermitClient::end(std::uint64_t number, admission::PermitUse use,
-                       base::Duration latency) {
+                       base::Duration latency,
+                       std::optional<fleet::TargetNotice> notice) {
   std::string core;
   if (auto granted = Granted.extract(number); !granted.empty())
     core = std::move(granted.mapped());
@@ -56,7 +57,14 @@
     core = std::move(pending.mapped().Core);
   // A link that was lost meanwhile has ended the permits given on it.
   if (auto it = Links.find(core); it != Links.end())
-    it->second->send(fleet::PermitEnd{number, use, latency});
+    it->second->send(fleet::PermitEnd{number, use, latency, notice});
+}
+
+std::uint32_t PermitClient::entryCount() const {
+  std::uint32_t most = 1;
+  for (const auto &[core, count] : EntryCounts)
+    most = std::max(most, count);
+  return most;
 }
 
 std::shared_ptr<fleet::Link> PermitClient::linkTo(const std::string &core) {
@@ -83,6 +91,7 @@
   auto it = Waiting.find(reply.Number);
   if (it == Waiting.end())
     return;
+  EntryCounts[it->second.Core] = reply.EntryCount;
   if (reply.Decision == PermitDecision::Queued) {
     it->second.AnswerBy = it->second.Timeout;
     return;
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -100,7 +100,8 @@
                    {"request", request},
                    {"left_ms", base::toMs(Settings.TargetDrainTime)}});
   }
-  if (Pool.notices().onRateLimit(target, answer.RateLimit, now)) {
+  if (Pool.notices().onRateLimit(target, answer.RateLimit, Permits.entryCount(),
+                                 now)) {
     countNotice(answer.RateLimit ? "rate_limit" : "rate_limit_lifted");
     base::logInfo("entry", "a target changes the rate of requests it takes",
                   {{"target", target.Id},
--- a/packages/entry/internal/TargetNotices.cpp
+++ b/packages/entry/internal/TargetNotices.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-TargetNotices::TargetNotices(base::Duration drain)
-    : DrainTime(std::max(drain - DrainMargin, base::Duration::zero())) {}
+TargetNotices::TargetNotices(base::Duration drain, std::uint64_t seed)
+    : DrainTime(std::max(drain - DrainMargin, base::Duration::zero())),
+      Random(seed) {}
 
 bool TargetNotices::onLeaving(const keyspace::TargetInstance &instance,
                               base::MonoTime now) {
@@ -34,11 +35,35 @@
 
 bool TargetNotices::onRateLimit(const keyspace::TargetInstance &instance,
                                 std::optional<double> limit,
-                                base::MonoTime now) {
-  if (limit == rateLimit(instance))
+                                std::uint32_t SenderCount, base::MonoTime now) {
+  const auto known = rateLimit(instance);
+  if (!limit && !known)
     return false;
-  put(instance, now).RateLimit = limit;
-  return true;
+  Notice &notice = put(instance, now);
+  notice.RateLimit = limit;
+  // All VMs hear of the limit within a short time. Each starts at a time of its
+  // own between two of its requests.
+  const double phase =
+      SenderCount > 1 ? std::uniform_real_distribution<double>(0, 1)(Random)
+                      : 1;
+  notice.Share.setLimit(
+      limit ? std::optional(*limit / SenderCount) : std::nullopt, now, phase);
+  return limit != known;
+}
+
+void TargetNotices::onSentWithoutPermit(
+    const keyspace::TargetInstance &instance, base::MonoTime now) {
+  if (auto it = Notices.find(instance); it != Notices.end())
+    it->second.Share.onSent(now);
+}
+
+base::MonoTime
+TargetNotices::opensWithoutPermit(const keyspace::TargetInstance &instance,
+                                  base::MonoTime now) const {
+  auto it = Notices.find(instance);
+  if (it == Notices.end())
+    return now;
+  return std::max(opensAt(instance, now), it->second.Share.opensAt(now));
 }
 
 std::optional<double>
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -93,13 +93,15 @@
          Notices.isOpen(target.Description.Instance, now);
 }
 
-base::MonoTime TargetPool::opensAt(std::string_view service,
-                                   base::MonoTime now) const {
+base::MonoTime TargetPool::findOpening(std::string_view service,
+                                       base::MonoTime now,
+                                       Opening opening) const {
   std::optional<base::MonoTime> first;
   if (auto it = ByService.find(service); it != ByService.end())
     for (const PooledTarget *target : it->second)
       if (target->Description.State == fleet::TargetState::Ready) {
-        const auto opens = Notices.opensAt(target->Description.Instance, now);
+        const auto opens =
+            (Notices.*opening)(target->Description.Instance, now);
         first = std::min(first.value_or(opens), opens);
       }
   return first.value_or(now);
@@ -131,6 +133,7 @@
   std::pair<Rank, double> least;
   for (PooledTarget *target : it->second) {
     if (!mayGetRequests(*target, now) ||
+        Notices.opensWithoutPermit(target->Description.Instance, now) > now ||
         std::ranges::find(tried, target->Description.Instance) != tried.end())
       continue;
     // Keeps entries with the same measurements from all choosing the same
--- a/packages/entry/tests/TargetNoticesTest.cpp
+++ b/packages/entry/tests/TargetNoticesTest.cpp
@@ -1,7 +1,9 @@
 // Tests what the notices of targets allow, also when they overlap.
 #include "entry/TargetNotices.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 using namespace magnoliamill;
 using namespace magnoliamill::entry;
@@ -108,13 +110,35 @@
 
 TEST_CASE("A target's rate is known until an answer names none") {
   TargetNotices notices(DrainTime);
-  CHECK_FALSE(notices.onRateLimit(First, std::nullopt, Start));
-  CHECK(notices.onRateLimit(First, 6.5, Start));
+  CHECK_FALSE(notices.onRateLimit(First, std::nullopt, 1, Start));
+  CHECK(notices.onRateLimit(First, 6.5, 1, Start));
   CHECK(notices.rateLimit(First) == 6.5);
   CHECK_FALSE(notices.rateLimit(Next));
-  CHECK_FALSE(notices.onRateLimit(First, 6.5, Start + 1s));
-  CHECK(notices.onRateLimit(First, 3.0, Start + 1s));
+  CHECK_FALSE(notices.onRateLimit(First, 6.5, 1, Start + 1s));
+  CHECK(notices.onRateLimit(First, 3.0, 1, Start + 1s));
   CHECK(notices.rateLimit(First) == 3.0);
-  CHECK(notices.onRateLimit(First, std::nullopt, Start + 2s));
+  CHECK(notices.onRateLimit(First, std::nullopt, 1, Start + 2s));
   CHECK_FALSE(notices.rateLimit(First));
 }
+
+TEST_CASE("VMs without permits share the rate of a target") {
+  constexpr std::uint32_t VmCount = 10;
+  constexpr double RateLimit = 5;
+  constexpr std::ptrdiff_t MostAllowed = 35; // 1.5 times the limit, and 5
+  std::vector<TargetNotices> vms;
+  for (std::uint32_t vm = 0; vm < VmCount; ++vm) {
+    vms.emplace_back(DrainTime, vm);
+    vms.back().onRateLimit(First, RateLimit, VmCount, Start);
+  }
+  std::vector<base::MonoTime> sent;
+  for (auto now = Start; now < Start + 30s; now += 20ms)
+    for (auto &vm : vms)
+      if (vm.opensWithoutPermit(First, now) <= now) {
+        vm.onSentWithoutPermit(First, now);
+        sent.push_back(now);
+      }
+  CHECK(static_cast<double>(sent.size()) >= 0.9 * RateLimit * 30);
+  for (auto it = sent.begin(); it != sent.end(); ++it)
+    CHECK(std::ranges::lower_bound(sent, *it + 4s) - it <= MostAllowed);
+  CHECK(vms.front().isOpen(First, Start));
+}
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -9,6 +9,7 @@
 #include "fleet/View.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -77,6 +78,14 @@
   admission::PermitDecision Decision = admission::PermitDecision::Unknown;
   keyspace::TargetInstance Target;
   base::Duration RetryAfter{};
+  /// How many entries ask this core for permits.
+  std::uint32_t EntryCount = 1;
+};
+
+/// What a target's answer says about the target.
+struct TargetNotice {
+  /// Requests per second that it takes from all entries, if it limits them.
+  std::optional<double> RateLimit;
 };
 
 /// Ends a permit, or the wait for one.
@@ -84,6 +93,8 @@
   std::uint64_t Number = 0;
   admission::PermitUse Use = admission::PermitUse::Abandoned;
   base::Duration Latency{};
+  /// Not set if the target has not answered.
+  std::optional<TargetNotice> Notice{};
 };
 
 using Frame = std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -452,12 +452,18 @@
     to.setDecision(static_cast<std::uint8_t>(reply.Decision));
     encode(reply.Target, to.initTarget());
     to.setRetryAfterMs(toWireMs(reply.RetryAfter));
+    to.setEntryCount(reply.EntryCount);
   }
   void operator()(const PermitEnd &end) {
     auto to = To.initPermitEnd();
     to.setNumber(end.Number);
     to.setUse(static_cast<std::uint8_t>(end.Use));
     to.setLatencyUs(static_cast<std::uint64_t>(end.Latency.count()));
+    to.setHasNotice(end.Notice.has_value());
+    if (!end.Notice || !end.Notice->RateLimit)
+      return;
+    to.setHasRateLimit(true);
+    to.setRateLimit(*end.Notice->RateLimit);
   }
 };
 
@@ -483,7 +489,8 @@
   return {from.getNumber(),
           static_cast<admission::PermitDecision>(from.getDecision()),
           decode(from.getTarget()),
-          std::chrono::milliseconds(from.getRetryAfterMs())};
+          std::chrono::milliseconds(from.getRetryAfterMs()),
+          from.getEntryCount()};
 }
 
 PermitEnd decode(wire::PermitEnd::Reader from) {
@@ -492,9 +499,18 @@
   KJ_REQUIRE(from.getUse() <=
                  static_cast<std::uint8_t>(admission::PermitUse::Abandoned),
              "unknown use of a permit");
-  return {from.getNumber(), static_cast<admission::PermitUse>(from.getUse()),
-          base::Duration(static_cast<base::Duration::rep>(
-              std::min(from.getLatencyUs(), MaxLatencyUs)))};
+  PermitEnd end{from.getNumber(),
+                static_cast<admission::PermitUse>(from.getUse()),
+                base::Duration(static_cast<base::Duration::rep>(
+                    std::min(from.getLatencyUs(), MaxLatencyUs)))};
+  if (!from.getHasNotice())
+    return end;
+  end.Notice.emplace();
+  if (!from.getHasRateLimit())
+    return end;
+  KJ_REQUIRE(from.getRateLimit() >= 0, "negative rate limit");
+  end.Notice->RateLimit = from.getRateLimit();
+  return end;
 }
 
 Hello decode(wire::Hello::Reader from) {
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -1,6 +1,7 @@
 // Passes asks to the issuer and its answers back to the links.
 #include "fleet/PermitDesk.h"
 
+#include "base/Log.h"
 #include "base/Metrics.h"
 
 #include <prometheus/counter.h>
@@ -67,8 +68,17 @@
 
 void PermitDesk::onEnd(const std::shared_ptr<Link> &from, const PermitEnd &end,
                        base::MonoTime now) {
-  if (auto it = Numbers.find(from); it != Numbers.end())
-    answer(Issuer.release({it->second, end.Number}, end.Use, end.Latency, now));
+  const auto it = Numbers.find(from);
+  if (it == Numbers.end())
+    return;
+  const admission::PermitId id{it->second, end.Number};
+  if (end.Notice)
+    if (const auto target = Issuer.limitRate(id, end.Notice->RateLimit, now))
+      base::logInfo("permit", "a target changes the rate of permits for it",
+                    {{"target", target->Id},
+                     {"per_second", end.Notice->RateLimit.value_or(-1)},
+                     {"entries", Numbers.size()}});
+  answer(Issuer.release(id, end.Use, end.Latency, now));
 }
 
 void PermitDesk::onLinkClosed(const std::shared_ptr<Link> &link,
@@ -89,8 +99,8 @@
     if (link == Links.end())
       continue;
     if (const auto to = link->second.lock())
-      to->send(
-          PermitReply{it.Id.Number, it.Decision, it.Target, it.RetryAfter});
+      to->send(PermitReply{it.Id.Number, it.Decision, it.Target, it.RetryAfter,
+                           static_cast<std::uint32_t>(Numbers.size())});
   }
 }
 
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -176,11 +176,18 @@
   decision @1 :UInt8;
   target @2 :TargetLife;
   retryAfterMs @3 :UInt32;
+  # How many entries ask this core for permits.
+  entryCount @4 :UInt32;
 }
 struct PermitEnd {
   number @0 :UInt64;
   use @1 :UInt8;
   latencyUs @2 :UInt64;
+  # The target has answered, and says how many requests per second it takes from
+  # all entries.
+  hasNotice @3 :Bool;
+  hasRateLimit @4 :Bool;
+  rateLimit @5 :Float64;
 }
 # Response time statistics of one target, from one entry and one interval.
 struct SpeedSample {
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -395,7 +395,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eef64b4edf02fd08, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eef64b4edf02fd08, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -410,7 +410,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2879,6 +2879,8 @@
 
   inline  ::uint32_t getRetryAfterMs() const;
 
+  inline  ::uint32_t getEntryCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2923,6 +2925,9 @@
   inline  ::uint32_t getRetryAfterMs();
   inline void setRetryAfterMs( ::uint32_t value);
 
+  inline  ::uint32_t getEntryCount();
+  inline void setEntryCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2973,6 +2978,12 @@
 
   inline  ::uint64_t getLatencyUs() const;
 
+  inline bool getHasNotice() const;
+
+  inline bool getHasRateLimit() const;
+
+  inline double getRateLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3010,6 +3021,15 @@
   inline  ::uint64_t getLatencyUs();
   inline void setLatencyUs( ::uint64_t value);
 
+  inline bool getHasNotice();
+  inline void setHasNotice(bool value);
+
+  inline bool getHasRateLimit();
+  inline void setHasRateLimit(bool value);
+
+  inline double getRateLimit();
+  inline void setRateLimit(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6456,6 +6476,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PermitReply::Reader::getEntryCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitReply::Builder::getEntryCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setEntryCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PermitEnd::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6498,6 +6532,48 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitEnd::Reader::getHasNotice() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitEnd::Builder::getHasNotice() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void PermitEnd::Builder::setHasNotice(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitEnd::Reader::getHasRateLimit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitEnd::Builder::getHasRateLimit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+}
+inline void PermitEnd::Builder::setHasRateLimit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitEnd::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitEnd::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitEnd::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SpeedSample::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
