Dispatcher keeps the rate of requests that a target names

Callers would have seen a target in need fail.

Answers and refusals may carry Mill-Rate-Limit. The dispatcher is the only sender to its targets, so one dispatch::RateLimiter for each target is exact. Queued requests start when it opens (nextWake), and those that would miss their deadline are refused on arrival. The estimate of the wait for rates (RateWait) is shared with PermitIssuer.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -155,10 +155,6 @@
   /// Time until a request that is queued now would start.
   base::Duration estimateWait(const Pool &pool, bool IsUrgent,
                               base::MonoTime now) const;
-  /// Time until the rates of the pool's targets allow a request behind \p ahead
-  /// others; zero if a target has no limit.
-  base::Duration estimateRateWait(const Pool &pool, std::int64_t ahead,
-                                  base::MonoTime now) const;
   /// When the holder of keys may be used again, if its requests have failed and
   /// one is on its way already; requests without keys go to other targets.
   std::optional<base::MonoTime> findEjectionEnd(const Pool &pool,
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -152,10 +152,12 @@
                                           base::MonoTime now) const {
   std::int64_t slots = 0;
   std::int64_t running = 0;
+  dispatch::RateWait RateWait(now);
   for (const auto &instance : pool.Members) {
     const Target &target = Targets.at(instance);
     slots += target.Description.Slots;
     running += target.InUse;
+    RateWait.add(target.Rate);
   }
   const auto ahead = static_cast<std::int64_t>(pool.Queue.countAheadOf(
       IsUrgent ? settings::Urgency::Urgent : settings::Urgency::Normal));
@@ -163,25 +165,7 @@
       meanServiceTime(pool) *
       (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
       std::max<std::int64_t>(slots, 1);
-  return std::max(SlotWait, estimateRateWait(pool, ahead, now));
-}
-
-base::Duration PermitIssuer::estimateRateWait(const Pool &pool,
-                                              std::int64_t ahead,
-                                              base::MonoTime now) const {
-  double perSecond = 0;
-  auto opens = base::MonoTime::max();
-  for (const auto &instance : pool.Members) {
-    const auto &rate = Targets.at(instance).Rate;
-    if (!rate.isLimited())
-      return base::Duration::zero();
-    perSecond += 1 / std::chrono::duration<double>(rate.interval()).count();
-    opens = std::min(opens, rate.opensAt(now));
-  }
-  return opens - now +
-         std::chrono::duration_cast<base::Duration>(
-             std::chrono::duration<double>(static_cast<double>(ahead) /
-                                           perSecond));
+  return std::max(SlotWait, RateWait.behind(static_cast<std::size_t>(ahead)));
 }
 
 std::optional<base::MonoTime>
--- a/packages/dispatch/Dispatcher.h
+++ b/packages/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/ClientAccountWaitEstimator.h"
 #include "dispatch/ConcurrencyLimit.h"
 #include "dispatch/FairQueue.h"
+#include "dispatch/RateLimiter.h"
 #include "dispatch/RequestInfo.h"
 #include "dispatch/RetryBudget.h"
 #include "dispatch/TargetHealth.h"
@@ -37,6 +38,9 @@
   bool AnswerStarted = false;
   base::ResultCode Code = base::ResultCode::Ok;
   std::uint32_t RetryAfterMs = 0;
+  /// Requests per second that the target takes, if its answer or refusal names
+  /// a limit.
+  std::optional<double> RateLimit;
   base::Duration Latency{};
 };
 
@@ -119,6 +123,7 @@
     std::uint32_t InFlight = 0;
     // No request is started before this time, because the target shed load.
     base::MonoTime PausedUntil{};
+    RateLimiter Rate;
   };
   /// The queue of requests for the same set of targets: a single target of a
   /// keyed service, or all targets of a service without keys.
@@ -149,7 +154,8 @@
                                 bool keyed);
   Pool &findOrCreatePool(const std::string &name,
                          const base::ServiceId &service);
-  base::Duration estimateWait(const Pool &pool, const RequestInfo &info) const;
+  base::Duration estimateWait(const Pool &pool, const RequestInfo &info,
+                              base::MonoTime now) const;
   /// Whether the deadline is before the time at which the target usually
   /// answers.
   static bool wouldMissDeadline(const RequestInfo &info, const Target &target,
--- a/packages/dispatch/RateLimiter.h
+++ b/packages/dispatch/RateLimiter.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
 
 namespace magnoliamill::dispatch {
@@ -60,4 +61,33 @@
   base::MonoTime FullAt{};
 };
 
+/// The time that a request waits for the rates of the targets that could get
+/// it.
+class RateWait {
+public:
+  explicit RateWait(base::MonoTime now) : Now(now) {}
+
+  void add(const RateLimiter &rate) {
+    HasUnlimited = HasUnlimited || !rate.isLimited();
+    First = std::min(First, rate.opensAt(Now));
+    if (rate.isLimited())
+      PerSecond += 1 / std::chrono::duration<double>(rate.interval()).count();
+  }
+  /// The wait behind \p ahead others; zero if a target has no limit.
+  base::Duration behind(std::size_t ahead) const {
+    if (HasUnlimited || PerSecond == 0)
+      return base::Duration::zero();
+    return First - Now +
+           std::chrono::duration_cast<base::Duration>(
+               std::chrono::duration<double>(static_cast<double>(ahead) /
+                                             PerSecond));
+  }
+
+private:
+  base::MonoTime Now;
+  bool HasUnlimited = false;
+  base::MonoTime First = base::MonoTime::max();
+  double PerSecond = 0;
+};
+
 } // namespace magnoliamill::dispatch
--- a/packages/dispatch/internal/Dispatcher.cpp
+++ b/packages/dispatch/internal/Dispatcher.cpp
@@ -85,7 +85,7 @@
     return actions;
   }
   Pool &pool = findOrCreatePool(name, info.Service);
-  base::Duration wait = estimateWait(pool, info);
+  base::Duration wait = estimateWait(pool, info, now);
   if (now + wait >= info.Deadline) {
     refuse(info, base::ResultCode::NotRunDeadline,
            fmt::format("the estimated wait of {} ms exceeds the deadline",
@@ -115,6 +115,8 @@
   if (auto it = Targets.find(attempt.Target); it != Targets.end()) {
     Target &target = it->second;
     --target.InFlight;
+    if (outcome.Answered || outcome.Shed)
+      target.Rate.setLimit(outcome.RateLimit, now);
     if (outcome.Answered) {
       target.Health.onSuccess(outcome.Latency, now);
       target.Limit.onSuccess();
@@ -207,6 +209,8 @@
   for (const auto &[instance, target] : Targets) {
     if (target.PausedUntil > now)
       wake = std::min(wake, target.PausedUntil);
+    if (!target.Rate.isOpen(now))
+      wake = std::min(wake, target.Rate.opensAt(now));
     if (target.Health.isEjected(now))
       wake = std::min(wake, *target.Health.ejectedUntil());
   }
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -78,10 +78,12 @@
 }
 
 base::Duration Dispatcher::estimateWait(const Pool &pool,
-                                        const RequestInfo &info) const {
+                                        const RequestInfo &info,
+                                        base::MonoTime now) const {
   std::uint32_t capacity = 0;
   std::uint32_t running = 0;
   base::Duration latency{};
+  RateWait RateWait(now);
   for (const auto &instance : pool.Members) {
     auto it = Targets.find(instance);
     if (it == Targets.end())
@@ -89,12 +91,16 @@
     capacity += it->second.Limit.value();
     running += it->second.InFlight;
     latency = std::max(latency, it->second.Health.meanLatency());
+    RateWait.add(it->second.Rate);
   }
   if (capacity == 0)
     return {};
   if (latency == base::Duration{})
     latency = DefaultLatency;
   std::size_t ahead = pool.Queue.countAhead(info.ClientAccount);
+  const auto ForRate = RateWait.behind(ahead);
+  if (ForRate > base::Duration::zero())
+    return ForRate + latency;
   // An idle target always gets the request: otherwise a mean latency that once
   // exceeded the callers' deadlines could never be corrected.
   if (ahead == 0 && running == 0)
@@ -150,7 +156,8 @@
 bool Dispatcher::isAvailable(const Target &target, base::MonoTime now) const {
   if (target.View.State != ownership::TargetState::Active)
     return false;
-  if (target.InFlight >= target.Limit.value() || now < target.PausedUntil)
+  if (target.InFlight >= target.Limit.value() || now < target.PausedUntil ||
+      !target.Rate.isOpen(now))
     return false;
   auto draining = DrainingTargets.find(target.View.Instance);
   if (draining != DrainingTargets.end() &&
@@ -239,6 +246,7 @@
       pool.WaitEstimators[info->ClientAccount].onStart(
           pool.Queue.sizeOf(info->ClientAccount), now);
       ++target->InFlight;
+      target->Rate.onSent(now);
       if (info->Slot)
         ++InFlightOfSlot[{info->Service, *info->Slot}];
       base::RequestId id = info->Id;
@@ -269,7 +277,7 @@
     for (const auto &info : expired) {
       TriesSoFar.erase(info.Id);
       refuse(info, base::ResultCode::NotRunDeadline,
-             "the deadline passed in the queue", estimateWait(pool, info),
+             "the deadline passed in the queue", estimateWait(pool, info, now),
              actions);
     }
   }
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -1,6 +1,7 @@
 // Tests the dispatcher's admission, fairness, limits, retries and draining.
 #include "dispatch/Dispatcher.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <map>
@@ -297,3 +298,41 @@
     }
   }
 }
+
+TEST_CASE("A target gets no more requests than the rate that it named",
+          "[dispatch]") {
+  constexpr double RateLimit = 5;
+  constexpr int Seconds = 20;
+  constexpr std::ptrdiff_t MostAllowed =
+      35; // 1.5 times the limit in 4 s, and 5
+  Fixture fixture;
+  fixture.warmUp(Keyed);
+  AttemptOutcome answered;
+  answered.Answered = true;
+  answered.MayHaveRun = true;
+  answered.Latency = 20ms;
+  answered.RateLimit = RateLimit;
+  std::vector<base::MonoTime> started;
+  int refused = 0;
+  const auto take = [&](DispatchActions actions) {
+    refused += static_cast<int>(actions.End.size());
+    // The target answers at once.
+    for (; !actions.Start.empty(); started.push_back(fixture.Now))
+      actions = fixture.Subject.finish(actions.Start.front().Request, answered,
+                                       fixture.Now);
+  };
+  take(fixture.Subject.submit(fixture.request(Keyed), fixture.Now));
+  // 50 requests a second, and the timer that the dispatcher asks for.
+  for (const auto end = fixture.Now + std::chrono::seconds(Seconds);
+       fixture.Now < end; fixture.Now += 20ms) {
+    if (fixture.Subject.nextWake(fixture.Now - 20ms) <= fixture.Now)
+      take(fixture.Subject.tick(fixture.Now));
+    take(fixture.Subject.submit(fixture.request(Keyed), fixture.Now));
+  }
+  std::ptrdiff_t most = 0;
+  for (auto it = started.begin(); it != started.end(); ++it)
+    most = std::max(most, std::ranges::lower_bound(started, *it + 4s) - it);
+  CHECK(most <= MostAllowed);
+  CHECK(static_cast<double>(started.size()) >= 0.9 * RateLimit * Seconds);
+  CHECK(refused > 0);
+}
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -69,6 +69,9 @@
   /// Retry-After of a refusal with Mill-Not-Run, in milliseconds; 0 if none.
   /// Targets send it with 503 or 429; it is read from a refusal of any status.
   std::uint32_t RetryAfterMs = 0;
+  /// Mill-Rate-Limit of the answer or refusal: the requests per second that the
+  /// target takes; not set if it names none.
+  std::optional<double> RateLimit;
   /// From the start of the call to the head of the answer, or to the failure if
   /// no head was received.
   base::Duration Latency{};
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -345,6 +345,7 @@
   TargetOutcome outcome;
   outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
   outcome.Latency = HeadAt - StartedAt;
+  outcome.RateLimit = readRateLimit(Parser->get());
   outcome.MayHaveRun = !IsRefused;
   outcome.Answered = !IsRefused;
   if (IsRefused) {
--- a/packages/gateway/internal/TargetMessage.cpp
+++ b/packages/gateway/internal/TargetMessage.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace magnoliamill::gateway::internal {
 
@@ -109,4 +110,15 @@
   return std::min(seconds, MaxRetryAfterMs / 1000) * 1000;
 }
 
+std::optional<double> readRateLimit(const TargetResponse &response) {
+  const auto text = response["Mill-Rate-Limit"];
+  double rate = 0;
+  const auto [ptr, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), rate);
+  if (ec != std::errc() || ptr != text.data() + text.size() ||
+      !std::isfinite(rate) || rate < 0)
+    return std::nullopt;
+  return rate;
+}
+
 } // namespace magnoliamill::gateway::internal
--- a/packages/gateway/internal/TargetMessage.h
+++ b/packages/gateway/internal/TargetMessage.h
@@ -42,5 +42,7 @@
 /// Returns Retry-After in milliseconds, at most 1 h; 0 if absent or not a
 /// number of seconds.
 std::uint32_t readRetryAfterMs(const TargetResponse &response);
+/// Mill-Rate-Limit in requests per second; not set if it is missing or invalid.
+std::optional<double> readRateLimit(const TargetResponse &response);
 
 } // namespace magnoliamill::gateway::internal
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -246,6 +246,21 @@
   CHECK(answer.outcome().Message == "busy");
 }
 
+TEST_CASE("The rate that a target names is read from its answer") {
+  const auto read = [](const std::string &header) {
+    Fixture fixture([&](Peer &peer, std::size_t) {
+      while (!peer.readRequest().empty())
+        peer.send("HTTP/1.1 200 OK\r\n" + header +
+                  "Content-Length: 2\r\n\r\nok");
+    });
+    return fixture.run("GET").outcome().RateLimit;
+  };
+  CHECK(read("Mill-Rate-Limit: 2.5\r\n") == 2.5);
+  CHECK_FALSE(read(""));
+  CHECK_FALSE(read("Mill-Rate-Limit: -1\r\n"));
+  CHECK_FALSE(read("Mill-Rate-Limit: 2/s\r\n"));
+}
+
 TEST_CASE("Deadlines and cancellation close the connection") {
   std::promise<void> closed;
   Fixture fixture([&](Peer &peer, std::size_t) {
--- a/packages/node/internal/DispatchFlow.cpp
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -181,6 +181,7 @@
                 (outcome.Status == 503 || outcome.Status == 429);
   result.Code = outcome.Code;
   result.RetryAfterMs = outcome.RetryAfterMs;
+  result.RateLimit = outcome.RateLimit;
   result.Latency = outcome.Latency;
   open->MayHaveRun = open->MayHaveRun || outcome.MayHaveRun;
   base::RequestId id = open->Request.Id;
