Entries log which requests a target had when it ended

"a call to a target failed" has `content`, the hash of host, method, path and body. CrashWatch checks once, when a target loses requests, whether its address still accepts connections (gateway/ListenerCheck); if it is refused, each request that was lost there gets a line (a target has ended while it had a request), and the counter mill_entry_target_crashes_total counts the target. Nothing decides by it yet.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -150,6 +150,8 @@
   void logIfLate() const;
   void finish();
   base::Duration timeLeft() const;
+  /// Hash of what the request contains.
+  std::uint64_t content();
 
   /// Retry-After value while the key has no holder. A handover takes less time,
   /// replacing a lost holder takes more.
@@ -162,6 +164,8 @@
   base::MonoTime ArrivedAt;
   base::MonoTime Deadline = base::MonoTime::max();
   RequestMetadata Metadata;
+  /// Computed when it is needed first.
+  std::optional<std::uint64_t> Content;
   std::optional<routing::Route> Route;
   std::string Service;
   bool IsKeyed = false;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -5,6 +5,7 @@
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
 #include "entry/AnswerMemory.h"
+#include "entry/CrashWatch.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -61,6 +62,7 @@
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
   PermitClient &permits() { return Permits; }
+  CrashWatch &crashes() { return Crashes; }
   /// Takes from an answer of \p target to \p request what the target tells
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
@@ -104,6 +106,7 @@
   std::shared_ptr<AnswerMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
+  CrashWatch Crashes;
   LinkBudget Link;
   fleet::SpeedMeter Speeds;
   std::map<std::string, routing::WeightedChoice> ServiceChoices;
--- /dev/null
+++ b/packages/entry/internal/CrashWatch.cpp
@@ -0,0 +1,59 @@
+// Checks the address of a target that lost requests, once for all of them.
+#include "entry/CrashWatch.h"
+
+#include "base/Log.h"
+#include "base/Metrics.h"
+#include "gateway/ListenerCheck.h"
+
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+
+namespace magnoliamill::entry {
+namespace {
+
+/// A process that has ended refuses connections within a round trip. Without an
+/// answer the network may be at fault.
+constexpr base::Duration CheckTime = std::chrono::milliseconds(500);
+
+} // namespace
+
+std::string formatContent(std::uint64_t content) {
+  return fmt::format("{:016x}", content);
+}
+
+CrashWatch::~CrashWatch() = default;
+
+void CrashWatch::onLost(const keyspace::TargetInstance &target,
+                        const gateway::TargetAddress &address,
+                        std::uint64_t content, std::string_view id) {
+  auto [it, added] = Checks.try_emplace(target);
+  it->second.push_back({content, std::string(id)});
+  if (!added)
+    return;
+  gateway::checkListener(EventLoop.context(), address, CheckTime,
+                         [this, target, alive = std::weak_ptr(IsAlive)](
+                             gateway::ListenerState state) {
+                           if (alive.expired())
+                             return;
+                           const auto lost =
+                               std::move(Checks.extract(target).mapped());
+                           if (state == gateway::ListenerState::Refused)
+                             onEnded(target, lost);
+                         });
+}
+
+void CrashWatch::onEnded(const keyspace::TargetInstance &target,
+                         const std::vector<LostRequest> &lost) {
+  base::counter("mill_entry_target_crashes_total",
+                "Targets that ended while they had requests of this entry.")
+      .Increment();
+  for (const auto &request : lost)
+    base::logWarning("entry", base::ResultCode::TargetReset,
+                     "a target has ended while it had a request",
+                     {{"target", target.Id},
+                      {"request", request.Id},
+                      {"content", formatContent(request.Content)},
+                      {"requests", lost.size()}});
+}
+
+} // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -4,6 +4,7 @@
 #include "base/HttpStatus.h"
 #include "base/Log.h"
 #include "base/Metrics.h"
+#include "entry/RequestContent.h"
 #include "entry/RequestHandler.h"
 #include "gateway/HeaderRules.h"
 #include "gateway/HttpGateway.h"
@@ -67,6 +68,12 @@
   return Deadline - base::readMonotonic();
 }
 
+std::uint64_t EntryRequest::content() {
+  if (!Content)
+    Content = hashContent(Metadata, Request);
+  return *Content;
+}
+
 void EntryRequest::start() {
   if (Handler.view().config().empty())
     return refuse(ResultCode::NotRunNotReady,
@@ -280,6 +287,10 @@
     --target->InFlight;
   if (IsFinished)
     return;
+  const bool IsLost = !outcome.Answered && outcome.MayHaveRun &&
+                      outcome.Code != ResultCode::TargetTimeout;
+  if (IsLost && target)
+    Handler.crashes().onLost(instance, target->Address, content(), Metadata.Id);
   if (IsDelivering && !outcome.Answered) {
     if (target)
       target->Health.onFailure(now);
@@ -331,6 +342,7 @@
   base::logWarning("entry", outcome.Code, "a call to a target failed",
                    {{"request", Metadata.Id},
                     {"target", instance.Id},
+                    {"content", formatContent(content())},
                     {"may_have_run", outcome.MayHaveRun},
                     {"left_ms", base::toMs(timeLeft())},
                     {"error", outcome.Message}});
