--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -92,6 +92,10 @@
     std::lock_guard lock(Mutex);
     ++Runs[attempt];
   }
+  if (!Config.EndingPath.empty() && call.Target == Config.EndingPath) {
+    end();
+    return {};
+  }
   if (Config.EndlessKey == key) {
     answerEndlessly(sink, attempt);
     return {};
@@ -261,6 +265,18 @@
   return Arrivals;
 }
 
+void FakeUpstream::end() {
+  IsCrashed = true;
+  Server->close();
+  std::lock_guard lock(Mutex);
+  HasEnded = true;
+}
+
+bool FakeUpstream::hasEnded() const {
+  std::lock_guard lock(Mutex);
+  return HasEnded;
+}
+
 std::map<std::string, int> FakeUpstream::runs() const {
   std::lock_guard lock(Mutex);
   return Runs;
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -34,6 +34,8 @@
   std::size_t AnswerBytes = 0;
   /// Requests for this key get a body without end.
   std::optional<std::uint32_t> EndlessKey = std::nullopt;
+  /// A request for this path ends the target as soon as it runs.
+  std::string EndingPath{};
 };
 
 /// Runs on its own event loop thread. The public methods may be called from any
@@ -56,6 +58,10 @@
   /// When each request arrived, also those that were refused.
   std::vector<base::MonoTime> arrivals() const;
 
+  /// True once a request has ended the target: its connections and its listener
+  /// are closed, and it sends no more heartbeats.
+  bool hasEnded() const;
+
   /// Number of runs by attempt id.
   std::map<std::string, int> runs() const;
   /// Number of keys held now.
@@ -68,6 +74,7 @@
 
   protocol::CancelHook serve(const HttpCall &call,
                              const protocol::AnswerSink &sink);
+  void end();
   void finishRun(const protocol::AnswerSink &sink, const std::string &attempt);
   /// The headers of each answer to \p attempt.
   std::vector<protocol::HttpHeader>
@@ -99,6 +106,7 @@
   std::optional<double> RateLimit;
   bool IsDraining = false;
   bool DrainAcknowledged = false;
+  bool HasEnded = false;
 };
 
 } // namespace magnoliamill::fakes
