Requests under which targets have ended are refused at all entries

What callers saw: over a tenth of two kinds of request were not served, since all targets of their service ended again and again.

Cause: nothing outlasts a client attempt. An entry did not know that the request it had in hand had ended a target before, at this entry or at another, and retried it within the attempt as well.

Two of the lost requests ended two targets each in one attempt.

Change: CrashWatch reports the requests that a target had when it ended to the cores, by the hash of their content; dispatch::RequestQuarantine counts the targets by request, at each core and entry. After two targets the request is not retried, after three it is refused as not run (code 3012) for ten minutes, everywhere. Cores pass reports on to all cores, and to entries only what is refused (fleet/CrashRelay); whoever connects is told what it missed. Requests that a target had beside the one which ended it are cleared when a target answers them without an error.

Why it works: what is learned in one attempt is known to all entries a few milliseconds later, in a connected fleet; a lost connection alone does not count.

--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -49,6 +49,7 @@
   NotRunRepeatUnsafe = 3009,
   NotRunLeaseLost = 3010,
   NotRunLedgerUnavailable = 3011,
+  NotRunQuarantined = 3012,
   OutcomeUnknown = 3101,
   OutcomeUnknownDeadline = 3102,
   OutcomeUnknownPeerLost = 3103,
--- a/packages/base/internal/ResultCode.cpp
+++ b/packages/base/internal/ResultCode.cpp
@@ -65,6 +65,8 @@
      "Not run: the dispatcher lost its lease."},
     {ResultCode::NotRunLedgerUnavailable, "NotRunLedgerUnavailable",
      "Not run: the request could not be recorded at a second VM."},
+    {ResultCode::NotRunQuarantined, "NotRunQuarantined",
+     "Not run: several targets have ended while they had the same request."},
     {ResultCode::OutcomeUnknown, "OutcomeUnknown",
      "The target may have run it."},
     {ResultCode::OutcomeUnknownDeadline, "OutcomeUnknownDeadline",
--- a/packages/entry/CrashWatch.h
+++ b/packages/entry/CrashWatch.h
@@ -3,10 +3,13 @@
 #pragma once
 
 #include "base/EventLoopThread.h"
+#include "dispatch/RequestQuarantine.h"
+#include "fleet/Frame.h"
 #include "gateway/TargetClient.h"
 #include "keyspace/Types.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,10 +24,23 @@
   explicit CrashWatch(base::EventLoopThread &loop) : EventLoop(loop) {}
   ~CrashWatch();
 
+  /// Sets the hook that passes on what this entry learns by itself.
+  void reportTo(std::function<void(const fleet::CrashReport &)> report) {
+    Report = std::move(report);
+  }
+
   /// \p target lost the request \p id with \p content, which it may have run.
   void onLost(const keyspace::TargetInstance &target,
               const gateway::TargetAddress &address, std::uint64_t content,
               std::string_view id);
+  /// A target has run a request with \p content and answered it without an
+  /// error.
+  void onAnswered(std::uint64_t content);
+  /// A core tells what the entries have learned.
+  void onReport(const fleet::CrashReport &report);
+  /// What this entry knows.
+  fleet::CrashReport describe() const;
+  const dispatch::RequestQuarantine &quarantine() const { return Quarantine; }
 
 private:
   struct LostRequest {
@@ -33,8 +49,12 @@
   };
   void onEnded(const keyspace::TargetInstance &target,
                const std::vector<LostRequest> &lost);
+  /// Takes over \p report and logs what is refused from now on.
+  fleet::CrashReport merge(const fleet::CrashReport &report);
 
   base::EventLoopThread &EventLoop;
+  dispatch::RequestQuarantine Quarantine;
+  std::function<void(const fleet::CrashReport &)> Report;
   /// The requests lost by each target that is being checked.
   std::map<keyspace::TargetInstance, std::vector<LostRequest>> Checks;
   /// Expires with this object; checks may outlive it.
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -87,6 +87,9 @@
   bool fitsStop() const;
   /// Refuses the request and returns true unless it fits.
   bool refuseUnlessFitsStop();
+  /// Refuses the request and returns true if several targets have ended while
+  /// they had the same one.
+  bool refuseIfQuarantined();
   void tryNext();
   /// Sends the request to \p target if it has room; otherwise waits for a
   /// holder or refuses the request.
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -17,12 +17,19 @@
 namespace magnoliamill::entry {
 
 /// All methods must be called on the thread of the event loop.
+struct ViewSubscriptionHooks {
+  /// Called after each applied update.
+  std::function<void()> OnView;
+  std::function<void(const fleet::CrashReport &)> OnCrashes;
+  /// Returns what a core that was just connected has to know.
+  std::function<fleet::CrashReport()> DescribeCrashes;
+};
+
 class ViewSubscription {
 public:
-  /// \p changed is called after each applied update.
   ViewSubscription(base::EventLoopThread &loop,
                    const fleet::FleetSettings &settings,
-                   std::function<void()> changed);
+                   ViewSubscriptionHooks hooks);
   ~ViewSubscription();
 
   void start();
@@ -44,7 +51,7 @@
 
   base::EventLoopThread &EventLoop;
   const fleet::FleetSettings &Settings;
-  std::function<void()> Changed;
+  ViewSubscriptionHooks Hooks;
   CoreSelector Selector;
   boost::asio::steady_timer Timer;
   std::shared_ptr<fleet::Link> Link;
--- a/packages/entry/internal/CrashWatch.cpp
+++ b/packages/entry/internal/CrashWatch.cpp
@@ -3,10 +3,12 @@
 
 #include "base/Log.h"
 #include "base/Metrics.h"
+#include "fleet/CrashRelay.h"
 #include "gateway/ListenerCheck.h"
 
 #include <fmt/format.h>
 #include <prometheus/counter.h>
+#include <set>
 
 namespace magnoliamill::entry {
 namespace {
@@ -54,6 +56,48 @@
                       {"request", request.Id},
                       {"content", formatContent(request.Content)},
                       {"requests", lost.size()}});
+  fleet::CrashReport report;
+  for (const auto &request : lost)
+    report.Crashes.push_back(
+        {request.Content,
+         target.Id + " " + std::to_string(target.StartedAtMs),
+         {}});
+  const auto news = merge(report);
+  if (!news.empty() && Report)
+    Report(news);
+}
+
+fleet::CrashReport CrashWatch::merge(const fleet::CrashReport &report) {
+  const auto now = base::readMonotonic();
+  auto news = fleet::mergeReport(report, now, Quarantine);
+  std::set<std::uint64_t> refused;
+  for (const auto &crash : news.Crashes)
+    if (Quarantine.endOf(crash.Content, now))
+      refused.insert(crash.Content);
+  for (const auto content : refused)
+    base::logWarning(
+        "entry", base::ResultCode::NotRunQuarantined,
+        "a request is refused from now on, targets have ended under it",
+        {{"content", formatContent(content)},
+         {"refused_s",
+          base::toMs(dispatch::RequestQuarantine::Lifetime) / 1000}});
+  for (const auto content : news.Cleared)
+    base::logInfo("entry", "a request under which targets ended is answered",
+                  {{"content", formatContent(content)}});
+  return news;
+}
+
+void CrashWatch::onAnswered(std::uint64_t content) {
+  const auto news = merge({{}, {content}});
+  if (!news.empty() && Report)
+    Report(news);
+}
+
+void CrashWatch::onReport(const fleet::CrashReport &report) { merge(report); }
+
+fleet::CrashReport CrashWatch::describe() const {
+  const auto now = base::readMonotonic();
+  return fleet::makeReport(Quarantine.list(now), now);
 }
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -137,6 +137,19 @@
   return true;
 }
 
+bool EntryRequest::refuseIfQuarantined() {
+  const auto &quarantine = Handler.crashes().quarantine();
+  if (quarantine.isEmpty())
+    return false;
+  const auto now = base::readMonotonic();
+  const auto end = quarantine.endOf(content(), now);
+  if (!end)
+    return false;
+  refuse(ResultCode::NotRunQuarantined,
+         "several targets have ended while they had this request", *end - now);
+  return true;
+}
+
 PooledTarget *EntryRequest::chooseTarget() {
   const auto now = base::readMonotonic();
   if (!IsKeyed)
@@ -148,7 +161,7 @@
 void EntryRequest::tryNext() {
   if (timeLeft() <= base::Duration::zero())
     return onTimer();
-  if (!refuseIfClosed() && !askPermit())
+  if (!refuseIfQuarantined() && !refuseIfClosed() && !askPermit())
     trySend(chooseTarget());
 }
 
@@ -302,6 +315,8 @@
       target->Health.onFailure(now);
     else if (target)
       target->Health.onSuccess(outcome.Latency, now);
+    if (!IsFailure && !Handler.crashes().quarantine().isEmpty())
+      Handler.crashes().onAnswered(content());
     if (target)
       target->Busy.onAnswer();
     if (IsKeyed && !IsFailure)
@@ -370,6 +385,10 @@
   if (Tried.size() >= Route->MaxAttempts ||
       timeLeft() <= base::Duration::zero() || !fitsStop())
     return false;
+  const auto &quarantine = Handler.crashes().quarantine();
+  if (!quarantine.isEmpty() &&
+      !quarantine.mayRetry(content(), base::readMonotonic()))
+    return false;
   return Handler.retryBudgetOf(Service).tryTake();
 }
 
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -85,6 +85,8 @@
 
 void EntryRequest::onPermit(const PermitResult &result) {
   if (result.Decision == PermitDecision::Granted) {
+    if (refuseIfQuarantined())
+      return;
     PooledTarget *target = Handler.pool().find(result.Target);
     const bool IsCurrent = target && (!IsKeyed || target == chooseTarget());
     const bool IsOpen =
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -22,8 +22,8 @@
 
 ViewSubscription::ViewSubscription(base::EventLoopThread &loop,
                                    const fleet::FleetSettings &settings,
-                                   std::function<void()> changed)
-    : EventLoop(loop), Settings(settings), Changed(std::move(changed)),
+                                   ViewSubscriptionHooks hooks)
+    : EventLoop(loop), Settings(settings), Hooks(std::move(hooks)),
       Selector(settings.DataCentre, base::hash64(settings.Vm, 0)),
       Timer(loop.context()) {}
 
@@ -67,11 +67,15 @@
   hello.WantsView = true;
   hello.KnownView = CurrentView.version();
   Link->send(hello);
+  if (auto crashes = Hooks.DescribeCrashes(); !crashes.empty())
+    Link->send(std::move(crashes));
 }
 
 void ViewSubscription::onFrame(fleet::Frame frame) {
   if (auto *update = std::get_if<fleet::ViewUpdate>(&frame))
     return onUpdate(*update);
+  if (const auto *report = std::get_if<fleet::CrashReport>(&frame))
+    return Hooks.OnCrashes(*report);
   if (auto *current = std::get_if<fleet::ViewCurrent>(&frame))
     if (current->Version >= CurrentView.version())
       ConfirmedAt = base::readMonotonic();
@@ -90,12 +94,12 @@
                {"whole", update.IsWhole},
                {"targets", update.Targets.size()},
                {"routes", update.Items.Routes.size()}});
-    Changed();
+    Hooks.OnView();
     return preferOwnDataCentre();
   }
   // Configuration items are merged even if the update was not applied.
   if (!CurrentView.lastChange().Items.empty())
-    Changed();
+    Hooks.OnView();
   if (outcome == fleet::View::Outcome::Stale && !WasKnown)
     return switchCore("the core has an outdated view");
   if (outcome == fleet::View::Outcome::Gap)
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -166,6 +166,10 @@
       update.Holders = {makeHolder(update.Targets.front())};
     apply(update);
   }
+  /// A core reports requests under which targets ended.
+  void report(const fleet::CrashReport &report) {
+    EventLoop.run([&] { Handler->crashes().onReport(report); });
+  }
   void beginStop(base::Duration grace) {
     EventLoop.run([&] { Handler->beginStop(grace); });
   }
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/EventLoopThread.h"
+#include "fleet/CrashRelay.h"
 #include "fleet/FleetLeader.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/FleetState.h"
@@ -56,6 +57,7 @@
                Frame frame);
   void onHello(const std::shared_ptr<Link> &from, const Hello &hello);
   void onReply(CallReply reply);
+  void onCrashReport(const CrashReport &report);
   void onViewUpdate(ViewUpdate update);
   void relayViewCurrent(const ViewCurrent &current);
   void afterStep();
@@ -91,6 +93,7 @@
   std::uint64_t Incarnation = 0;
   internal::CoreLinks Links;
   PermitDesk Permits;
+  CrashRelay Crashes;
   boost::asio::steady_timer Timer;
   std::set<std::shared_ptr<Link>> Subscribers;
   std::map<std::uint64_t, PendingCall> PendingCalls;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -279,6 +279,8 @@
       Links.send(FollowedCore, std::move(*report));
     return;
   }
+  if (const auto *report = std::get_if<CrashReport>(&frame))
+    return onCrashReport(*report);
   if (std::holds_alternative<Ping>(frame))
     return from->send(Pong{});
   if (const auto *ask = std::get_if<PermitAsk>(&frame))
@@ -304,6 +306,11 @@
     Links.onHello(hello, base::readMonotonic());
     Links.add(hello.Leader);
   }
+  const auto now = base::readMonotonic();
+  const auto crashes = hello.IsCore ? Crashes.describeForCore(now)
+                                    : Crashes.describeForEntry(now);
+  if (!crashes.empty() && (hello.IsCore || hello.WantsView))
+    from->send(crashes);
   if (!hello.WantsView) {
     Subscribers.erase(from);
     return;
@@ -344,6 +351,20 @@
   }
 }
 
+void CoreNode::onCrashReport(const CrashReport &report) {
+  const auto news = Crashes.merge(report, base::readMonotonic());
+  if (!news.ForCores.empty())
+    for (const auto &[host, peer] : Links.peers())
+      Links.send(host, news.ForCores);
+  if (news.ForEntries.empty())
+    return;
+  base::logInfo("fleet", "requests under which targets ended have changed",
+                {{"refused", news.ForEntries.Crashes.size() /
+                                 dispatch::RequestQuarantine::CrashesToRefuse},
+                 {"cleared", news.ForEntries.Cleared.size()}});
+  broadcast(encodeShared(news.ForEntries));
+}
+
 void CoreNode::relayViewCurrent(const ViewCurrent &current) {
   // An entry that isn't told that its view is current looks for another core.
   if (current.Version == LocalView.version())
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -434,6 +434,18 @@
       to[i].setMeanLogRatio(static_cast<float>(report[i].MeanLogRatio));
     }
   }
+  void operator()(const CrashReport &report) {
+    auto to = To.initCrashes();
+    auto crashes = to.initCrashes(sizeOf(report.Crashes));
+    for (capnp::uint i = 0; i < crashes.size(); ++i) {
+      crashes[i].setContent(report.Crashes[i].Content);
+      crashes[i].setTarget(asText(report.Crashes[i].Target));
+      crashes[i].setAgeMs(toWireMs(report.Crashes[i].Age));
+    }
+    auto cleared = to.initCleared(sizeOf(report.Cleared));
+    for (capnp::uint i = 0; i < cleared.size(); ++i)
+      cleared.set(i, report.Cleared[i]);
+  }
   void operator()(const PermitAsk &ask) {
     auto to = To.initPermitAsk();
     to.setNumber(ask.Number);
@@ -467,6 +479,16 @@
   }
 };
 
+CrashReport decode(wire::CrashReport::Reader from) {
+  CrashReport report;
+  for (auto crash : from.getCrashes())
+    report.Crashes.push_back({crash.getContent(), crash.getTarget().cStr(),
+                              std::chrono::milliseconds(crash.getAgeMs())});
+  for (const auto content : from.getCleared())
+    report.Cleared.push_back(content);
+  return report;
+}
+
 PermitAsk decode(wire::PermitAsk::Reader from) {
   PermitAsk ask;
   ask.Number = from.getNumber();
@@ -561,6 +583,8 @@
     }
     return report;
   }
+  case wire::Frame::CRASHES:
+    return decode(from.getCrashes());
   case wire::Frame::PERMIT_ASK:
     return decode(from.getPermitAsk());
   case wire::Frame::PERMIT_REPLY:
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -157,6 +157,7 @@
     permitAsk @9 :PermitAsk;
     permitReply @10 :PermitReply;
     permitEnd @11 :PermitEnd;
+    crashes @12 :CrashReport;
   }
 }
 # An entry asks for a permit to send a request to a target.
@@ -189,6 +190,19 @@
   hasRateLimit @4 :Bool;
   rateLimit @5 :Float64;
 }
+# Requests under which targets have ended.
+struct CrashReport {
+  crashes @0 :List(TargetCrash);
+  # Contents of requests that a target has answered.
+  cleared @1 :List(UInt64);
+}
+struct TargetCrash {
+  # Hash of what the request contains.
+  content @0 :UInt64;
+  # Names the instance of the target.
+  target @1 :Text;
+  ageMs @2 :UInt32;
+}
 # Response time statistics of one target, from one entry and one interval.
 struct SpeedSample {
   life @0 :TargetLife;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -43,6 +43,8 @@
 CAPNP_DECLARE_SCHEMA(fefa125c182d4b2a);
 CAPNP_DECLARE_SCHEMA(eef64b4edf02fd08);
 CAPNP_DECLARE_SCHEMA(e6467e27525ec6cb);
+CAPNP_DECLARE_SCHEMA(c3d2a8057adfe80c);
+CAPNP_DECLARE_SCHEMA(fcb793f188fdb441);
 CAPNP_DECLARE_SCHEMA(f0269d1e00882825);
 CAPNP_DECLARE_SCHEMA(f5ffad27199e8b20);
 
@@ -362,6 +364,7 @@
     PERMIT_ASK,
     PERMIT_REPLY,
     PERMIT_END,
+    CRASHES,
   };
 
   struct _capnpPrivate {
@@ -417,6 +420,36 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3d2a8057adfe80c, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetCrash {
+  TargetCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fcb793f188fdb441, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SpeedSample {
   SpeedSample() = delete;
 
@@ -2583,6 +2616,10 @@
   inline bool hasPermitEnd() const;
   inline  ::magnoliamill::fleet::wire::PermitEnd::Reader getPermitEnd() const;
 
+  inline bool isCrashes() const;
+  inline bool hasCrashes() const;
+  inline  ::magnoliamill::fleet::wire::CrashReport::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2700,6 +2737,14 @@
   inline void adoptPermitEnd(::capnp::Orphan< ::magnoliamill::fleet::wire::PermitEnd>&& value);
   inline ::capnp::Orphan< ::magnoliamill::fleet::wire::PermitEnd> disownPermitEnd();
 
+  inline bool isCrashes();
+  inline bool hasCrashes();
+  inline  ::magnoliamill::fleet::wire::CrashReport::Builder getCrashes();
+  inline void setCrashes( ::magnoliamill::fleet::wire::CrashReport::Reader value);
+  inline  ::magnoliamill::fleet::wire::CrashReport::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3056,6 +3101,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasCleared() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCleared() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasCleared();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCleared();
+  inline void setCleared( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCleared(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCleared(unsigned int size);
+  inline void adoptCleared(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCleared();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetCrash::Reader {
+public:
+  typedef TargetCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetCrash::Builder {
+public:
+  typedef TargetCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetCrash::Pipeline {
+public:
+  typedef TargetCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SpeedSample::Reader {
 public:
   typedef SpeedSample Reads;
@@ -6218,6 +6446,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isCrashes() const {
+  return which() == Frame::CRASHES;
+}
+inline bool Frame::Builder::isCrashes() {
+  return which() == Frame::CRASHES;
+}
+inline bool Frame::Reader::hasCrashes() const {
+  if (which() != Frame::CRASHES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasCrashes() {
+  if (which() != Frame::CRASHES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::CrashReport::Reader Frame::Reader::getCrashes() const {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::CrashReport::Builder Frame::Builder::getCrashes() {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setCrashes( ::magnoliamill::fleet::wire::CrashReport::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::CrashReport::Builder Frame::Builder::initCrashes() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptCrashes(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport> Frame::Builder::disownCrashes() {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PermitAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6574,6 +6856,140 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReport::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setCrashes( ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasCleared() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasCleared() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getCleared() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setCleared( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setCleared(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initCleared(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptCleared(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TargetCrash::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetCrash::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetCrash::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetCrash::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetCrash::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetCrash::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetCrash::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetCrash::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetCrash::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TargetCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SpeedSample::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
