--- a/fakes/target/Behaviour.h
+++ b/fakes/target/Behaviour.h
@@ -35,6 +35,9 @@
   std::int64_t TruncateEvery = 0;
   /// Counts the requests that started while all slots were in use.
   bool EnforceSlots = false;
+  /// A request for this path ends the process as soon as it runs; empty for
+  /// none. Set at the start only.
+  std::string EndingPath{};
   /// When false, the target keeps running without announcing itself.
   bool Announces = true;
 };
--- a/fakes/target/FakeTarget.cpp
+++ b/fakes/target/FakeTarget.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <unistd.h>
 
 namespace magnoliamill::fakes {
@@ -253,6 +254,10 @@
     ++Refusals;
     return {};
   }
+  // As a crash would: nothing is flushed or closed in order.
+  if (!CurrentBehaviour.EndingPath.empty() &&
+      call.Target == CurrentBehaviour.EndingPath)
+    std::_Exit(EXIT_FAILURE);
   auto run = std::make_shared<ActiveRun>(EventLoop.context());
   run->Entry = describeCall(call);
   run->RequestBytes = call.Body.size();
--- a/fakes/target/main.cpp
+++ b/fakes/target/main.cpp
@@ -27,6 +27,7 @@
 DEFINE_string(record, "", "file to append one JSON line per run to");
 DEFINE_int64(body_bytes, 0, "size of answers; 0 for small JSON");
 DEFINE_int64(truncate_every, 0, "every so many answers end short; 0 never");
+DEFINE_string(ending_path, "", "a request for it ends the process");
 DEFINE_bool(enforce_slots, false, "count runs beyond the slots");
 
 namespace {
@@ -54,6 +55,7 @@
   config.InitialBehaviour.HealthLagMs = FLAGS_health_lag_ms;
   config.InitialBehaviour.BodyBytes = FLAGS_body_bytes;
   config.InitialBehaviour.TruncateEvery = FLAGS_truncate_every;
+  config.InitialBehaviour.EndingPath = FLAGS_ending_path;
   config.InitialBehaviour.EnforceSlots = FLAGS_enforce_slots;
   return config;
 }
