Dispatchers refuse requests under which targets have ended

Callers got "outcome unknown" while one target after the other ended (7 of 9 in the test, which stops there).

The dispatcher uses the fleet shape's decision: CrashWatch moves from entry to node, the reports from fleet to dispatch, so both shapes share them. What a dispatcher learns goes to all VMs by a query whose answer is what the other VM knows, and a VM that has started asks all others.

--- a/packages/dispatch/Dispatcher.h
+++ b/packages/dispatch/Dispatcher.h
@@ -36,6 +36,8 @@
   /// Part of the answer was already sent to the caller, so a retry is not
   /// possible.
   bool AnswerStarted = false;
+  /// False if targets have ended under the request.
+  bool MayRetry = true;
   base::ResultCode Code = base::ResultCode::Ok;
   std::uint32_t RetryAfterMs = 0;
   /// Requests per second that the target takes, if its answer or refusal names
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -203,7 +203,7 @@
 
 bool Dispatcher::mayRetry(const Attempt &attempt, const AttemptOutcome &outcome,
                           base::MonoTime now) {
-  if (outcome.AnswerStarted)
+  if (outcome.AnswerStarted || !outcome.MayRetry)
     return false;
   if (outcome.MayHaveRun && !attempt.Info.Idempotent)
     return false;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -5,7 +5,6 @@
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
 #include "entry/AnswerMemory.h"
-#include "entry/CrashWatch.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -17,6 +16,7 @@
 #include "fleet/View.h"
 #include "gateway/HttpServer.h"
 #include "gateway/TargetClient.h"
+#include "node/CrashWatch.h"
 #include "routing/RouteTable.h"
 #include "routing/WeightedChoice.h"
 
@@ -62,7 +62,7 @@
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
   PermitClient &permits() { return Permits; }
-  CrashWatch &crashes() { return Crashes; }
+  node::CrashWatch &crashes() { return Crashes; }
   /// Takes from an answer of \p target to \p request what the target tells
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
@@ -106,7 +106,7 @@
   std::shared_ptr<AnswerMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
-  CrashWatch Crashes;
+  node::CrashWatch Crashes;
   LinkBudget Link;
   fleet::SpeedMeter Speeds;
   std::map<std::string, routing::WeightedChoice> ServiceChoices;
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -20,9 +20,9 @@
 struct ViewSubscriptionHooks {
   /// Called after each applied update.
   std::function<void()> OnView;
-  std::function<void(const fleet::CrashReport &)> OnCrashes;
+  std::function<void(const dispatch::CrashReport &)> OnCrashes;
   /// Returns what a core that was just connected has to know.
-  std::function<fleet::CrashReport()> DescribeCrashes;
+  std::function<dispatch::CrashReport()> DescribeCrashes;
 };
 
 class ViewSubscription {
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -45,15 +45,16 @@
     : EventLoop(loop), Settings(std::move(settings)), Format(std::move(format)),
       Subscription(loop, Settings,
                    {[this] { onView(); },
-                    [this](const fleet::CrashReport &report) {
+                    [this](const dispatch::CrashReport &report) {
                       Handler.crashes().onReport(report);
                     },
                     [this] { return Handler.crashes().describe(); }}),
       Handler(loop, Settings, Format, Subscription.view()),
       ReportTimer(loop.context()), StopTimer(loop.context()),
       ForceTimer(loop.context()) {
-  Handler.crashes().reportTo(
-      [this](const fleet::CrashReport &report) { Subscription.send(report); });
+  Handler.crashes().reportTo([this](const dispatch::CrashReport &report) {
+    Subscription.send(report);
+  });
   Clients = std::make_shared<gateway::HttpServer>(
       EventLoop, makeServerConfig(Settings.ClientListen),
       [this](gateway::HttpCall call, protocol::AnswerSink sink) {
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -41,6 +41,10 @@
 /// First status by which a target says that it failed.
 constexpr std::uint16_t FirstServerError = 500;
 
+std::string nameOf(const keyspace::TargetInstance &instance) {
+  return instance.Id + " " + std::to_string(instance.StartedAtMs);
+}
+
 void countOutcome(std::string_view route, std::string_view outcome,
                   base::Duration time) {
   base::counter(
@@ -303,7 +307,8 @@
   const bool IsLost = !outcome.Answered && outcome.MayHaveRun &&
                       outcome.Code != ResultCode::TargetTimeout;
   if (IsLost && target)
-    Handler.crashes().onLost(instance, target->Address, content(), Metadata.Id);
+    Handler.crashes().onLost(nameOf(instance), target->Address, content(),
+                             Metadata.Id);
   if (IsDelivering && !outcome.Answered) {
     if (target)
       target->Health.onFailure(now);
@@ -357,7 +362,7 @@
   base::logWarning("entry", outcome.Code, "a call to a target failed",
                    {{"request", Metadata.Id},
                     {"target", instance.Id},
-                    {"content", formatContent(content())},
+                    {"content", node::formatContent(content())},
                     {"may_have_run", outcome.MayHaveRun},
                     {"left_ms", base::toMs(timeLeft())},
                     {"error", outcome.Message}});
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -57,7 +57,7 @@
       Outgoing(settings.LinkMbps * BytesPerMegabit),
       Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
       Client(loop, makeClientConfig(format, Incoming)),
-      Permits(loop, settings.LinkPort), Crashes(loop),
+      Permits(loop, settings.LinkPort), Crashes(loop, "entry"),
       Link(settings.LinkMbps * BytesPerMegabit) {}
 
 RequestHandler::~RequestHandler() = default;
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -74,7 +74,7 @@
 void ViewSubscription::onFrame(fleet::Frame frame) {
   if (auto *update = std::get_if<fleet::ViewUpdate>(&frame))
     return onUpdate(*update);
-  if (const auto *report = std::get_if<fleet::CrashReport>(&frame))
+  if (const auto *report = std::get_if<dispatch::CrashReport>(&frame))
     return Hooks.OnCrashes(*report);
   if (auto *current = std::get_if<fleet::ViewCurrent>(&frame))
     if (current->Version >= CurrentView.version())
--- a/packages/entry/tests/CrashWatchTest.cpp
+++ b/packages/entry/tests/CrashWatchTest.cpp
@@ -23,7 +23,7 @@
   return hashContent({"r-1", 3s, 7, "shop.test"}, call);
 }
 
-fleet::CrashReport reportThree(std::uint64_t content) {
+dispatch::CrashReport reportThree(std::uint64_t content) {
   return {{{content, "t-1", 0ms}, {content, "t-2", 0ms}, {content, "t-3", 0ms}},
           {}};
 }
@@ -37,15 +37,15 @@
   const gateway::TargetAddress address{"127.0.0.1",
                                        acceptor.local_endpoint().port()};
   std::atomic<int> reported{0};
-  std::unique_ptr<CrashWatch> watch;
+  std::unique_ptr<node::CrashWatch> watch;
   loop.run([&] {
-    watch = std::make_unique<CrashWatch>(loop.EventLoop);
-    watch->reportTo([&](const fleet::CrashReport &report) {
+    watch = std::make_unique<node::CrashWatch>(loop.EventLoop, "test");
+    watch->reportTo([&](const dispatch::CrashReport &report) {
       reported += static_cast<int>(report.Crashes.size());
     });
   });
   const auto lose = [&](const std::string &target) {
-    loop.run([&] { watch->onLost({target, 1}, address, 17, "r-1"); });
+    loop.run([&] { watch->onLost(target, address, 17, "r-1"); });
   };
   const auto isRefused = [&] {
     bool result = false;
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -167,7 +167,7 @@
     apply(update);
   }
   /// A core reports requests under which targets ended.
-  void report(const fleet::CrashReport &report) {
+  void report(const dispatch::CrashReport &report) {
     EventLoop.run([&] { Handler->crashes().onReport(report); });
   }
   void beginStop(base::Duration grace) {
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -57,7 +57,7 @@
                Frame frame);
   void onHello(const std::shared_ptr<Link> &from, const Hello &hello);
   void onReply(CallReply reply);
-  void onCrashReport(const CrashReport &report);
+  void onCrashReport(const dispatch::CrashReport &report);
   void onViewUpdate(ViewUpdate update);
   void relayViewCurrent(const ViewCurrent &current);
   void afterStep();
--- a/packages/fleet/CrashRelay.h
+++ b/packages/fleet/CrashRelay.h
@@ -2,36 +2,28 @@
 // the other cores and the entries are told. Performs no I/O.
 #pragma once
 
-#include "dispatch/RequestQuarantine.h"
-#include "fleet/Frame.h"
+#include "dispatch/CrashReport.h"
 
 namespace magnoliamill::fleet {
 
-/// Adds what \p report says to \p quarantine. Returns the part that was not
-/// known.
-CrashReport mergeReport(const CrashReport &report, base::MonoTime now,
-                        dispatch::RequestQuarantine &quarantine);
-CrashReport makeReport(const std::vector<dispatch::TargetCrash> &crashes,
-                       base::MonoTime now);
-
 /// Cores tell each other all crashes. Entries are told only of requests that
 /// are to be refused: most crashes concern requests that never come again.
 class CrashRelay {
 public:
   struct News {
-    CrashReport ForCores;
-    CrashReport ForEntries;
+    dispatch::CrashReport ForCores;
+    dispatch::CrashReport ForEntries;
   };
   /// Returns what is passed on; nothing of what was known, so that reports
   /// don't go round in circles.
-  News merge(const CrashReport &report, base::MonoTime now);
+  News merge(const dispatch::CrashReport &report, base::MonoTime now);
 
   /// For a core or an entry that has just connected.
-  CrashReport describeForCore(base::MonoTime now) const {
-    return makeReport(Known.list(now), now);
+  dispatch::CrashReport describeForCore(base::MonoTime now) const {
+    return dispatch::makeReport(Known.list(now), now);
   }
-  CrashReport describeForEntry(base::MonoTime now) const {
-    return makeReport(Known.listRefused(now), now);
+  dispatch::CrashReport describeForEntry(base::MonoTime now) const {
+    return dispatch::makeReport(Known.listRefused(now), now);
   }
 
 private:
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -5,6 +5,7 @@
 #include "admission/PermitIssuer.h"
 #include "base/Result.h"
 #include "consensus/Types.h"
+#include "dispatch/CrashReport.h"
 #include "fleet/SpeedReport.h"
 #include "fleet/View.h"
 
@@ -97,25 +98,9 @@
   std::optional<TargetNotice> Notice{};
 };
 
-/// A target ended while it had a request; see dispatch::TargetCrash.
-struct ReportedCrash {
-  std::uint64_t Content = 0;
-  std::string Target;
-  base::Duration Age{};
-};
-
-/// What the sender knows, or has learned, about requests under which targets
-/// ended.
-struct CrashReport {
-  std::vector<ReportedCrash> Crashes;
-  /// Requests that a target has answered.
-  std::vector<std::uint64_t> Cleared;
-  bool empty() const { return Crashes.empty() && Cleared.empty(); }
-};
-
 using Frame = std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
                            ViewCurrent, Ping, Pong, SpeedReport, PermitAsk,
-                           PermitReply, PermitEnd, CrashReport>;
+                           PermitReply, PermitEnd, dispatch::CrashReport>;
 
 std::string encodeFrame(const Frame &frame);
 /// Error: PeerProtocol when \p bytes are malformed.
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -279,7 +279,7 @@
       Links.send(FollowedCore, std::move(*report));
     return;
   }
-  if (const auto *report = std::get_if<CrashReport>(&frame))
+  if (const auto *report = std::get_if<dispatch::CrashReport>(&frame))
     return onCrashReport(*report);
   if (std::holds_alternative<Ping>(frame))
     return from->send(Pong{});
@@ -351,7 +351,7 @@
   }
 }
 
-void CoreNode::onCrashReport(const CrashReport &report) {
+void CoreNode::onCrashReport(const dispatch::CrashReport &report) {
   const auto news = Crashes.merge(report, base::readMonotonic());
   if (!news.ForCores.empty())
     for (const auto &[host, peer] : Links.peers())
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -434,7 +434,7 @@
       to[i].setMeanLogRatio(static_cast<float>(report[i].MeanLogRatio));
     }
   }
-  void operator()(const CrashReport &report) {
+  void operator()(const dispatch::CrashReport &report) {
     auto to = To.initCrashes();
     auto crashes = to.initCrashes(sizeOf(report.Crashes));
     for (capnp::uint i = 0; i < crashes.size(); ++i) {
@@ -479,8 +479,8 @@
   }
 };
 
-CrashReport decode(wire::CrashReport::Reader from) {
-  CrashReport report;
+dispatch::CrashReport decode(wire::CrashReport::Reader from) {
+  dispatch::CrashReport report;
   for (auto crash : from.getCrashes())
     report.Crashes.push_back({crash.getContent(), crash.getTarget().cStr(),
                               std::chrono::milliseconds(crash.getAgeMs())});
--- a/packages/fleet/tests/CrashRelayTest.cpp
+++ b/packages/fleet/tests/CrashRelayTest.cpp
@@ -1,10 +1,13 @@
 // Tests what cores pass on about requests under which targets ended.
 #include "fleet/CrashRelay.h"
 
+#include "fleet/Frame.h"
+
 #include <catch2/catch.hpp>
 
 using namespace magnoliamill;
 using namespace magnoliamill::fleet;
+using dispatch::CrashReport;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/node/DispatchFlow.h
+++ b/packages/node/DispatchFlow.h
@@ -6,6 +6,7 @@
 #include "dispatch/Dispatcher.h"
 #include "gateway/TargetClient.h"
 #include "node/ClientAccountCounters.h"
+#include "node/CrashWatch.h"
 #include "node/ReplicatedLedger.h"
 #include "ownership/DispatchAgent.h"
 #include "protocol/Messages.h"
@@ -50,6 +51,12 @@
   void handleLedger(protocol::LedgerRequest request,
                     protocol::Reply<protocol::LedgerReply> reply);
   void answerLedgerKeys(protocol::Reply<protocol::QueryReply> reply);
+  /// Takes over a report of another VM on requests that end targets; the reply
+  /// is what this VM knows.
+  void exchangeCrashes(const std::string &text,
+                       protocol::Reply<protocol::QueryReply> reply);
+  /// Name of the query that carries these reports.
+  static constexpr std::string_view CrashQuery = "target-crashes";
   /// To be called when the data centre's first group starts while this VM runs.
   void onFirstGroup();
   /// Hands over all targets; \p done is called when all are released and no
@@ -102,6 +109,14 @@
   void fail(const OpenRequestPtr &open,
             const protocol::RequestFailure &failure);
   void countEnd(const OpenRequest &open, base::ResultCode code);
+  /// Fails the request and returns true if several targets have ended while
+  /// they had the same one.
+  bool refuseIfQuarantined(const OpenRequestPtr &open);
+  /// Finds out whether the target of a lost request has ended.
+  void watchForCrash(const OpenRequestPtr &open,
+                     const gateway::TargetOutcome &outcome);
+  bool mayRetryAfterCrash(const OpenRequestPtr &open) const;
+  void shareCrashes(const dispatch::CrashReport &report);
   void abortRequest(const base::RequestId &id);
   void abortTargetRequests(const base::TargetInstanceId &instance);
   void cancel(const base::RequestId &id);
@@ -118,6 +133,7 @@
   dispatch::Dispatcher Dispatcher;
   gateway::TargetClient Targets;
   ReplicatedLedger Ledger;
+  CrashWatch Crashes;
   ClientAccountCounters ClientAccounts;
   settings::ViewPtr Settings;
   ownership::ViewPtr Ownership;
--- a/packages/entry/internal/CrashWatch.cpp
+++ b/packages/node/internal/CrashWatch.cpp
@@ -1,16 +1,15 @@
 // Checks the address of a target that lost requests, once for all of them.
-#include "entry/CrashWatch.h"
+#include "node/CrashWatch.h"
 
 #include "base/Log.h"
 #include "base/Metrics.h"
-#include "fleet/CrashRelay.h"
 #include "gateway/ListenerCheck.h"
 
 #include <fmt/format.h>
 #include <prometheus/counter.h>
 #include <set>
 
-namespace magnoliamill::entry {
+namespace magnoliamill::node {
 namespace {
 
 /// A process that has ended refuses connections within a round trip. Without an
@@ -25,7 +24,7 @@
 
 CrashWatch::~CrashWatch() = default;
 
-void CrashWatch::onLost(const keyspace::TargetInstance &target,
+void CrashWatch::onLost(const std::string &target,
                         const gateway::TargetAddress &address,
                         std::uint64_t content, std::string_view id) {
   auto [it, added] = Checks.try_emplace(target);
@@ -44,45 +43,42 @@
                          });
 }
 
-void CrashWatch::onEnded(const keyspace::TargetInstance &target,
+void CrashWatch::onEnded(const std::string &target,
                          const std::vector<LostRequest> &lost) {
-  base::counter("mill_entry_target_crashes_total",
-                "Targets that ended while they had requests of this entry.")
+  base::counter("mill_target_crashes_total",
+                "Targets that ended while they had requests of this VM.")
       .Increment();
   for (const auto &request : lost)
-    base::logWarning("entry", base::ResultCode::TargetReset,
+    base::logWarning(Component, base::ResultCode::TargetReset,
                      "a target has ended while it had a request",
-                     {{"target", target.Id},
+                     {{"target", target},
                       {"request", request.Id},
                       {"content", formatContent(request.Content)},
                       {"requests", lost.size()}});
-  fleet::CrashReport report;
+  dispatch::CrashReport report;
   for (const auto &request : lost)
-    report.Crashes.push_back(
-        {request.Content,
-         target.Id + " " + std::to_string(target.StartedAtMs),
-         {}});
+    report.Crashes.push_back({request.Content, target, {}});
   const auto news = merge(report);
   if (!news.empty() && Report)
     Report(news);
 }
 
-fleet::CrashReport CrashWatch::merge(const fleet::CrashReport &report) {
+dispatch::CrashReport CrashWatch::merge(const dispatch::CrashReport &report) {
   const auto now = base::readMonotonic();
-  auto news = fleet::mergeReport(report, now, Quarantine);
+  auto news = dispatch::mergeReport(report, now, Quarantine);
   std::set<std::uint64_t> refused;
   for (const auto &crash : news.Crashes)
     if (Quarantine.endOf(crash.Content, now))
       refused.insert(crash.Content);
   for (const auto content : refused)
     base::logWarning(
-        "entry", base::ResultCode::NotRunQuarantined,
+        Component, base::ResultCode::NotRunQuarantined,
         "a request is refused from now on, targets have ended under it",
         {{"content", formatContent(content)},
          {"refused_s",
           base::toMs(dispatch::RequestQuarantine::Lifetime) / 1000}});
   for (const auto content : news.Cleared)
-    base::logInfo("entry", "a request under which targets ended is answered",
+    base::logInfo(Component, "a request under which targets ended is answered",
                   {{"content", formatContent(content)}});
   return news;
 }
@@ -93,11 +89,13 @@
     Report(news);
 }
 
-void CrashWatch::onReport(const fleet::CrashReport &report) { merge(report); }
+void CrashWatch::onReport(const dispatch::CrashReport &report) {
+  merge(report);
+}
 
-fleet::CrashReport CrashWatch::describe() const {
+dispatch::CrashReport CrashWatch::describe() const {
   const auto now = base::readMonotonic();
-  return fleet::makeReport(Quarantine.list(now), now);
+  return dispatch::makeReport(Quarantine.list(now), now);
 }
 
-} // namespace magnoliamill::entry
+} // namespace magnoliamill::node
--- a/packages/node/internal/DispatchFlow.cpp
+++ b/packages/node/internal/DispatchFlow.cpp
@@ -25,15 +25,21 @@
                       }}),
       Targets(eventloop, Config.Targets),
       Ledger(eventloop, Config.Self, Config.DataCentre, Hooks.Ledger),
+      Crashes(eventloop, "dispatch"),
       Settings(std::make_shared<settings::View>()),
       Ownership(std::make_shared<ownership::View>()),
       Timer(eventloop.context()) {
+  Crashes.reportTo(
+      [this](const dispatch::CrashReport &report) { shareCrashes(report); });
   boost::asio::post(EventLoop.context(), [this] { armTimer(); });
 }
 
 void DispatchFlow::setSettings(settings::ViewPtr view) {
   EventLoop.postReply([this, view = std::move(view)] {
+    const bool IsFirst = Settings->Vms.empty() && !view->Vms.empty();
     Settings = view;
+    if (IsFirst)
+      shareCrashes({});
     Ledger.setSettings(view);
     perform(Dispatcher.setSettings(view, base::readMonotonic()));
   });
@@ -70,6 +76,8 @@
     fail(open, {info.error().Code, info.error().Message, 0});
     return;
   }
+  if (refuseIfQuarantined(open))
+    return;
   if (!Requests.try_emplace(open->Request.Id, open).second) {
     fail(open,
          {base::ResultCode::Internal, "the request id is already in use", 0});
@@ -183,6 +191,8 @@
   result.RetryAfterMs = outcome.RetryAfterMs;
   result.RateLimit = outcome.RateLimit;
   result.Latency = outcome.Latency;
+  watchForCrash(open, outcome);
+  result.MayRetry = mayRetryAfterCrash(open);
   open->MayHaveRun = open->MayHaveRun || outcome.MayHaveRun;
   base::RequestId id = open->Request.Id;
   if (outcome.Answered) {
--- a/packages/node/internal/NodeWiring.cpp
+++ b/packages/node/internal/NodeWiring.cpp
@@ -238,6 +238,10 @@
     Dispatch->answerLedgerKeys(reply);
     return;
   }
+  if (request.What == DispatchFlow::CrashQuery) {
+    Dispatch->exchangeCrashes(request.Argument, reply);
+    return;
+  }
   reply(base::fail(base::ResultCode::PeerProtocol, "unknown query"));
 }
 
