--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -255,9 +255,9 @@
   boost::asio::post(EventLoop.context(), [this] { IsCrashed = true; });
 }
 
-void FakeUpstream::limitRate(std::optional<double> perSecond) {
+void FakeUpstream::limitRate(std::optional<double> limit) {
   std::lock_guard lock(Mutex);
-  RateLimit = perSecond;
+  RateLimit = limit;
 }
 
 std::vector<base::MonoTime> FakeUpstream::arrivals() const {
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -54,7 +54,7 @@
 
   /// Names in its answers the requests per second that it takes from all VMs
   /// together, or none from now on. It serves the others, too.
-  void limitRate(std::optional<double> perSecond);
+  void limitRate(std::optional<double> limit);
   /// When each request arrived, also those that were refused.
   std::vector<base::MonoTime> arrivals() const;
 
--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -94,12 +94,12 @@
   /// Removes all targets that are not in \p kept, which is sorted.
   Answers removeAllExcept(std::span<const keyspace::TargetInstance> kept);
 
-  /// The target answered under permit \p id: it takes \p perSecond requests
-  /// from all entries, or any number. Must be called before release(). Returns
-  /// the target if that is new.
-  std::optional<keyspace::TargetInstance>
-  limitRate(const PermitId &id, std::optional<double> perSecond,
-            base::MonoTime now);
+  /// The target answered under permit \p id: it takes \p limit requests a
+  /// second from all entries, or any number. Must be called before release().
+  /// Returns the target if that is new.
+  std::optional<keyspace::TargetInstance> limitRate(const PermitId &id,
+                                                    std::optional<double> limit,
+                                                    base::MonoTime now);
   Answers request(const PermitId &id, const PermitRequest &request,
                   base::MonoTime now);
   /// Ends a permit or the wait for one. \p latency is the time the target took
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -180,7 +180,7 @@
 }
 
 std::optional<TargetInstance>
-PermitIssuer::limitRate(const PermitId &id, std::optional<double> perSecond,
+PermitIssuer::limitRate(const PermitId &id, std::optional<double> limit,
                         base::MonoTime now) {
   const auto permit = Granted.find(id);
   if (permit == Granted.end())
@@ -190,7 +190,7 @@
     return std::nullopt;
   auto &rate = it->second.Rate;
   const auto before = rate.interval();
-  rate.setLimit(perSecond, now);
+  rate.setLimit(limit, now);
   return rate.interval() == before ? std::nullopt : std::optional(it->first);
 }
 
--- a/packages/admission/tests/PermitIssuerTest.cpp
+++ b/packages/admission/tests/PermitIssuerTest.cpp
@@ -227,7 +227,7 @@
         take(issuer.request({last % 10, last}, request, now));
     }
   };
-  const auto mostInWindow = [&](base::MonoTime first) {
+  const auto peak = [&](base::MonoTime first) {
     std::ptrdiff_t most = 0;
     for (auto it = std::ranges::lower_bound(granted, first);
          it != granted.end(); ++it)
@@ -243,7 +243,7 @@
       granted.end() - std::ranges::lower_bound(granted, known));
 
   SECTION("not more in any window, and not much less") {
-    CHECK(mostInWindow(known) <= MostAllowed);
+    CHECK(peak(known) <= MostAllowed);
     CHECK(served >= 0.9 * RateLimit * 20);
   }
   SECTION("the others are refused at once, with a time to return") {
@@ -265,7 +265,7 @@
       play(500ms);
       const auto again = now;
       play(8s);
-      CHECK(mostInWindow(again) <= MostAllowed);
+      CHECK(peak(again) <= MostAllowed);
     }
   }
   SECTION("a target that takes none is asked now and then whether it does") {
--- a/packages/dispatch/RateLimiter.h
+++ b/packages/dispatch/RateLimiter.h
@@ -17,14 +17,14 @@
   /// Sets the limit in requests per second, or none. The first request after a
   /// limit was introduced waits for \p phase (0 to 1) of the time between two:
   /// many senders with a share each should not start together.
-  void setLimit(std::optional<double> perSecond, base::MonoTime now,
+  void setLimit(std::optional<double> limit, base::MonoTime now,
                 double phase = 1) {
     const bool IsNew = !Interval;
     Interval.reset();
-    if (!perSecond)
+    if (!limit)
       return;
     Interval = std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(1 / std::max(*perSecond, MinPerSecond)));
+        std::chrono::duration<double>(1 / std::max(*limit, MinPerSecond)));
     const auto first = std::chrono::duration_cast<base::Duration>(
         std::chrono::duration<double, base::Duration::period>(*Interval) *
         phase);
--- a/packages/entry/tests/CrashWatchTest.cpp
+++ b/packages/entry/tests/CrashWatchTest.cpp
@@ -47,7 +47,7 @@
   const auto lose = [&](const std::string &target) {
     loop.run([&] { watch->onLost(target, address, 17, "r-1"); });
   };
-  const auto isRefused = [&] {
+  const auto refused = [&] {
     bool result = false;
     loop.run([&] {
       result = watch->quarantine().endOf(17, base::readMonotonic()).has_value();
@@ -65,10 +65,10 @@
     for (const auto *target : {"t-1", "t-1", "t-2"})
       lose(target);
     CHECK(waitFor([&] { return reported == 2; }));
-    CHECK_FALSE(isRefused());
+    CHECK_FALSE(refused());
     lose("t-3");
     CHECK(waitFor([&] { return reported == 3; }));
-    CHECK(isRefused());
+    CHECK(refused());
   }
   loop.run([&] { watch.reset(); });
 }
--- a/packages/entry/tests/RequestNoticesTest.cpp
+++ b/packages/entry/tests/RequestNoticesTest.cpp
@@ -22,9 +22,9 @@
             "\r\nContent-Length: 0\r\n\r\n");
 }
 
-void answerLimited(Peer &peer, double perSecond) {
-  peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nRate: " +
-            std::to_string(perSecond) + "\r\nContent-Length: 2\r\n\r\nok");
+void answerLimited(Peer &peer, double rate) {
+  peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nRate: " + std::to_string(rate) +
+            "\r\nContent-Length: 2\r\n\r\nok");
 }
 
 /// A core on loopback that queues permits until it is told to grant them.
--- a/tests/EndingRequestTest.cpp
+++ b/tests/EndingRequestTest.cpp
@@ -39,7 +39,7 @@
   };
   for (const auto &vm : vms)
     waitUntil("requests are answered", [&] { return serves(vm); });
-  const auto countEnded = [&] {
+  const auto ended = [&] {
     return std::ranges::count_if(targets, [&](const auto &target) {
       return !cluster.target(target).isRunning();
     });
@@ -47,12 +47,12 @@
 
   const auto start = std::chrono::steady_clock::now();
   for (std::size_t n = 0; std::chrono::steady_clock::now() - start < Repeated &&
-                          countEnded() <= MostEnded;
+                          ended() <= MostEnded;
        ++n) {
     cluster.request(vms[n % vms.size()], "GET", "barnstock", "/ending", key);
     std::this_thread::sleep_for(20ms);
   }
-  CHECK(countEnded() <= MostEnded);
+  CHECK(ended() <= MostEnded);
   for (const auto &vm : vms) {
     waitUntil("other requests are answered", [&] { return serves(vm); });
     auto refused = cluster.request(vm, "GET", "barnstock", "/ending", key);
