Quarantine: a gauge of the refused requests, no work for other answers

countRefused() was used by tests only: it is the gauge mill_quarantined_requests now. An answered request that nothing is known against is not merged like a report. Two local variables had the name of their type.

--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -152,12 +152,12 @@
                                           base::MonoTime now) const {
   std::int64_t slots = 0;
   std::int64_t running = 0;
-  dispatch::RateWait RateWait(now);
+  dispatch::RateWait rates(now);
   for (const auto &instance : pool.Members) {
     const Target &target = Targets.at(instance);
     slots += target.Description.Slots;
     running += target.InUse;
-    RateWait.add(target.Rate);
+    rates.add(target.Rate);
   }
   const auto ahead = static_cast<std::int64_t>(pool.Queue.countAheadOf(
       IsUrgent ? settings::Urgency::Urgent : settings::Urgency::Normal));
@@ -165,7 +165,7 @@
       meanServiceTime(pool) *
       (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
       std::max<std::int64_t>(slots, 1);
-  return std::max(SlotWait, RateWait.behind(static_cast<std::size_t>(ahead)));
+  return std::max(SlotWait, rates.behind(static_cast<std::size_t>(ahead)));
 }
 
 std::optional<base::MonoTime>
--- a/packages/dispatch/RequestQuarantine.h
+++ b/packages/dispatch/RequestQuarantine.h
@@ -40,6 +40,10 @@
   /// Whether a target may get the request after another one has ended under it.
   bool mayRetry(std::uint64_t content, base::MonoTime now) const;
   bool isEmpty() const { return Records.empty(); }
+  /// Whether a target has ended under such a request.
+  bool isKnown(std::uint64_t content) const {
+    return Records.contains(content);
+  }
 
   std::vector<TargetCrash> list(base::MonoTime now) const;
   /// Those of the requests that are refused.
--- a/packages/dispatch/internal/DispatcherDecisions.cpp
+++ b/packages/dispatch/internal/DispatcherDecisions.cpp
@@ -83,7 +83,7 @@
   std::uint32_t capacity = 0;
   std::uint32_t running = 0;
   base::Duration latency{};
-  RateWait RateWait(now);
+  RateWait rates(now);
   for (const auto &instance : pool.Members) {
     auto it = Targets.find(instance);
     if (it == Targets.end())
@@ -91,14 +91,14 @@
     capacity += it->second.Limit.value();
     running += it->second.InFlight;
     latency = std::max(latency, it->second.Health.meanLatency());
-    RateWait.add(it->second.Rate);
+    rates.add(it->second.Rate);
   }
   if (capacity == 0)
     return {};
   if (latency == base::Duration{})
     latency = DefaultLatency;
   std::size_t ahead = pool.Queue.countAhead(info.ClientAccount);
-  const auto ForRate = RateWait.behind(ahead);
+  const auto ForRate = rates.behind(ahead);
   if (ForRate > base::Duration::zero())
     return ForRate + latency;
   // An idle target always gets the request: otherwise a mean latency that once
--- a/packages/node/internal/CrashWatch.cpp
+++ b/packages/node/internal/CrashWatch.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <set>
 
 namespace magnoliamill::node {
@@ -70,6 +71,9 @@
   for (const auto &crash : news.Crashes)
     if (Quarantine.endOf(crash.Content, now))
       refused.insert(crash.Content);
+  base::gauge("mill_quarantined_requests",
+              "Requests that are refused because targets ended under them.")
+      .Set(static_cast<double>(Quarantine.countRefused(now)));
   for (const auto content : refused)
     base::logWarning(
         Component, base::ResultCode::NotRunQuarantined,
@@ -84,6 +88,8 @@
 }
 
 void CrashWatch::onAnswered(std::uint64_t content) {
+  if (!Quarantine.isKnown(content))
+    return;
   const auto news = merge({{}, {content}});
   if (!news.empty() && Report)
     Report(news);
