--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -106,6 +106,8 @@
   /// to answer.
   Answers release(const PermitId &id, PermitUse use, base::Duration latency,
                   base::MonoTime now);
+  /// The target of a permit that is not ended; not set without one.
+  std::optional<keyspace::TargetInstance> targetOf(const PermitId &id) const;
   /// Ends all permits and waits of a requester whose link was lost.
   Answers releaseAll(std::uint64_t requester, base::MonoTime now);
   /// Grants permits that the targets' rates allow by now, refuses requests
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -294,6 +294,12 @@
   return answers;
 }
 
+std::optional<keyspace::TargetInstance>
+PermitIssuer::targetOf(const PermitId &id) const {
+  auto it = Granted.find(id);
+  return it == Granted.end() ? std::nullopt : std::optional(it->second.Target);
+}
+
 PermitIssuer::Answers PermitIssuer::releaseAll(std::uint64_t requester,
                                                base::MonoTime now) {
   // Waits end first, so that no permit that becomes free is granted to them.
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -118,6 +118,8 @@
   void onRefused(const keyspace::TargetInstance &instance);
   void onLost(const keyspace::TargetInstance &instance,
               const gateway::TargetOutcome &outcome);
+  /// Empty if the view does not have the target any more.
+  std::string dataCentreOf(const keyspace::TargetInstance &instance) const;
   /// Takes a retry from the service's budget. False if the request has no
   /// attempts or time left, this VM may exit before its end, or the budget is
   /// used up.
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -67,6 +67,10 @@
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
                    const AnswerMetadata &answer, std::string_view request);
+  /// Records whether an attempt begun at \p begun has reached \p target, and
+  /// logs when that changes what is known of the path to its data centre.
+  void recordReach(const PooledTarget &target, bool IsReached,
+                   base::MonoTime begun);
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -6,6 +6,7 @@
 #include "base/Time.h"
 #include "dispatch/TargetHealth.h"
 #include "entry/TargetNotices.h"
+#include "entry/TargetReach.h"
 #include "fleet/View.h"
 #include "gateway/TargetClient.h"
 
@@ -89,6 +90,9 @@
   /// for which choose() is not called.
   TargetNotices &notices() { return Notices; }
   const TargetNotices &notices() const { return Notices; }
+  /// Which targets this VM can connect to.
+  TargetReach &reach() { return Reach; }
+  const TargetReach &reach() const { return Reach; }
 
   /// The time from which some ready target of \p service may get requests
   /// according to the notices; \p now if there is no ready target.
@@ -132,6 +136,7 @@
   std::string DataCentre;
   std::mt19937_64 Random;
   TargetNotices Notices;
+  TargetReach Reach;
   std::map<keyspace::TargetInstance, PooledTarget> Targets;
   std::map<std::string, std::vector<PooledTarget *>, std::less<>> ByService;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -302,6 +302,11 @@
   PooledTarget *target = Handler.pool().find(instance);
   if (target && target->InFlight > 0)
     --target->InFlight;
+  if (target && outcome.HasConnectFailed)
+    Handler.recordReach(*target, false, SentAt);
+  else if (target && (outcome.Answered ||
+                      outcome.Code == ResultCode::NotRunTargetRefused))
+    Handler.recordReach(*target, true, SentAt);
   if (IsFinished)
     return;
   const bool IsLost = !outcome.Answered && outcome.MayHaveRun &&
@@ -362,6 +367,7 @@
   base::logWarning("entry", outcome.Code, "a call to a target failed",
                    {{"request", Metadata.Id},
                     {"target", instance.Id},
+                    {"data_centre", dataCentreOf(instance)},
                     {"content", node::formatContent(content())},
                     {"may_have_run", outcome.MayHaveRun},
                     {"left_ms", base::toMs(timeLeft())},
@@ -386,6 +392,12 @@
   refuse(ResultCode::NotRunNoTarget, outcome.Message, BusyRetryAfter);
 }
 
+std::string
+EntryRequest::dataCentreOf(const keyspace::TargetInstance &instance) const {
+  const auto *target = Handler.view().findTarget(instance);
+  return target ? target->DataCentre : std::string();
+}
+
 bool EntryRequest::tryTakeRetry() {
   if (Tried.size() >= Route->MaxAttempts ||
       timeLeft() <= base::Duration::zero() || !fitsStop())
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -8,6 +8,7 @@
 #include "entry/OwedAnswers.h"
 
 #include <prometheus/counter.h>
+#include <tuple>
 
 namespace magnoliamill::entry {
 namespace {
@@ -44,6 +45,13 @@
       .Increment();
 }
 
+void countConnectFailure(const std::string &centre) {
+  base::counter("mill_entry_connect_failures_total",
+                "Connections to targets that could not be opened.",
+                {{"data_centre", centre}})
+      .Increment();
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(base::EventLoopThread &loop,
@@ -121,6 +129,26 @@
     it->onPause(target);
 }
 
+void RequestHandler::recordReach(const PooledTarget &target, bool IsReached,
+                                 base::MonoTime begun) {
+  const auto now = base::readMonotonic();
+  const auto &[instance, centre] =
+      std::tie(target.Description.Instance, target.Description.DataCentre);
+  if (IsReached) {
+    if (Pool.reach().onReached(instance, centre, begun, now))
+      base::logInfo("entry", "the targets of a data centre are reachable again",
+                    {{"data_centre", centre}, {"target", instance.Id}});
+    return;
+  }
+  countConnectFailure(centre);
+  if (Pool.reach().onFailed(instance, centre, begun, now))
+    base::logWarning("entry", base::ResultCode::TargetUnreachable,
+                     "the targets of a data centre can't be reached",
+                     {{"data_centre", centre},
+                      {"target", instance.Id},
+                      {"requests", Requests.size()}});
+}
+
 void RequestHandler::updateLeastPriorities() {
   LeastPriorities.clear();
   for (const auto &[name, route] : View.config().routes()) {
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -78,6 +78,12 @@
                     {{"target", target->Id},
                      {"per_second", end.Notice->RateLimit.value_or(-1)},
                      {"entries", Numbers.size()}});
+  const auto failed = end.Use == admission::PermitUse::Failed
+                          ? Issuer.targetOf(id)
+                          : std::nullopt;
+  if (failed)
+    base::logInfo("permit", "an entry reports a failed call to a target",
+                  {{"target", failed->Id}, {"entry_link", it->second}});
   answer(Issuer.release(id, end.Use, end.Latency, now));
 }
 
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -60,6 +60,8 @@
   bool MayHaveRun = false;
   /// True if the complete answer was received.
   bool Answered = false;
+  /// True if no connection to the target could be opened.
+  bool HasConnectFailed = false;
   std::uint16_t Status = 0;
   /// Ok, NotRunLeaseLost, NotRunTargetRefused, NotRunCancelled (MayHaveRun
   /// tells whether the request was sent), AnswerTruncated (a head was passed
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -74,9 +74,9 @@
 void TargetExchange::onConnected(ErrorCode ec) {
   if (IsFinished)
     return;
-  IsConnecting = false;
   if (ec)
     return fail(ResultCode::TargetUnreachable, ec.message());
+  IsConnecting = false;
   Connection->Socket.set_option(tcp::no_delay(true), ec);
   armTimer(Call.Deadline);
   write();
@@ -372,6 +372,8 @@
   releaseConnection(false);
   TargetOutcome outcome;
   outcome.MayHaveRun = IsWritten;
+  outcome.HasConnectFailed =
+      IsConnecting && code == ResultCode::TargetUnreachable;
   outcome.Code = code;
   outcome.Message = std::move(message);
   if (isAnswering())
