--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -68,7 +68,7 @@
   void readNotices(const keyspace::TargetInstance &target,
                    const AnswerMetadata &answer, std::string_view request);
   /// Records whether an attempt begun at \p begun has reached \p target, and
-  /// logs when that changes what is known of the path to its data centre.
+  /// logs when that changes which groups of targets are cut off.
   void recordReach(const PooledTarget &target, bool IsReached,
                    base::MonoTime begun);
   /// Whether \p route has a higher priority than another route of the service.
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -70,6 +70,10 @@
   }
 };
 
+inline TargetGroup groupOf(const PooledTarget &target) {
+  return {target.Description.DataCentre, target.Description.Service};
+}
+
 class TargetPool {
 public:
   /// \p centre is the entry's data centre. \p seed seeds the random choice. A
--- a/packages/entry/TargetReach.h
+++ b/packages/entry/TargetReach.h
@@ -1,53 +1,61 @@
-// Which targets this VM can connect to, according to its own attempts. A data
-// centre to which several connections failed, and none succeeded since, counts
-// as cut off with all of its targets, so that a failed path is told apart from
-// a target that has ended. Performs no I/O.
+// Which targets this VM can connect to, according to its own attempts. A group
+// of targets to which several connections failed, and none succeeded since,
+// counts as cut off with all of its members: a failed path is told apart from a
+// target that has ended. Performs no I/O.
 #pragma once
 
 #include "base/Time.h"
 #include "keyspace/Types.h"
 
+#include <array>
+#include <compare>
+#include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace magnoliamill::entry {
 
+/// Targets that may become unreachable together: those of one service in one
+/// data centre, all of a data centre (without a service), or all (with
+/// neither).
+struct TargetGroup {
+  std::string DataCentre;
+  std::string Service;
+  auto operator<=>(const TargetGroup &) const = default;
+};
+
 class TargetReach {
 public:
-  /// A connection to \p target in the data centre \p centre that was begun at
-  /// \p begun could not be opened. Returns true if the data centre counts as
-  /// cut off from now on.
-  bool onFailed(const keyspace::TargetInstance &target, std::string_view centre,
-                base::MonoTime begun, base::MonoTime now);
+  /// A connection to \p target, a member of \p group, could not be opened. The
+  /// attempt was begun at \p begun. Returns the groups that count as cut off
+  /// from now on.
+  std::vector<TargetGroup> onFailed(const keyspace::TargetInstance &target,
+                                    const TargetGroup &group,
+                                    base::MonoTime begun, base::MonoTime now);
   /// The target accepted a connection or answered a request, in an attempt
-  /// begun at \p begun. Returns true if its data centre counted as cut off
-  /// until now.
-  bool onReached(const keyspace::TargetInstance &target,
-                 std::string_view centre, base::MonoTime begun,
-                 base::MonoTime now);
-
+  /// begun at \p begun. Returns the groups that counted as cut off until now.
+  std::vector<TargetGroup> onReached(const keyspace::TargetInstance &target,
+                                     const TargetGroup &group,
+                                     base::MonoTime begun, base::MonoTime now);
   /// The target is not in the view any more.
-  void forget(const keyspace::TargetInstance &target, std::string_view centre);
+  void forget(const keyspace::TargetInstance &target, const TargetGroup &group);
 
   /// Whether to connect to the target.
   bool isReachable(const keyspace::TargetInstance &target,
-                   std::string_view centre, base::MonoTime now) const;
-  /// Whether the path to all targets of the data centre seems to have failed.
-  bool isCutOff(std::string_view centre, base::MonoTime now) const;
-
-  /// One target of each data centre that is cut off, to which a connection has
-  /// to be tried: the one whose last failure is the oldest.
-  struct Probe {
-    keyspace::TargetInstance Target;
-    std::string DataCentre;
-  };
-  std::vector<Probe> listProbes(base::MonoTime now) const;
+                   const TargetGroup &group, base::MonoTime now) const;
+  /// Whether the path to \p group, or to a group that includes it, seems to
+  /// have failed.
+  bool isCutOff(const TargetGroup &group, base::MonoTime now) const;
+  /// The groups that are cut off. One of their members has to be tried from
+  /// time to time.
+  std::vector<TargetGroup> listCutOff(base::MonoTime now) const;
 
-  /// Targets that must have failed for their data centre to be cut off.
+  /// Targets that must have failed for their data centre, or their service in
+  /// it, to be cut off.
   static constexpr std::size_t FailuresToCutOff = 2;
+  /// The same for all targets.
+  static constexpr std::size_t FailuresToCutOffAll = 3;
   /// How long a failure counts. Shorter than the time after which the keys of a
   /// target that has ended move to another one.
   static constexpr base::Duration FailureTime = std::chrono::seconds(1);
@@ -56,16 +64,19 @@
   struct Failure {
     base::MonoTime Begun;
     base::MonoTime At;
-    /// Another target of the data centre was reached in a later attempt.
+    /// Another member of the group was reached in a later attempt.
     bool IsRefuted = false;
   };
-  struct Centre {
-    std::map<keyspace::TargetInstance, Failure> Failures;
-    base::MonoTime LastFailure;
+  struct Failures {
+    std::map<keyspace::TargetInstance, Failure> ByTarget;
+    base::MonoTime Last;
   };
-  static bool isCutOff(const Centre &centre, base::MonoTime now);
+  /// The group itself, and those that include it.
+  static std::array<TargetGroup, 3> listEnclosing(const TargetGroup &group);
+  static bool isCutOff(const TargetGroup &group, const Failures &failures,
+                       base::MonoTime now);
 
-  std::map<std::string, Centre, std::less<>> Centres;
+  std::map<TargetGroup, Failures> Groups;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -8,7 +8,6 @@
 #include "entry/OwedAnswers.h"
 
 #include <prometheus/counter.h>
-#include <tuple>
 
 namespace magnoliamill::entry {
 namespace {
@@ -132,19 +131,20 @@
 void RequestHandler::recordReach(const PooledTarget &target, bool IsReached,
                                  base::MonoTime begun) {
   const auto now = base::readMonotonic();
-  const auto &[instance, centre] =
-      std::tie(target.Description.Instance, target.Description.DataCentre);
-  if (IsReached) {
-    if (Pool.reach().onReached(instance, centre, begun, now))
-      base::logInfo("entry", "the targets of a data centre are reachable again",
-                    {{"data_centre", centre}, {"target", instance.Id}});
-    return;
-  }
-  countConnectFailure(centre);
-  if (Pool.reach().onFailed(instance, centre, begun, now))
-    base::logWarning("entry", base::ResultCode::TargetUnreachable,
-                     "the targets of a data centre can't be reached",
-                     {{"data_centre", centre},
+  const auto &instance = target.Description.Instance;
+  if (!IsReached)
+    countConnectFailure(target.Description.DataCentre);
+  const auto news =
+      IsReached ? Pool.reach().onReached(instance, groupOf(target), begun, now)
+                : Pool.reach().onFailed(instance, groupOf(target), begun, now);
+  for (const auto &group : news)
+    base::logWarning("entry",
+                     IsReached ? base::ResultCode::Ok
+                               : base::ResultCode::TargetUnreachable,
+                     IsReached ? "a group of targets is reachable again"
+                               : "a group of targets can't be reached",
+                     {{"data_centre", group.DataCentre},
+                      {"service", group.Service},
                       {"target", instance.Id},
                       {"requests", Requests.size()}});
 }
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -59,7 +59,7 @@
   auto it = Targets.find(instance);
   if (it == Targets.end())
     return;
-  Reach.forget(instance, it->second.Description.DataCentre);
+  Reach.forget(instance, groupOf(it->second));
   std::erase(ByService[it->second.Description.Service], &it->second);
   Targets.erase(it);
 }
--- a/packages/entry/internal/TargetReach.cpp
+++ b/packages/entry/internal/TargetReach.cpp
@@ -1,4 +1,4 @@
-// Keeps the failed attempts of each data centre until they expire or an attempt
+// Keeps the failed attempts of each group until they expire or an attempt
 // succeeds.
 #include "entry/TargetReach.h"
 
@@ -6,87 +6,106 @@
 
 namespace magnoliamill::entry {
 
-bool TargetReach::isCutOff(const Centre &centre, base::MonoTime now) {
-  if (now - centre.LastFailure > FailureTime)
+std::array<TargetGroup, 3>
+TargetReach::listEnclosing(const TargetGroup &group) {
+  return {group, TargetGroup{group.DataCentre, ""}, TargetGroup{}};
+}
+
+bool TargetReach::isCutOff(const TargetGroup &group, const Failures &failures,
+                           base::MonoTime now) {
+  if (now - failures.Last > FailureTime)
     return false;
   const auto count = std::ranges::count_if(
-      centre.Failures, [](const auto &it) { return !it.second.IsRefuted; });
-  return static_cast<std::size_t>(count) >= FailuresToCutOff;
+      failures.ByTarget, [](const auto &it) { return !it.second.IsRefuted; });
+  return static_cast<std::size_t>(count) >=
+         (group == TargetGroup{} ? FailuresToCutOffAll : FailuresToCutOff);
 }
 
-bool TargetReach::onFailed(const keyspace::TargetInstance &target,
-                           std::string_view centre, base::MonoTime begun,
-                           base::MonoTime now) {
-  Centre &known = Centres[std::string(centre)];
-  const bool WasCutOff = isCutOff(known, now);
-  // While the data centre is cut off, its failures count until it is reached.
-  if (!WasCutOff)
-    std::erase_if(known.Failures, [now](const auto &it) {
-      return now - it.second.At > FailureTime;
-    });
-  known.Failures[target] = {begun, now};
-  known.LastFailure = now;
-  return !WasCutOff && isCutOff(known, now);
+std::vector<TargetGroup>
+TargetReach::onFailed(const keyspace::TargetInstance &target,
+                      const TargetGroup &group, base::MonoTime begun,
+                      base::MonoTime now) {
+  std::vector<TargetGroup> news;
+  for (const auto &it : listEnclosing(group)) {
+    Failures &failures = Groups[it];
+    const bool WasCutOff = isCutOff(it, failures, now);
+    // While a group is cut off, its failures count until a member is reached.
+    if (!WasCutOff)
+      std::erase_if(failures.ByTarget, [now](const auto &failed) {
+        return now - failed.second.At > FailureTime;
+      });
+    failures.ByTarget[target] = {begun, now};
+    failures.Last = now;
+    if (!WasCutOff && isCutOff(it, failures, now))
+      news.push_back(it);
+  }
+  return news;
 }
 
-bool TargetReach::onReached(const keyspace::TargetInstance &target,
-                            std::string_view centre, base::MonoTime begun,
-                            base::MonoTime now) {
-  auto it = Centres.find(centre);
-  if (it == Centres.end())
-    return false;
-  Centre &known = it->second;
-  const bool WasCutOff = isCutOff(known, now);
-  std::erase_if(known.Failures, [&](const auto &failed) {
-    return failed.first == target && failed.second.Begun <= begun;
-  });
-  for (auto &[failed, failure] : known.Failures)
-    if (failure.Begun <= begun)
-      failure.IsRefuted = true;
-  if (known.Failures.empty())
-    Centres.erase(it);
-  return WasCutOff && !isCutOff(centre, now);
+std::vector<TargetGroup>
+TargetReach::onReached(const keyspace::TargetInstance &target,
+                       const TargetGroup &group, base::MonoTime begun,
+                       base::MonoTime now) {
+  std::vector<TargetGroup> news;
+  for (const auto &it : listEnclosing(group)) {
+    auto known = Groups.find(it);
+    if (known == Groups.end())
+      continue;
+    Failures &failures = known->second;
+    const bool WasCutOff = isCutOff(it, failures, now);
+    std::erase_if(failures.ByTarget, [&](const auto &failed) {
+      return failed.first == target && failed.second.Begun <= begun;
+    });
+    for (auto &[failed, failure] : failures.ByTarget)
+      failure.IsRefuted = failure.IsRefuted || failure.Begun <= begun;
+    if (WasCutOff && !isCutOff(it, failures, now))
+      news.push_back(it);
+    if (failures.ByTarget.empty())
+      Groups.erase(known);
+  }
+  return news;
 }
 
 void TargetReach::forget(const keyspace::TargetInstance &target,
-                         std::string_view centre) {
-  auto it = Centres.find(centre);
-  if (it == Centres.end())
-    return;
-  it->second.Failures.erase(target);
-  if (it->second.Failures.empty())
-    Centres.erase(it);
+                         const TargetGroup &group) {
+  for (const auto &it : listEnclosing(group)) {
+    auto known = Groups.find(it);
+    if (known == Groups.end())
+      continue;
+    known->second.ByTarget.erase(target);
+    if (known->second.ByTarget.empty())
+      Groups.erase(known);
+  }
 }
 
 bool TargetReach::isReachable(const keyspace::TargetInstance &target,
-                              std::string_view centre,
+                              const TargetGroup &group,
                               base::MonoTime now) const {
-  auto it = Centres.find(centre);
-  if (it == Centres.end())
+  if (Groups.empty())
     return true;
-  if (isCutOff(it->second, now))
+  if (isCutOff(group, now))
     return false;
-  auto failure = it->second.Failures.find(target);
-  return failure == it->second.Failures.end() ||
+  auto it = Groups.find(group);
+  if (it == Groups.end())
+    return true;
+  auto failure = it->second.ByTarget.find(target);
+  return failure == it->second.ByTarget.end() ||
          now - failure->second.At > FailureTime;
 }
 
-bool TargetReach::isCutOff(std::string_view centre, base::MonoTime now) const {
-  auto it = Centres.find(centre);
-  return it != Centres.end() && isCutOff(it->second, now);
+bool TargetReach::isCutOff(const TargetGroup &group, base::MonoTime now) const {
+  return std::ranges::any_of(listEnclosing(group), [&](const auto &it) {
+    auto known = Groups.find(it);
+    return known != Groups.end() && isCutOff(it, known->second, now);
+  });
 }
 
-std::vector<TargetReach::Probe>
-TargetReach::listProbes(base::MonoTime now) const {
-  std::vector<Probe> probes;
-  for (const auto &[name, centre] : Centres) {
-    if (!isCutOff(centre, now))
-      continue;
-    const auto oldest = std::ranges::min_element(
-        centre.Failures, {}, [](const auto &it) { return it.second.At; });
-    probes.push_back({oldest->first, name});
-  }
-  return probes;
+std::vector<TargetGroup> TargetReach::listCutOff(base::MonoTime now) const {
+  std::vector<TargetGroup> groups;
+  for (const auto &[group, failures] : Groups)
+    if (isCutOff(group, failures, now))
+      groups.push_back(group);
+  return groups;
 }
 
 } // namespace magnoliamill::entry
