Cores list other entries to each entry

Entries link to the cores that issue their permits, so each core hears of nearly all entries without a list of its own to replicate: the first frame of a permit link names the entry, too. RelayPeers will choose among them.

--- a/packages/entry/CoreSelector.h
+++ b/packages/entry/CoreSelector.h
@@ -26,7 +26,7 @@
   void setSeeds(std::vector<std::string> hosts) { Seeds = std::move(hosts); }
 
   /// The host of the core to use at \p now; empty if no core is known.
-  std::string choose(const std::vector<fleet::CoreAddress> &known,
+  std::string choose(const std::vector<fleet::VmAddress> &known,
                      base::MonoTime now) const {
     const auto cores = listCandidates(known);
     for (const auto &core : cores)
@@ -58,11 +58,11 @@
 
 private:
   std::vector<std::string>
-  listCandidates(const std::vector<fleet::CoreAddress> &known) const {
+  listCandidates(const std::vector<fleet::VmAddress> &known) const {
     // Entries of the same data centre are distributed over the cores by
     // rendezvous hashing, so that a change of the list moves few of them.
     auto sorted = known;
-    std::ranges::sort(sorted, {}, [this](const fleet::CoreAddress &core) {
+    std::ranges::sort(sorted, {}, [this](const fleet::VmAddress &core) {
       return std::pair(core.DataCentre != DataCentre,
                        base::hash64(core.Host, Seed));
     });
--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -32,13 +32,15 @@
 public:
   using ResultHook = std::function<void(const PermitResult &)>;
 
-  PermitClient(base::EventLoopThread &loop, std::uint16_t port);
+  /// \p self is this VM.
+  PermitClient(base::EventLoopThread &loop, std::uint16_t port,
+               fleet::VmAddress self);
   ~PermitClient();
 
   /// Asks the core for \p name in \p centre. \p done is called once, not before
   /// ask() has returned. Returns the number of the permit, to be passed to
   /// end(); 0 if no core can be asked.
-  std::uint64_t ask(const std::vector<fleet::CoreAddress> &cores,
+  std::uint64_t ask(const std::vector<fleet::VmAddress> &cores,
                     const std::string &centre, const std::string &name,
                     admission::PermitRequest request, ResultHook done);
   /// Ends a permit, or the wait for one: \p done is then not called any more.
@@ -67,6 +69,7 @@
 
   base::EventLoopThread &EventLoop;
   std::uint16_t Port;
+  fleet::VmAddress Self;
   PermitPlaces Places;
   std::map<std::string, std::shared_ptr<fleet::Link>> Links;
   std::map<std::uint64_t, Pending> Waiting;
--- a/packages/entry/PermitPlaces.h
+++ b/packages/entry/PermitPlaces.h
@@ -19,7 +19,7 @@
   /// The core for \p name, by rendezvous hashing: among the cores of \p centre,
   /// or among all if it has none. Empty if there is none, or if it is avoided:
   /// another core would count the same slots once more.
-  std::string choose(const std::vector<fleet::CoreAddress> &cores,
+  std::string choose(const std::vector<fleet::VmAddress> &cores,
                      std::string_view centre, std::string_view name,
                      base::MonoTime now) const {
     std::string best;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -9,6 +9,7 @@
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
 #include "entry/PermitClient.h"
+#include "entry/RelayPeers.h"
 #include "entry/StopAdmission.h"
 #include "entry/TargetPool.h"
 #include "fleet/FleetSettings.h"
@@ -63,6 +64,7 @@
   gateway::TargetClient &client() { return Client; }
   PermitClient &permits() { return Permits; }
   node::CrashWatch &crashes() { return Crashes; }
+  RelayPeers &peers() { return Peers; }
   /// Takes from an answer of \p target to \p request what the target tells
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
@@ -111,6 +113,7 @@
   gateway::TargetClient Client;
   PermitClient Permits;
   node::CrashWatch Crashes;
+  RelayPeers Peers;
   LinkBudget Link;
   fleet::SpeedMeter Speeds;
   std::map<std::string, routing::WeightedChoice> ServiceChoices;
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -21,6 +21,8 @@
   /// Called after each applied update.
   std::function<void()> OnView;
   std::function<void(const dispatch::CrashReport &)> OnCrashes;
+  /// Called with some of the other entries, every few seconds.
+  std::function<void(const std::vector<fleet::VmAddress> &)> OnEntries;
   /// Returns what a core that was just connected has to know.
   std::function<dispatch::CrashReport()> DescribeCrashes;
 };
@@ -60,6 +62,7 @@
   std::string Core;
   /// When the core last confirmed that the view is current.
   base::MonoTime ConfirmedAt;
+  base::MonoTime NextEntriesAsk;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -48,6 +48,9 @@
                     [this](const dispatch::CrashReport &report) {
                       Handler.crashes().onReport(report);
                     },
+                    [this](const std::vector<fleet::VmAddress> &entries) {
+                      Handler.peers().update(entries);
+                    },
                     [this] { return Handler.crashes().describe(); }}),
       Handler(loop, Settings, Format, Subscription.view()),
       ReportTimer(loop.context()), StopTimer(loop.context()),
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -22,15 +22,17 @@
 
 } // namespace
 
-PermitClient::PermitClient(base::EventLoopThread &loop, std::uint16_t port)
-    : EventLoop(loop), Port(port), Timer(loop.context()) {}
+PermitClient::PermitClient(base::EventLoopThread &loop, std::uint16_t port,
+                           fleet::VmAddress self)
+    : EventLoop(loop), Port(port), Self(std::move(self)),
+      Timer(loop.context()) {}
 
 PermitClient::~PermitClient() {
   for (const auto &[core, link] : Links)
     link->close();
 }
 
-std::uint64_t PermitClient::ask(const std::vector<fleet::CoreAddress> &cores,
+std::uint64_t PermitClient::ask(const std::vector<fleet::VmAddress> &cores,
                                 const std::string &centre,
                                 const std::string &name,
                                 admission::PermitRequest request,
@@ -84,6 +86,11 @@
       onFault(core, reason);
   };
   link->open(core, Port, std::move(hooks));
+  // Lets the core list this VM to other entries.
+  fleet::Hello hello;
+  hello.Host = Self.Host;
+  hello.DataCentre = Self.DataCentre;
+  link->send(hello);
   return link;
 }
 
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -64,7 +64,9 @@
       Outgoing(settings.LinkMbps * BytesPerMegabit),
       Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
       Client(loop, makeClientConfig(format, Incoming)),
-      Permits(loop, settings.LinkPort), Crashes(loop, "entry"),
+      Permits(loop, settings.LinkPort, {settings.Host, settings.DataCentre}),
+      Crashes(loop, "entry"),
+      Peers(settings.DataCentre, base::hash64(settings.Vm, 2)),
       Link(settings.LinkMbps * BytesPerMegabit) {}
 
 RequestHandler::~RequestHandler() = default;
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -17,6 +17,8 @@
 /// within 2 s.
 constexpr base::Duration SilenceLimit = std::chrono::milliseconds(1250);
 constexpr base::Duration CheckInterval = std::chrono::milliseconds(250);
+/// How often the core is asked for other entries.
+constexpr base::Duration EntriesInterval = std::chrono::seconds(3);
 
 } // namespace
 
@@ -76,6 +78,8 @@
     return onUpdate(*update);
   if (const auto *report = std::get_if<dispatch::CrashReport>(&frame))
     return Hooks.OnCrashes(*report);
+  if (const auto *list = std::get_if<fleet::EntryList>(&frame))
+    return Hooks.OnEntries(list->Entries);
   if (auto *current = std::get_if<fleet::ViewCurrent>(&frame))
     if (current->Version >= CurrentView.version())
       ConfirmedAt = base::readMonotonic();
@@ -147,8 +151,13 @@
 void ViewSubscription::checkConnection() {
   if (!Link)
     return connect();
-  if (base::readMonotonic() - ConfirmedAt > SilenceLimit)
-    switchCore("the core does not confirm the view");
+  const auto now = base::readMonotonic();
+  if (now - ConfirmedAt > SilenceLimit)
+    return switchCore("the core does not confirm the view");
+  if (now < NextEntriesAsk || !Link->isOpen())
+    return;
+  NextEntriesAsk = now + EntriesInterval;
+  send(fleet::EntriesAsk{});
 }
 
 } // namespace magnoliamill::entry
--- a/packages/entry/tests/CoreSelectorTest.cpp
+++ b/packages/entry/tests/CoreSelectorTest.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("An entry uses the core of its data centre while that is available") {
   const base::MonoTime start{1h};
-  const std::vector<fleet::CoreAddress> known{
+  const std::vector<fleet::VmAddress> known{
       {"10.1.0.1", "dc-a"}, {"10.2.0.1", "dc-b"}, {"10.3.0.1", "dc-c"}};
   // The position of the core among the seeds must not affect the choice.
   const auto seed = GENERATE(0, 1, 2, 3);
@@ -33,10 +33,10 @@
 }
 
 TEST_CASE("Entries of a data centre are distributed over its cores") {
-  const std::vector<fleet::CoreAddress> known{{"10.1.0.1", "dc-a"},
-                                              {"10.2.0.1", "dc-b"},
-                                              {"10.2.0.2", "dc-b"},
-                                              {"10.3.0.1", "dc-c"}};
+  const std::vector<fleet::VmAddress> known{{"10.1.0.1", "dc-a"},
+                                            {"10.2.0.1", "dc-b"},
+                                            {"10.2.0.2", "dc-b"},
+                                            {"10.3.0.1", "dc-c"}};
   std::map<std::string, int> count;
   std::map<std::string, int> next;
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
--- a/packages/entry/tests/PermitClientTest.cpp
+++ b/packages/entry/tests/PermitClientTest.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-const std::vector<fleet::CoreAddress> Cores{{"10.1.0.1", "dc-a"},
-                                            {"10.2.0.1", "dc-b"},
-                                            {"10.2.0.2", "dc-b"},
-                                            {"10.3.0.1", "dc-c"}};
+const std::vector<fleet::VmAddress> Cores{{"10.1.0.1", "dc-a"},
+                                          {"10.2.0.1", "dc-b"},
+                                          {"10.2.0.2", "dc-b"},
+                                          {"10.3.0.1", "dc-c"}};
 const base::MonoTime Start{1h};
 
 /// A core on loopback that answers asks as \p Decide says, or not at all.
@@ -98,7 +98,7 @@
 
 TEST_CASE("An entry asks a core for permits") {
   Core core;
-  PermitClient client(core.EventLoop, core.port());
+  PermitClient client(core.EventLoop, core.port(), {"10.1.9.1", "dc-a"});
   std::vector<PermitResult> results;
   const auto ask = [&] {
     admission::PermitRequest request;
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "fleet/CrashRelay.h"
+#include "fleet/EntryDirectory.h"
 #include "fleet/FleetLeader.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/FleetState.h"
@@ -73,7 +74,7 @@
   void broadcast(const EncodedFrame &frame);
   const EncodedFrame &encodedView();
   Hello makeHello(const std::string &host) const;
-  std::vector<CoreAddress> listCores() const;
+  std::vector<VmAddress> listCores() const;
   /// Host of the leader; empty when no leader is known.
   std::string leaderHost() const;
   void armTick();
@@ -94,6 +95,7 @@
   std::uint64_t Incarnation = 0;
   internal::CoreLinks Links;
   PermitDesk Permits;
+  EntryDirectory Entries;
   CrashRelay Crashes;
   boost::asio::steady_timer Timer;
   std::set<std::shared_ptr<Link>> Subscribers;
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -60,7 +60,7 @@
   /// Plans stripe assignments and publishes pending changes. To be called every
   /// TickInterval.
   void tick(base::MonoTime now);
-  void setCores(std::vector<CoreAddress> cores);
+  void setCores(std::vector<VmAddress> cores);
   void onSpeeds(const SpeedReport &report) { Speeds.add(report); }
   ViewVersion version() const { return {Config.Term, LastUpdateNumber}; }
 
@@ -94,7 +94,7 @@
   keyspace::GrantController Grants;
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<keyspace::TargetInstance, base::MonoTime> LastHeartbeat;
-  std::vector<CoreAddress> Cores;
+  std::vector<VmAddress> Cores;
   std::uint64_t LastUpdateNumber = 0;
   /// Changes to be published with the next update.
   ViewUpdate PendingUpdate;
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -98,9 +98,18 @@
   std::optional<TargetNotice> Notice{};
 };
 
-using Frame = std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
-                           ViewCurrent, Ping, Pong, SpeedReport, PermitAsk,
-                           PermitReply, PermitEnd, dispatch::CrashReport>;
+/// An entry asks for other entries.
+struct EntriesAsk {};
+
+/// Some of the other entries that are linked to the core.
+struct EntryList {
+  std::vector<VmAddress> Entries;
+};
+
+using Frame =
+    std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
+                 ViewCurrent, Ping, Pong, SpeedReport, PermitAsk, PermitReply,
+                 PermitEnd, dispatch::CrashReport, EntriesAsk, EntryList>;
 
 std::string encodeFrame(const Frame &frame);
 /// Error: PeerProtocol when \p bytes are malformed.
--- a/packages/fleet/View.h
+++ b/packages/fleet/View.h
@@ -45,11 +45,12 @@
   std::vector<HolderChange> Changes;
 };
 
-struct CoreAddress {
+/// A core or an entry.
+struct VmAddress {
   /// Numeric IP; the ports are the same on all VMs.
   std::string Host;
   std::string DataCentre;
-  auto operator<=>(const CoreAddress &) const = default;
+  auto operator<=>(const VmAddress &) const = default;
 };
 
 /// Version of a view: ordered by the leader's term, then by the number of the
@@ -70,7 +71,7 @@
   std::vector<keyspace::TargetInstance> GoneTargets;
   std::vector<ServiceHolders> Holders;
   /// Empty when unchanged.
-  std::vector<CoreAddress> Cores;
+  std::vector<VmAddress> Cores;
 };
 
 class View {
@@ -96,7 +97,7 @@
     return Targets;
   }
   const Target *findTarget(const keyspace::TargetInstance &instance) const;
-  const std::vector<CoreAddress> &cores() const { return Cores; }
+  const std::vector<VmAddress> &cores() const { return Cores; }
 
   /// The target to which requests of \p key go; null when there is none.
   const keyspace::TargetInstance *holderOf(std::string_view service,
@@ -128,7 +129,7 @@
   LastChange Last;
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<std::string, Holders, std::less<>> ByService;
-  std::vector<CoreAddress> Cores;
+  std::vector<VmAddress> Cores;
 };
 
 } // namespace magnoliamill::fleet
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -59,6 +59,7 @@
              [this](const auto &link) {
                Subscribers.erase(link);
                CorePeers.erase(link);
+               Entries.remove(link.get());
                Permits.onLinkClosed(link, base::readMonotonic());
              },
              [this](const auto &host) { return makeHello(host); }}),
@@ -286,6 +287,11 @@
                                       : CrashRelay::Source::Entry);
   if (std::holds_alternative<Ping>(frame))
     return from->send(Pong{});
+  if (std::holds_alternative<EntriesAsk>(frame)) {
+    if (const auto *asker = Entries.find(from.get()))
+      from->send(EntryList{Entries.listOthers(*asker)});
+    return;
+  }
   if (const auto *ask = std::get_if<PermitAsk>(&frame))
     return Permits.onAsk(from, *ask, base::readMonotonic());
   if (const auto *end = std::get_if<PermitEnd>(&frame))
@@ -309,6 +315,8 @@
     CorePeers.insert(from);
     Links.onHello(hello, base::readMonotonic());
     Links.add(hello.Leader);
+  } else {
+    Entries.put(from.get(), {hello.Host, hello.DataCentre});
   }
   const auto now = base::readMonotonic();
   const auto crashes = hello.IsCore ? Crashes.describeForCore(now)
@@ -445,8 +453,8 @@
   }
 }
 
-std::vector<CoreAddress> CoreNode::listCores() const {
-  std::vector<CoreAddress> cores;
+std::vector<VmAddress> CoreNode::listCores() const {
+  std::vector<VmAddress> cores;
   const auto &members = Runner->core().membership();
   for (const auto *list : {&members.Voters, &members.Learners}) {
     for (const auto &member : *list) {
@@ -459,12 +467,11 @@
     }
   }
   std::ranges::sort(cores);
-  cores.erase(
-      std::unique(cores.begin(), cores.end(),
-                  [](const CoreAddress &left, const CoreAddress &right) {
-                    return left.Host == right.Host;
-                  }),
-      cores.end());
+  cores.erase(std::unique(cores.begin(), cores.end(),
+                          [](const VmAddress &left, const VmAddress &right) {
+                            return left.Host == right.Host;
+                          }),
+              cores.end());
   return cores;
 }
 
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -161,6 +161,15 @@
   to.setBorn(instance.StartedAtMs);
 }
 
+void encode(const VmAddress &vm, wire::VmAddress::Builder to) {
+  to.setHost(asText(vm.Host));
+  to.setDataCentre(asText(vm.DataCentre));
+}
+
+VmAddress decode(wire::VmAddress::Reader from) {
+  return {toString(from.getHost()), toString(from.getDataCentre())};
+}
+
 keyspace::TargetInstance decode(wire::TargetLife::Reader from) {
   return {toString(from.getId()), from.getBorn()};
 }
@@ -349,10 +358,8 @@
   for (capnp::uint i = 0; i < holders.size(); ++i)
     encode(update.Holders[i], update.IsWhole, holders[i]);
   auto cores = to.initCores(sizeOf(update.Cores));
-  for (capnp::uint i = 0; i < cores.size(); ++i) {
-    cores[i].setHost(asText(update.Cores[i].Host));
-    cores[i].setDataCentre(asText(update.Cores[i].DataCentre));
-  }
+  for (capnp::uint i = 0; i < cores.size(); ++i)
+    encode(update.Cores[i], cores[i]);
 }
 
 ViewUpdate decode(wire::ViewUpdate::Reader from) {
@@ -366,8 +373,7 @@
   for (auto holders : from.getHolders())
     update.Holders.push_back(decode(holders));
   for (auto core : from.getCores())
-    update.Cores.push_back(
-        {toString(core.getHost()), toString(core.getDataCentre())});
+    update.Cores.push_back(decode(core));
   return update;
 }
 
@@ -424,6 +430,12 @@
   void operator()(const ViewCurrent &current) {
     encodeVersion(current.Version, To.initViewCurrent());
   }
+  void operator()(const EntriesAsk &) { To.setEntriesAsk(); }
+  void operator()(const EntryList &list) {
+    auto to = To.initEntries(sizeOf(list.Entries));
+    for (capnp::uint i = 0; i < to.size(); ++i)
+      encode(list.Entries[i], to[i]);
+  }
   void operator()(const Ping &) { To.setPing(); }
   void operator()(const Pong &) { To.setPong(); }
   void operator()(const SpeedReport &report) {
@@ -583,6 +595,14 @@
     }
     return report;
   }
+  case wire::Frame::ENTRIES_ASK:
+    return EntriesAsk{};
+  case wire::Frame::ENTRIES: {
+    EntryList list;
+    for (auto entry : from.getEntries())
+      list.Entries.push_back(decode(entry));
+    return list;
+  }
   case wire::Frame::CRASHES:
     return decode(from.getCrashes());
   case wire::Frame::PERMIT_ASK:
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -336,7 +336,7 @@
   }
 }
 
-void FleetLeader::setCores(std::vector<CoreAddress> cores) {
+void FleetLeader::setCores(std::vector<VmAddress> cores) {
   if (cores == Cores)
     return;
   Cores = std::move(cores);
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -106,7 +106,7 @@
   # holder of each stripe, with the same numbering.
   holderOfEach @5 :List(UInt16);
 }
-struct Core { host @0 :Text; dataCentre @1 :Text; }
+struct VmAddress { host @0 :Text; dataCentre @1 :Text; }
 struct ViewUpdate {
   term @0 :UInt64;
   number @1 :UInt64;
@@ -116,7 +116,7 @@
   targets @4 :List(Target);
   goneTargets @5 :List(TargetLife);
   holders @6 :List(Holders);
-  cores @7 :List(Core);
+  cores @7 :List(VmAddress);
 }
 
 # ---- frames ----
@@ -158,6 +158,9 @@
     permitReply @10 :PermitReply;
     permitEnd @11 :PermitEnd;
     crashes @12 :CrashReport;
+    # An entry asks for other entries.
+    entriesAsk @13 :Void;
+    entries @14 :List(VmAddress);
   }
 }
 # An entry asks for a permit to send a request to a target.
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -34,7 +34,7 @@
 CAPNP_DECLARE_SCHEMA(da34a1324b671f67);
 CAPNP_DECLARE_SCHEMA(c0ed50f07c221c9a);
 CAPNP_DECLARE_SCHEMA(ebf66e1b5f7a436c);
-CAPNP_DECLARE_SCHEMA(a6b4f596fbd78565);
+CAPNP_DECLARE_SCHEMA(ce7a8ddfa849fbb9);
 CAPNP_DECLARE_SCHEMA(d4336278aefcc65b);
 CAPNP_DECLARE_SCHEMA(c59f1fea0c1a6883);
 CAPNP_DECLARE_SCHEMA(d5fea7d72973bffd);
@@ -270,15 +270,15 @@
   };
 };
 
-struct Core {
-  Core() = delete;
+struct VmAddress {
+  VmAddress() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6b4f596fbd78565, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce7a8ddfa849fbb9, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -365,6 +365,8 @@
     PERMIT_REPLY,
     PERMIT_END,
     CRASHES,
+    ENTRIES_ASK,
+    ENTRIES,
   };
 
   struct _capnpPrivate {
@@ -2005,9 +2007,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Core::Reader {
+class VmAddress::Reader {
 public:
-  typedef Core Reads;
+  typedef VmAddress Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2040,9 +2042,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Core::Builder {
+class VmAddress::Builder {
 public:
-  typedef Core Builds;
+  typedef VmAddress Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2080,9 +2082,9 @@
 };
 
 #if !CAPNP_LITE
-class Core::Pipeline {
+class VmAddress::Pipeline {
 public:
-  typedef Core Pipelines;
+  typedef VmAddress Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2132,7 +2134,7 @@
   inline  ::capnp::List< ::magnoliamill::fleet::wire::Holders,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
 
   inline bool hasCores() const;
-  inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Reader getCores() const;
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader getCores() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2200,11 +2202,11 @@
   inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Holders,  ::capnp::Kind::STRUCT>> disownHolders();
 
   inline bool hasCores();
-  inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Builder getCores();
-  inline void setCores( ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Builder initCores(unsigned int size);
-  inline void adoptCores(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>> disownCores();
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder getCores();
+  inline void setCores( ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder initCores(unsigned int size);
+  inline void adoptCores(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> disownCores();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2620,6 +2622,13 @@
   inline bool hasCrashes() const;
   inline  ::magnoliamill::fleet::wire::CrashReport::Reader getCrashes() const;
 
+  inline bool isEntriesAsk() const;
+  inline  ::capnp::Void getEntriesAsk() const;
+
+  inline bool isEntries() const;
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2745,6 +2754,18 @@
   inline void adoptCrashes(::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport>&& value);
   inline ::capnp::Orphan< ::magnoliamill::fleet::wire::CrashReport> disownCrashes();
 
+  inline bool isEntriesAsk();
+  inline  ::capnp::Void getEntriesAsk();
+  inline void setEntriesAsk( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isEntries();
+  inline bool hasEntries();
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> disownEntries();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5219,70 +5240,70 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Core::Reader::hasHost() const {
+inline bool VmAddress::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Core::Builder::hasHost() {
+inline bool VmAddress::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Core::Reader::getHost() const {
+inline  ::capnp::Text::Reader VmAddress::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Core::Builder::getHost() {
+inline  ::capnp::Text::Builder VmAddress::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Core::Builder::setHost( ::capnp::Text::Reader value) {
+inline void VmAddress::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Core::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder VmAddress::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Core::Builder::adoptHost(
+inline void VmAddress::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Core::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> VmAddress::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Core::Reader::hasDataCentre() const {
+inline bool VmAddress::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Core::Builder::hasDataCentre() {
+inline bool VmAddress::Builder::hasDataCentre() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Core::Reader::getDataCentre() const {
+inline  ::capnp::Text::Reader VmAddress::Reader::getDataCentre() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Core::Builder::getDataCentre() {
+inline  ::capnp::Text::Builder VmAddress::Builder::getDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Core::Builder::setDataCentre( ::capnp::Text::Reader value) {
+inline void VmAddress::Builder::setDataCentre( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Core::Builder::initDataCentre(unsigned int size) {
+inline  ::capnp::Text::Builder VmAddress::Builder::initDataCentre(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Core::Builder::adoptDataCentre(
+inline void VmAddress::Builder::adoptDataCentre(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Core::Builder::disownDataCentre() {
+inline ::capnp::Orphan< ::capnp::Text> VmAddress::Builder::disownDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -5478,29 +5499,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Reader ViewUpdate::Reader::getCores() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader ViewUpdate::Reader::getCores() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Builder ViewUpdate::Builder::getCores() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder ViewUpdate::Builder::getCores() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ViewUpdate::Builder::setCores( ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ViewUpdate::Builder::setCores( ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>::Builder ViewUpdate::Builder::initCores(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder ViewUpdate::Builder::initCores(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void ViewUpdate::Builder::adoptCores(
-    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>> ViewUpdate::Builder::disownCores() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::Core,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> ViewUpdate::Builder::disownCores() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
@@ -6500,6 +6521,86 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isEntriesAsk() const {
+  return which() == Frame::ENTRIES_ASK;
+}
+inline bool Frame::Builder::isEntriesAsk() {
+  return which() == Frame::ENTRIES_ASK;
+}
+inline  ::capnp::Void Frame::Reader::getEntriesAsk() const {
+  KJ_IREQUIRE((which() == Frame::ENTRIES_ASK),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Frame::Builder::getEntriesAsk() {
+  KJ_IREQUIRE((which() == Frame::ENTRIES_ASK),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setEntriesAsk( ::capnp::Void value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ENTRIES_ASK);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Frame::Reader::isEntries() const {
+  return which() == Frame::ENTRIES;
+}
+inline bool Frame::Builder::isEntries() {
+  return which() == Frame::ENTRIES;
+}
+inline bool Frame::Reader::hasEntries() const {
+  if (which() != Frame::ENTRIES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasEntries() {
+  if (which() != Frame::ENTRIES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader Frame::Reader::getEntries() const {
+  KJ_IREQUIRE((which() == Frame::ENTRIES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder Frame::Builder::getEntries() {
+  KJ_IREQUIRE((which() == Frame::ENTRIES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setEntries( ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ENTRIES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Builder Frame::Builder::initEntries(unsigned int size) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ENTRIES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Frame::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ENTRIES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> Frame::Builder::disownEntries() {
+  KJ_IREQUIRE((which() == Frame::ENTRIES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PermitAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
