Entries relay requests whose targets they can't reach

Cause: an entry is the only sender of its requests, and its own failure to connect is laid to the target. There was no second way.

Fix: a request whose target can't be reached (TargetReach) goes to another entry (RelayPeers), which routes it as its own, with what is left of the time and of the attempts; entries accept relayed requests by HTTP on the link port. One that can't reach the target either refuses at once as not run (3013), as does one that stops, and the next is tried, three at most; a relayed request is never relayed on. Only requests that have not run, or may run again, are relayed. While a group of targets is cut off, one member is tried every 250 ms by a connection without a request (TargetProbe), so the direct path is used again within that time.

--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -50,6 +50,7 @@
   NotRunLeaseLost = 3010,
   NotRunLedgerUnavailable = 3011,
   NotRunQuarantined = 3012,
+  NotRunTargetUnreachable = 3013,
   OutcomeUnknown = 3101,
   OutcomeUnknownDeadline = 3102,
   OutcomeUnknownPeerLost = 3103,
--- a/packages/base/internal/ResultCode.cpp
+++ b/packages/base/internal/ResultCode.cpp
@@ -67,6 +67,8 @@
      "Not run: the request could not be recorded at a second VM."},
     {ResultCode::NotRunQuarantined, "NotRunQuarantined",
      "Not run: several targets have ended while they had the same request."},
+    {ResultCode::NotRunTargetUnreachable, "NotRunTargetUnreachable",
+     "Not run: the VM has no path to the target; another VM may have one."},
     {ResultCode::OutcomeUnknown, "OutcomeUnknown",
      "The target may have run it."},
     {ResultCode::OutcomeUnknownDeadline, "OutcomeUnknownDeadline",
--- a/packages/entry/EntryNode.h
+++ b/packages/entry/EntryNode.h
@@ -48,6 +48,8 @@
   RequestHandler Handler;
   std::shared_ptr<gateway::HttpServer> Clients;
   std::shared_ptr<gateway::HttpServer> Readiness;
+  /// Accepts the requests that other entries relay.
+  std::shared_ptr<gateway::HttpServer> Relayed;
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer StopTimer;
   boost::asio::steady_timer ForceTimer;
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -6,6 +6,7 @@
 #include "entry/EntryFormat.h"
 #include "entry/OwedAnswers.h"
 #include "entry/PermitClient.h"
+#include "entry/RequestOrigin.h"
 #include "entry/TargetPool.h"
 #include "gateway/HttpServer.h"
 #include "gateway/TargetClient.h"
@@ -53,7 +54,7 @@
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
   EntryRequest(RequestHandler &handler, gateway::HttpCall call,
-               protocol::AnswerSink sink);
+               protocol::AnswerSink sink, RequestOrigin origin);
 
   void start();
   /// The client has disconnected.
@@ -111,7 +112,26 @@
   void onPermit(const PermitResult &result);
   void endPermit(admission::PermitUse use, base::Duration latency = {});
   PooledTarget *chooseTarget();
+  /// False if this VM can't connect to any target that could get the request.
+  bool isTargetReachable();
+  /// Relays the request to another entry, or refuses it if it was relayed
+  /// itself, and returns true unless a target can be reached or no other entry
+  /// is known.
+  bool relayUnlessReachable();
+  void relayTo(const std::string &host);
+  gateway::AnswerKind classifyRelayed(const protocol::AnswerHead &head);
+  void onRelayDone(const gateway::TargetOutcome &outcome);
+  void onRelayRefused(const std::string &text);
+  /// Applies what the entry that relayed this request sent with it.
+  void readRelayHeaders();
+  /// Adds the target to the answer to a relayed request.
+  void nameAnsweringTarget();
   void send(PooledTarget &target);
+  /// The request without an address.
+  gateway::TargetCall makeCall();
+  /// Starts a call whose answer is delivered to the client.
+  void startCall(gateway::TargetCall call,
+                 std::function<void(const gateway::TargetOutcome &)> done);
   void onHead();
   void onDone(const keyspace::TargetInstance &instance,
               const gateway::TargetOutcome &outcome);
@@ -152,6 +172,9 @@
   void fail(base::ResultCode code, std::string message);
   void answerFailure(base::ResultCode code, std::string message,
                      base::Duration RetryAfter);
+  /// The target or the entry to which the request was sent last; empty if it
+  /// was not sent.
+  std::string lastRecipient() const;
   void logIfLate() const;
   void finish();
   base::Duration timeLeft() const;
@@ -166,6 +189,7 @@
   RequestHandler &Handler;
   gateway::HttpCall Request;
   protocol::AnswerSink Sink;
+  RequestOrigin Origin;
   base::MonoTime ArrivedAt;
   base::MonoTime Deadline = base::MonoTime::max();
   RequestMetadata Metadata;
@@ -200,6 +224,12 @@
   /// True if a target may have run the request.
   bool MayHaveRun = false;
   AnswerMetadata RefusalMetadata;
+  /// Entries to which the request was relayed.
+  std::vector<std::string> RelayHosts;
+  struct {
+    base::ResultCode Code = base::ResultCode::Ok;
+    base::Duration RetryAfter{};
+  } RelayRefusal;
   /// What the target's answer says about the target. Not set before the answer.
   std::optional<fleet::TargetNotice> Notice;
   protocol::AnswerHead Head;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -10,8 +10,10 @@
 #include "entry/LinkPacer.h"
 #include "entry/PermitClient.h"
 #include "entry/RelayPeers.h"
+#include "entry/RequestOrigin.h"
 #include "entry/StopAdmission.h"
 #include "entry/TargetPool.h"
+#include "entry/TargetProbe.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/SpeedReport.h"
 #include "fleet/View.h"
@@ -42,8 +44,8 @@
 
   /// Starts a request. The returned hook cancels it when the client
   /// disconnects.
-  protocol::CancelHook handle(gateway::HttpCall call,
-                              protocol::AnswerSink sink);
+  protocol::CancelHook handle(gateway::HttpCall call, protocol::AnswerSink sink,
+                              RequestOrigin origin);
   /// Applies the last change of the view.
   void onView();
   /// Refuses from now on requests that could outlast \p grace, at the end of
@@ -65,6 +67,8 @@
   PermitClient &permits() { return Permits; }
   node::CrashWatch &crashes() { return Crashes; }
   RelayPeers &peers() { return Peers; }
+  /// The port on which all entries accept relayed requests.
+  std::uint16_t linkPort() const { return Settings.LinkPort; }
   /// Takes from an answer of \p target to \p request what the target tells
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
@@ -106,6 +110,7 @@
   /// urgent one.
   std::map<std::string, std::uint32_t> LeastPriorities;
   TargetPool Pool;
+  TargetProbe Probe;
   LinkPacer Incoming;
   LinkPacer Outgoing;
   /// Shared with requests, which may be destroyed later than this object.
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -118,6 +118,15 @@
                        const std::vector<keyspace::TargetInstance> &tried,
                        base::MonoTime now);
 
+  bool isReachable(const PooledTarget &target, base::MonoTime now) const {
+    return Reach.isReachable(target.Description.Instance, groupOf(target), now);
+  }
+  /// Whether this VM can connect to some ready target of \p service; true if
+  /// there is no ready target.
+  bool isReachable(std::string_view service, base::MonoTime now) const;
+  /// A random target of \p group; null if it has none.
+  PooledTarget *pickMember(const TargetGroup &group);
+
   /// The data centres that have ready targets of \p service which may get
   /// requests: the entry's own first, the others in a random order.
   std::vector<std::string> listDataCentres(std::string_view service,
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -61,7 +61,14 @@
   Clients = std::make_shared<gateway::HttpServer>(
       EventLoop, makeServerConfig(Settings.ClientListen),
       [this](gateway::HttpCall call, protocol::AnswerSink sink) {
-        return Handler.handle(std::move(call), std::move(sink));
+        return Handler.handle(std::move(call), std::move(sink),
+                              RequestOrigin::Client);
+      });
+  Relayed = std::make_shared<gateway::HttpServer>(
+      EventLoop, makeServerConfig({Settings.Host, Settings.LinkPort}),
+      [this](gateway::HttpCall call, protocol::AnswerSink sink) {
+        return Handler.handle(std::move(call), std::move(sink),
+                              RequestOrigin::Entry);
       });
   Readiness = std::make_shared<gateway::HttpServer>(
       EventLoop, makeServerConfig(Settings.ReadinessListen),
@@ -74,10 +81,11 @@
 EntryNode::~EntryNode() {
   Clients->close();
   Readiness->close();
+  Relayed->close();
 }
 
 base::Result<void> EntryNode::start() {
-  for (const auto &server : {Clients, Readiness})
+  for (const auto &server : {Clients, Readiness, Relayed})
     if (auto started = server->start(); !started)
       return started;
   Subscription.start();
@@ -117,6 +125,8 @@
   http.HeaderTimeout = limits->HeaderTimeout;
   http.IdleTimeout = limits->IdleTimeout;
   Clients->setLimits(http);
+  http.IdleTimeout = makeServerConfig({}).Limits.IdleTimeout;
+  Relayed->setLimits(http);
 }
 
 bool EntryNode::isReady() const {
@@ -140,6 +150,7 @@
                  {"owed_bytes", Handler.owedBytes()},
                  {"connections", Clients->countConnections()}});
   Clients->endKeepAlive();
+  Relayed->endKeepAlive();
   auto finish = std::make_shared<std::function<void()>>(std::move(done));
   const auto end = [finish] {
     if (auto hook = std::exchange(*finish, nullptr))
@@ -149,7 +160,7 @@
       std::min(DrainDelay, Settings.StopGrace * DrainPercentOfGrace / 100));
   StopTimer.async_wait([this, end](const boost::system::error_code &ec) {
     if (!ec)
-      Clients->drain(end);
+      Clients->drain([this, end] { Relayed->drain(end); });
   });
   const auto ForcedAt = Handler.beginStop(Settings.StopGrace);
   ForceTimer.expires_after(base::delayUntil(ForcedAt));
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -62,10 +62,10 @@
 } // namespace
 
 EntryRequest::EntryRequest(RequestHandler &handler, gateway::HttpCall call,
-                           protocol::AnswerSink sink)
+                           protocol::AnswerSink sink, RequestOrigin origin)
     : Handler(handler), Request(std::move(call)), Sink(std::move(sink)),
-      ArrivedAt(base::readMonotonic()), Timer(handler.loop().context()),
-      ReadTimer(handler.loop().context()),
+      Origin(origin), ArrivedAt(base::readMonotonic()),
+      Timer(handler.loop().context()), ReadTimer(handler.loop().context()),
       DeliveryTimer(handler.loop().context()), Body(handler.answerMemory()) {}
 
 base::Duration EntryRequest::timeLeft() const {
@@ -110,6 +110,8 @@
   Deadline = ArrivedAt +
              std::min(Metadata.ClientTimeout.value_or(DefaultClientTimeout),
                       Route->Timeout);
+  if (Origin == RequestOrigin::Entry)
+    readRelayHeaders();
   Service = Handler.chooseService(*Route);
   const auto *service = Handler.view().config().findService(Service);
   IsKeyed = service && service->IsKeyed;
@@ -165,7 +167,8 @@
 void EntryRequest::tryNext() {
   if (timeLeft() <= base::Duration::zero())
     return onTimer();
-  if (!refuseIfQuarantined() && !refuseIfClosed() && !askPermit())
+  if (!refuseIfQuarantined() && !refuseIfClosed() && !relayUnlessReachable() &&
+      !askPermit())
     trySend(chooseTarget());
 }
 
@@ -207,32 +210,47 @@
   SentAt = base::readMonotonic();
   if (Permit == 0)
     Handler.pool().notices().onSentWithoutPermit(instance, SentAt);
-  HeadAt.reset();
-  Notice.reset();
-  Head = {};
-  Body.clear();
+  auto call = makeCall();
+  call.Address = target.Address;
+  Handler.format().AddTargetHeaders(call.Request.Headers, instance.Id);
+  auto self = shared_from_this();
+  // Connecting takes time, and a request may be sent again on a new connection.
+  call.MayWrite = [self, instance] {
+    return self->Handler.pool().notices().isOpen(instance,
+                                                 base::readMonotonic());
+  };
+  call.Classify = [self](const protocol::AnswerHead &head) {
+    return self->classifyAnswer(head);
+  };
+  startCall(std::move(call),
+            [self, instance](const gateway::TargetOutcome &outcome) {
+              self->onDone(instance, outcome);
+            });
+}
 
+gateway::TargetCall EntryRequest::makeCall() {
   gateway::TargetCall call;
-  call.Address = target.Address;
   call.Host = Metadata.Host;
   call.Request.Method = Request.Method;
   call.Request.Target = Request.Target;
   call.Request.Headers = Request.Headers;
   call.Request.Body = Request.Body;
   gateway::stripConnectionHeaders(call.Request.Headers);
-  Handler.format().AddTargetHeaders(call.Request.Headers, instance.Id);
   call.Deadline = Deadline;
   call.Idempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   call.AcceptsCloseDelimited = true;
+  return call;
+}
+
+void EntryRequest::startCall(
+    gateway::TargetCall call,
+    std::function<void(const gateway::TargetOutcome &)> done) {
+  SentAt = base::readMonotonic();
+  HeadAt.reset();
+  Notice.reset();
+  Head = {};
+  Body.clear();
   auto self = shared_from_this();
-  // Connecting takes time, and a request may be sent again on a new connection.
-  call.MayWrite = [self, instance] {
-    return self->Handler.pool().notices().isOpen(instance,
-                                                 base::readMonotonic());
-  };
-  call.Classify = [self](const protocol::AnswerHead &head) {
-    return self->classifyAnswer(head);
-  };
   protocol::AnswerSink sink;
   sink.Head = [self](protocol::AnswerHead head) {
     self->Head = std::move(head);
@@ -249,16 +267,15 @@
   };
   sink.End = [] {};
   sink.Fail = [](const protocol::RequestFailure &) {};
-  auto cancel =
-      Handler.client().call(std::move(call), std::move(sink),
-                            [self, instance](gateway::TargetOutcome outcome) {
-                              if (self->Body.hasOverflowed()) {
-                                outcome.Code = ResultCode::TargetProtocol;
-                                outcome.Message =
-                                    "the answer exceeds the memory for answers";
-                              }
-                              self->onDone(instance, outcome);
-                            });
+  auto cancel = Handler.client().call(
+      std::move(call), std::move(sink),
+      [self, done = std::move(done)](gateway::TargetOutcome outcome) {
+        if (self->Body.hasOverflowed()) {
+          outcome.Code = ResultCode::TargetProtocol;
+          outcome.Message = "the answer exceeds the memory for answers";
+        }
+        done(outcome);
+      });
   if (!IsFinished)
     CancelCall = std::move(cancel);
 }
@@ -376,10 +393,13 @@
   const PooledTarget *next = chooseTarget();
   // Retrying the same holder while it refuses requests is useless.
   const auto now = base::readMonotonic();
+  if (!MayHaveRun && relayUnlessReachable())
+    return;
   const bool IsUseful =
-      next && (!IsKeyed || (next->hasRoom(now) &&
-                            Handler.pool().notices().opensWithoutPermit(
-                                next->Description.Instance, now) <= now));
+      next &&
+      (!IsKeyed || !isTargetReachable() ||
+       (next->hasRoom(now) && Handler.pool().notices().opensWithoutPermit(
+                                  next->Description.Instance, now) <= now));
   if ((IsIdempotent || !MayHaveRun) && IsUseful && tryTakeRetry())
     return tryNext();
   if (MayHaveRun)
@@ -461,6 +481,8 @@
   AnswerBytes = bytes;
   Handler.link().recordSize(Route->Name, static_cast<double>(bytes));
   ReservedLinkBytes = 0;
+  if (Origin == RequestOrigin::Entry)
+    nameAnsweringTarget();
   Sink.Head(Head);
   deliverNextPart();
 }
@@ -505,7 +527,7 @@
 void EntryRequest::abortDelivery(const gateway::TargetOutcome &outcome) {
   base::logWarning("entry", outcome.Code, "an answer was broken off",
                    {{"request", Metadata.Id},
-                    {"target", Tried.back().Id},
+                    {"target", lastRecipient()},
                     {"bytes", AnswerBytes},
                     {"delivered", DeliveredBytes},
                     {"error", outcome.Message}});
@@ -515,6 +537,12 @@
   finish();
 }
 
+std::string EntryRequest::lastRecipient() const {
+  if (!RelayHosts.empty())
+    return RelayHosts.back();
+  return Tried.empty() ? std::string() : Tried.back().Id;
+}
+
 void EntryRequest::logIfLate() const {
   const auto now = base::readMonotonic();
   if (now - ArrivedAt <= Route->LatencyObjective)
@@ -522,7 +550,7 @@
   base::logInfo("entry", "an answer was late",
                 {{"request", Metadata.Id},
                  {"route", Route->Name},
-                 {"target", Tried.back().Id},
+                 {"target", lastRecipient()},
                  {"tried", Tried.size()},
                  {"waited_ms", base::toMs(SentAt - ArrivedAt)},
                  {"target_ms", base::toMs(HeadAt.value_or(now) - SentAt)},
--- a/packages/entry/internal/EntryRequestStop.cpp
+++ b/packages/entry/internal/EntryRequestStop.cpp
@@ -38,7 +38,7 @@
 }
 
 void EntryRequest::onStop() {
-  if (!IsFinished && Tried.empty())
+  if (!IsFinished && Tried.empty() && RelayHosts.empty())
     refuseUnlessFitsStop();
 }
 
@@ -59,7 +59,7 @@
 }
 
 RequestStage EntryRequest::stage() const {
-  if (Tried.empty())
+  if (Tried.empty() && RelayHosts.empty())
     return RequestStage::WaitingForTarget;
   if (!HeadAt)
     return RequestStage::AtTarget;
@@ -90,7 +90,7 @@
   base::logWarning("entry", ResultCode::Stopping, text,
                    {{"request", Metadata.Id},
                     {"route", Route ? Route->Name : ""},
-                    {"target", Tried.empty() ? "" : Tried.back().Id},
+                    {"target", lastRecipient()},
                     {"stage", nameOf(stage())},
                     {"age_ms", base::toMs(now - ArrivedAt)},
                     {"left_ms", base::toMs(Deadline - now)},
--- /dev/null
+++ b/packages/entry/internal/RelayHeaders.h
@@ -0,0 +1,13 @@
+// Headers between two entries of which one relays a request to the other.
+#pragma once
+
+#include <string_view>
+
+namespace magnoliamill::entry::internal {
+
+/// On a relayed request: the number of targets to which it may be sent.
+constexpr std::string_view AttemptsLeftHeader = "Mill-Attempts-Left";
+/// On its answer: the id and the start time of the target that gave it.
+constexpr std::string_view AnsweringTargetHeader = "Mill-Answering-Target";
+
+} // namespace magnoliamill::entry::internal
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -60,6 +60,11 @@
     : EventLoop(loop), Settings(settings), Format(format), View(view),
       Pool(settings.DataCentre, base::hash64(settings.Vm, 1),
            settings.TargetDrainTime),
+      Probe(loop, Pool,
+            [this](const PooledTarget &target, bool IsReached,
+                   base::MonoTime begun) {
+              recordReach(target, IsReached, begun);
+            }),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
       Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
@@ -72,9 +77,10 @@
 RequestHandler::~RequestHandler() = default;
 
 protocol::CancelHook RequestHandler::handle(gateway::HttpCall call,
-                                            protocol::AnswerSink sink) {
-  auto request =
-      std::make_shared<EntryRequest>(*this, std::move(call), std::move(sink));
+                                            protocol::AnswerSink sink,
+                                            RequestOrigin origin) {
+  auto request = std::make_shared<EntryRequest>(*this, std::move(call),
+                                                std::move(sink), origin);
   Requests.insert(request);
   request->start();
   return [weak = std::weak_ptr(request)] {
@@ -149,6 +155,8 @@
                       {"service", group.Service},
                       {"target", instance.Id},
                       {"requests", Requests.size()}});
+  if (!IsReached && !news.empty())
+    Probe.start();
 }
 
 void RequestHandler::updateLeastPriorities() {
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -82,7 +82,8 @@
 
 TargetPool::Rank TargetPool::rankOf(const PooledTarget &target,
                                     base::MonoTime now) const {
-  if (target.Health.isEjected(now) || !target.hasRoom(now))
+  if (target.Health.isEjected(now) || !target.hasRoom(now) ||
+      !isReachable(target, now))
     return Rank::Avoided;
   return Notices.isLeaving(target.Description.Instance) ? Rank::Leaving
                                                         : Rank::Normal;
@@ -108,6 +109,35 @@
   return first.value_or(now);
 }
 
+bool TargetPool::isReachable(std::string_view service,
+                             base::MonoTime now) const {
+  auto it = ByService.find(service);
+  if (it == ByService.end())
+    return true;
+  bool HasReady = false;
+  for (const PooledTarget *target : it->second) {
+    if (!mayGetRequests(*target, now))
+      continue;
+    if (isReachable(*target, now))
+      return true;
+    HasReady = true;
+  }
+  return !HasReady;
+}
+
+PooledTarget *TargetPool::pickMember(const TargetGroup &group) {
+  std::vector<PooledTarget *> members;
+  for (auto &[instance, target] : Targets)
+    if ((group.DataCentre.empty() ||
+         group.DataCentre == target.Description.DataCentre) &&
+        (group.Service.empty() || group.Service == target.Description.Service))
+      members.push_back(&target);
+  if (members.empty())
+    return nullptr;
+  return members[std::uniform_int_distribution<std::size_t>(0, members.size() -
+                                                                   1)(Random)];
+}
+
 std::vector<std::string> TargetPool::listDataCentres(std::string_view service,
                                                      base::MonoTime now) {
   std::vector<std::string> centres;
