A request is not sent again after its client has left

What callers and targets saw: when a client left while a target worked on its idempotent request, the entry cancelled the call and sent the request to the next target, or to the same holder again, where it ran for nobody. The lost call also counted against the target, at the entry and with the permit at the core, which leaves a target alone for all entries after three failures in a row.

Cause: cancel() ended the call before the request, so the end of the call was handled as a failure of the target.

Class: an event of this VM's own making is laid to the target.

--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -451,9 +451,12 @@
     return;
   countOutcome(Route ? Route->Name : "", "cancelled",
                base::readMonotonic() - ArrivedAt);
-  if (auto cancel = std::exchange(CancelCall, nullptr))
-    cancel();
+  // Finished first: the end of the call must not count as a failure of its
+  // target, nor lead to a retry.
+  const auto cancel = std::exchange(CancelCall, nullptr);
   finish();
+  if (cancel)
+    cancel();
 }
 
 void EntryRequest::onBodyGrown() {
--- a/packages/entry/internal/EntryRequestRelay.cpp
+++ b/packages/entry/internal/EntryRequestRelay.cpp
@@ -142,7 +142,7 @@
   CancelCall = nullptr;
   const std::string &host = RelayHosts.back();
   Handler.peers().onDone(host);
-  if (IsFinished || outcome.Code == ResultCode::NotRunCancelled)
+  if (IsFinished)
     return countRelay("cancelled");
   if (outcome.Answered) {
     countRelay("answered");
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -156,6 +156,19 @@
     });
     return collected;
   }
+  /// The same; the returned hook is that of a client which disconnects.
+  protocol::CancelHook startCancellable(const std::string &method,
+                                        const std::string &path) {
+    gateway::HttpCall call;
+    call.Method = method;
+    call.Target = path;
+    protocol::CancelHook cancel;
+    EventLoop.run([&] {
+      cancel = Handler->handle(std::move(call), AnswerCollector().makeSink(),
+                               RequestOrigin::Client);
+    });
+    return [this, cancel] { EventLoop.run(cancel); };
+  }
   /// The view loses the first target and then calls it ready, as a new process
   /// if \p born is new.
   void repeatFirst(std::uint64_t born) {
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -152,3 +152,15 @@
     CHECK(entry.countRequests() == 2);
   }
 }
+
+TEST_CASE("A request is not sent again after its client has left") {
+  const bool keyed = GENERATE(false, true);
+  EntryOptions options;
+  options.IsKeyed = keyed;
+  Entry entry([](Peer &peer, int) { peer.awaitClose(); }, options);
+  const auto cancel = entry.startCancellable("GET", "/read/x");
+  REQUIRE(waitFor([&] { return entry.countRequests() == 1; }));
+  cancel();
+  std::this_thread::sleep_for(300ms);
+  CHECK(entry.countRequests() == 1);
+}
