Connections that time out count only while the cores answer

Cause: a connection that is not answered in time was taken for a lost path, but a queue on this VM's own link looks the same.

Change: a timed out connection counts only if at least half of the cores answer requests for permits; three entries that are silent one after the other suspend relays for 2 s; probes leave out groups within a group that is cut off. Refused connections count as before.

--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -47,6 +47,9 @@
   void end(std::uint64_t number, admission::PermitUse use,
            base::Duration latency,
            std::optional<fleet::TargetNotice> notice = std::nullopt);
+  /// Whether more than half of \p cores did not answer a moment ago.
+  bool areMostSilent(const std::vector<fleet::VmAddress> &cores,
+                     base::MonoTime now) const;
   /// How many entries ask the cores for permits, this one among them.
   std::uint32_t entryCount() const;
 
--- a/packages/entry/RelayPeers.h
+++ b/packages/entry/RelayPeers.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -30,15 +31,24 @@
   /// A request was sent to the entry, and has ended there.
   void onSent(const std::string &host);
   void onDone(const std::string &host);
-  /// The entry could not be reached, is stopping, or can't reach targets
-  /// either.
+  /// The entry is not running or stopping, or can't reach targets either.
   void onUnusable(const std::string &host, base::MonoTime now);
+  /// A connection to the entry was not accepted in time. Several such entries,
+  /// and none that answered since, mean that this VM's own link is at fault:
+  /// then there is nothing to choose for a while.
+  void onSilent(const std::string &host, base::MonoTime now);
+  /// The entry has answered.
+  void onAnswered() { Silent.clear(); }
 
   std::size_t size() const { return Peers.size(); }
 
   /// An entry of another data centre is used if one of the own has this many
   /// relayed requests more: traffic between data centres is charged.
   static constexpr std::uint32_t DataCentreAdvantage = 4;
+  /// Silent entries that show a fault of the own link.
+  static constexpr std::size_t SilentToSuspend = 3;
+  /// How long no entry is chosen then.
+  static constexpr base::Duration SuspendTime = std::chrono::seconds(2);
   /// How long an unusable entry is avoided.
   static constexpr base::Duration AvoidTime = std::chrono::seconds(1);
 
@@ -52,6 +62,9 @@
   std::string DataCentre;
   std::mt19937_64 Random;
   std::map<std::string, Peer> Peers;
+  /// Entries that were silent since the last answer of one.
+  std::set<std::string> Silent;
+  base::MonoTime SuspendedUntil{};
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -73,10 +73,13 @@
   /// about itself. Requests that wait for a permit there may be refused.
   void readNotices(const keyspace::TargetInstance &target,
                    const AnswerMetadata &answer, std::string_view request);
-  /// Records whether an attempt begun at \p begun has reached \p target, and
-  /// logs when that changes which groups of targets are cut off.
-  void recordReach(const PooledTarget &target, bool IsReached,
-                   base::MonoTime begun);
+  /// Records that an attempt begun at \p begun has reached \p target.
+  void recordReached(const PooledTarget &target, base::MonoTime begun);
+  /// Records that it could not open a connection. One that was not answered in
+  /// time counts only if the cores answer: otherwise it may be the VM's own
+  /// link that is slow.
+  void recordConnectFailure(const PooledTarget &target, bool HasTimedOut,
+                            base::MonoTime begun);
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
@@ -100,6 +103,8 @@
 
 private:
   void updateLeastPriorities();
+  void logReach(const std::vector<TargetGroup> &news, std::string_view text,
+                const PooledTarget &target) const;
 
   base::EventLoopThread &EventLoop;
   const fleet::FleetSettings &Settings;
--- a/packages/entry/TargetProbe.h
+++ b/packages/entry/TargetProbe.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "entry/TargetPool.h"
+#include "gateway/ListenerCheck.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -14,9 +15,10 @@
 /// All methods must be called on the thread of the event loop.
 class TargetProbe {
 public:
-  /// Called when a connection begun at \p begun was accepted, or was not.
-  using ResultHook = std::function<void(const PooledTarget &target,
-                                        bool IsReached, base::MonoTime begun)>;
+  /// Called with the result of an attempt begun at \p begun.
+  using ResultHook =
+      std::function<void(const PooledTarget &target,
+                         gateway::ListenerState state, base::MonoTime begun)>;
 
   TargetProbe(base::EventLoopThread &loop, TargetPool &pool, ResultHook result)
       : EventLoop(loop), Pool(pool), Result(std::move(result)),
--- a/packages/entry/TargetReach.h
+++ b/packages/entry/TargetReach.h
@@ -47,8 +47,8 @@
   /// Whether the path to \p group, or to a group that includes it, seems to
   /// have failed.
   bool isCutOff(const TargetGroup &group, base::MonoTime now) const;
-  /// The groups that are cut off. One of their members has to be tried from
-  /// time to time.
+  /// The groups that are cut off, without those that another one includes. One
+  /// member of each has to be tried from time to time.
   std::vector<TargetGroup> listCutOff(base::MonoTime now) const;
 
   /// Targets that must have failed for their data centre, or their service in
@@ -75,6 +75,8 @@
   static std::array<TargetGroup, 3> listEnclosing(const TargetGroup &group);
   static bool isCutOff(const TargetGroup &group, const Failures &failures,
                        base::MonoTime now);
+  /// Whether \p group itself counts as cut off.
+  bool isMarked(const TargetGroup &group, base::MonoTime now) const;
 
   std::map<TargetGroup, Failures> Groups;
 };
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -320,10 +320,10 @@
   if (target && target->InFlight > 0)
     --target->InFlight;
   if (target && outcome.HasConnectFailed)
-    Handler.recordReach(*target, false, SentAt);
+    Handler.recordConnectFailure(*target, outcome.HasConnectTimedOut, SentAt);
   else if (target && (outcome.Answered ||
                       outcome.Code == ResultCode::NotRunTargetRefused))
-    Handler.recordReach(*target, true, SentAt);
+    Handler.recordReached(*target, SentAt);
   if (IsFinished)
     return;
   const bool IsLost = !outcome.Answered && outcome.MayHaveRun &&
--- a/packages/entry/internal/EntryRequestRelay.cpp
+++ b/packages/entry/internal/EntryRequestRelay.cpp
@@ -144,6 +144,8 @@
   Handler.peers().onDone(host);
   if (IsFinished)
     return countRelay("cancelled");
+  if (outcome.Answered || outcome.Code == ResultCode::NotRunTargetRefused)
+    Handler.peers().onAnswered();
   if (outcome.Answered) {
     countRelay("answered");
     return deliver();
@@ -161,8 +163,11 @@
                     {"left_ms", base::toMs(timeLeft())},
                     {"error", outcome.Message}});
   countRelay("lost");
-  if (outcome.Code != ResultCode::TargetTimeout)
-    Handler.peers().onUnusable(host, base::readMonotonic());
+  const auto now = base::readMonotonic();
+  if (outcome.HasConnectTimedOut)
+    Handler.peers().onSilent(host, now);
+  else if (outcome.Code != ResultCode::TargetTimeout)
+    Handler.peers().onUnusable(host, now);
   MayHaveRun = MayHaveRun || outcome.MayHaveRun;
   const bool IsIdempotent = Route->Kind != routing::RouteKind::AtMostOnce;
   if (!MayHaveRun || (IsIdempotent && tryTakeRetry()))
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -62,6 +62,15 @@
     it->second->send(fleet::PermitEnd{number, use, latency, notice});
 }
 
+bool PermitClient::areMostSilent(const std::vector<fleet::VmAddress> &cores,
+                                 base::MonoTime now) const {
+  const auto silent =
+      std::ranges::count_if(cores, [&](const fleet::VmAddress &core) {
+        return Places.isAvoided(core.Host, now);
+      });
+  return static_cast<std::size_t>(silent) * 2 > cores.size();
+}
+
 std::uint32_t PermitClient::entryCount() const {
   std::uint32_t most = 1;
   for (const auto &[core, count] : EntryCounts)
--- a/packages/entry/internal/RelayPeers.cpp
+++ b/packages/entry/internal/RelayPeers.cpp
@@ -20,6 +20,8 @@
 
 std::string RelayPeers::choose(std::span<const std::string> tried,
                                base::MonoTime now) {
+  if (now < SuspendedUntil)
+    return {};
   std::string best;
   std::pair<std::uint32_t, std::uint64_t> least;
   for (const auto &[host, peer] : Peers) {
@@ -51,4 +53,13 @@
     it->second.AvoidUntil = now + AvoidTime;
 }
 
+void RelayPeers::onSilent(const std::string &host, base::MonoTime now) {
+  onUnusable(host, now);
+  Silent.insert(host);
+  if (Silent.size() < SilentToSuspend)
+    return;
+  Silent.clear();
+  SuspendedUntil = now + SuspendTime;
+}
+
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -61,9 +61,13 @@
       Pool(settings.DataCentre, base::hash64(settings.Vm, 1),
            settings.TargetDrainTime),
       Probe(loop, Pool,
-            [this](const PooledTarget &target, bool IsReached,
+            [this](const PooledTarget &target, gateway::ListenerState state,
                    base::MonoTime begun) {
-              recordReach(target, IsReached, begun);
+              if (state == gateway::ListenerState::Listening)
+                recordReached(target, begun);
+              else
+                recordConnectFailure(
+                    target, state == gateway::ListenerState::Unknown, begun);
             }),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
@@ -136,29 +140,39 @@
     it->onPause(target);
 }
 
-void RequestHandler::recordReach(const PooledTarget &target, bool IsReached,
-                                 base::MonoTime begun) {
-  const auto now = base::readMonotonic();
-  const auto &instance = target.Description.Instance;
-  if (!IsReached)
-    countConnectFailure(target.Description.DataCentre);
+void RequestHandler::recordReached(const PooledTarget &target,
+                                   base::MonoTime begun) {
   const auto news =
-      IsReached ? Pool.reach().onReached(instance, groupOf(target), begun, now)
-                : Pool.reach().onFailed(instance, groupOf(target), begun, now);
-  for (const auto &group : news)
-    base::logWarning("entry",
-                     IsReached ? base::ResultCode::Ok
-                               : base::ResultCode::TargetUnreachable,
-                     IsReached ? "a group of targets is reachable again"
-                               : "a group of targets can't be reached",
-                     {{"data_centre", group.DataCentre},
-                      {"service", group.Service},
-                      {"target", instance.Id},
-                      {"requests", Requests.size()}});
-  if (!IsReached && !news.empty())
+      Pool.reach().onReached(target.Description.Instance, groupOf(target),
+                             begun, base::readMonotonic());
+  logReach(news, "a group of targets is reachable again", target);
+}
+
+void RequestHandler::recordConnectFailure(const PooledTarget &target,
+                                          bool HasTimedOut,
+                                          base::MonoTime begun) {
+  const auto now = base::readMonotonic();
+  countConnectFailure(target.Description.DataCentre);
+  if (HasTimedOut && Permits.areMostSilent(View.cores(), now))
+    return;
+  const auto news = Pool.reach().onFailed(target.Description.Instance,
+                                          groupOf(target), begun, now);
+  logReach(news, "a group of targets can't be reached", target);
+  if (!news.empty())
     Probe.start();
 }
 
+void RequestHandler::logReach(const std::vector<TargetGroup> &news,
+                              std::string_view text,
+                              const PooledTarget &target) const {
+  for (const auto &group : news)
+    base::logInfo("entry", text,
+                  {{"data_centre", group.DataCentre},
+                   {"service", group.Service},
+                   {"target", target.Description.Instance.Id},
+                   {"requests", Requests.size()}});
+}
+
 void RequestHandler::updateLeastPriorities() {
   LeastPriorities.clear();
   for (const auto &[name, route] : View.config().routes()) {
--- a/packages/entry/internal/TargetProbe.cpp
+++ b/packages/entry/internal/TargetProbe.cpp
@@ -1,8 +1,6 @@
 // Opens a connection to a random member of each group and closes it at once.
 #include "entry/TargetProbe.h"
 
-#include "gateway/ListenerCheck.h"
-
 namespace magnoliamill::entry {
 namespace {
 
@@ -44,7 +42,7 @@
         if (alive.expired())
           return;
         if (const auto *known = Pool.find(instance))
-          Result(*known, state == gateway::ListenerState::Listening, begun);
+          Result(*known, state, begun);
       });
 }
 
--- a/packages/entry/internal/TargetReach.cpp
+++ b/packages/entry/internal/TargetReach.cpp
@@ -93,18 +93,26 @@
          now - failure->second.At > FailureTime;
 }
 
+bool TargetReach::isMarked(const TargetGroup &group, base::MonoTime now) const {
+  auto it = Groups.find(group);
+  return it != Groups.end() && isCutOff(group, it->second, now);
+}
+
 bool TargetReach::isCutOff(const TargetGroup &group, base::MonoTime now) const {
-  return std::ranges::any_of(listEnclosing(group), [&](const auto &it) {
-    auto known = Groups.find(it);
-    return known != Groups.end() && isCutOff(it, known->second, now);
-  });
+  return std::ranges::any_of(listEnclosing(group),
+                             [&](const auto &it) { return isMarked(it, now); });
 }
 
 std::vector<TargetGroup> TargetReach::listCutOff(base::MonoTime now) const {
   std::vector<TargetGroup> groups;
-  for (const auto &[group, failures] : Groups)
-    if (isCutOff(group, failures, now))
+  for (const auto &[group, failures] : Groups) {
+    const bool IsIncluded =
+        std::ranges::any_of(listEnclosing(group), [&](const auto &it) {
+          return it != group && isMarked(it, now);
+        });
+    if (!IsIncluded && isMarked(group, now))
       groups.push_back(group);
+  }
   return groups;
 }
 
--- a/packages/entry/tests/RelayPeersTest.cpp
+++ b/packages/entry/tests/RelayPeersTest.cpp
@@ -42,6 +42,23 @@
     CHECK(peers.choose({}, now) != "10.1.0.1");
     CHECK(peers.choose({}, now + RelayPeers::AvoidTime) == "10.1.0.1");
   }
+  SECTION("to none if all are silent, since the own link is at fault") {
+    peers.onSilent("10.1.0.1", now);
+    peers.onSilent("10.2.0.1", now);
+    CHECK(peers.choose({}, now) == "10.3.0.1");
+
+    SECTION("for a while") {
+      peers.onSilent("10.3.0.1", now);
+      const auto avoided = now + RelayPeers::AvoidTime;
+      CHECK(peers.choose({}, avoided).empty());
+      CHECK_FALSE(peers.choose({}, now + RelayPeers::SuspendTime).empty());
+    }
+    SECTION("unless one has answered meanwhile") {
+      peers.onAnswered();
+      peers.onSilent("10.3.0.1", now);
+      CHECK_FALSE(peers.choose({}, now + RelayPeers::AvoidTime).empty());
+    }
+  }
   SECTION("not to one that is not listed any more") {
     peers.update({});
     CHECK(peers.choose({}, now).empty());
--- a/packages/entry/tests/TargetReachTest.cpp
+++ b/packages/entry/tests/TargetReachTest.cpp
@@ -89,6 +89,7 @@
     CHECK(reach.onFailed(Third, Distant, at(20), at(270)) ==
           std::vector{TargetGroup{}});
     CHECK(reach.isCutOff({"dc-c", "stock"}, at(300)));
+    CHECK(reach.listCutOff(at(300)) == std::vector{TargetGroup{}});
 
     SECTION("until one is reached") {
       CHECK(reach.onReached(Third, Distant, at(300), at(301)) ==
--- a/packages/entry/tests/UnreachableTargetsTest.cpp
+++ b/packages/entry/tests/UnreachableTargetsTest.cpp
@@ -174,7 +174,10 @@
       caller.join();
     return served;
   }
+  /// Requests that reached a target.
   int countRuns() const { return Runs; }
+  /// From now on targets refuse requests and ask for a pause.
+  void rest() { IsResting = true; }
 
 private:
   std::shared_ptr<gateway::HttpServer> makeTarget(std::size_t i) {
@@ -186,8 +189,11 @@
         [this](const gateway::HttpCall &, const protocol::AnswerSink &sink) {
           ++Runs;
           protocol::AnswerHead head;
-          head.Status = 200;
-          head.Headers = {{"Mark", "yes"}};
+          head.Status = IsResting ? 503 : 200;
+          if (IsResting)
+            head.Headers = {{"Not-Run", "yes"}, {"Pause-Ms", "5000"}};
+          else
+            head.Headers = {{"Mark", "yes"}};
           gateway::sendAnswer(sink, std::move(head), "ok");
           return protocol::CancelHook();
         });
@@ -239,6 +245,7 @@
   std::array<std::uint16_t, TargetCount> TargetPorts{};
   EntryFormat Format = makeReadyFormat();
   std::atomic<int> Runs{0};
+  std::atomic<bool> IsResting{false};
   ScopedEventLoop EventLoop;
   gateway::TargetClient Client;
   std::vector<std::shared_ptr<gateway::HttpServer>> Targets;
@@ -285,3 +292,21 @@
   if (method == "POST")
     CHECK(fleet.countRuns() == warmed + served + Count);
 }
+
+TEST_CASE("A relayed request does not reach a target that asked for a pause") {
+  /// Requests that the target may get in its pause.
+  constexpr int MostInPause = 2;
+  const SilentAddress silent;
+  CutFleet fleet(true, std::vector(TargetCount, silent.address()));
+  REQUIRE(waitFor(
+      [&] { return fleet.isReady(CutHost) && fleet.isReady(SoundHost); }));
+  REQUIRE(waitFor(
+      [&] { return fleet.countServed(CutHost, "GET", "/read/x", 4) == 4; }));
+
+  fleet.rest();
+  CHECK(fleet.countServed(CutHost, "GET", "/read/x", 1) == 0);
+  const int before = fleet.countRuns();
+  CHECK(fleet.countServed(CutHost, "GET", "/read/x", 40) == 0);
+  CHECK(fleet.countServed(SoundHost, "GET", "/read/x", 40) == 0);
+  CHECK(fleet.countRuns() - before <= MostInPause);
+}
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -62,6 +62,8 @@
   bool Answered = false;
   /// True if no connection to the target could be opened.
   bool HasConnectFailed = false;
+  /// True if that was because the target did not answer in time.
+  bool HasConnectTimedOut = false;
   std::uint16_t Status = 0;
   /// Ok, NotRunLeaseLost, NotRunTargetRefused, NotRunCancelled (MayHaveRun
   /// tells whether the request was sent), AnswerTruncated (a head was passed
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -97,9 +97,11 @@
     return;
   if (IsRefused)
     return complete();
-  if (IsConnecting)
+  if (IsConnecting) {
+    HasConnectTimedOut = true;
     return fail(ResultCode::TargetUnreachable,
                 "the target did not accept a connection in time");
+  }
   fail(isAnswering() ? ResultCode::AnswerTruncated : ResultCode::TargetTimeout,
        "the deadline passed");
 }
@@ -374,6 +376,7 @@
   outcome.MayHaveRun = IsWritten;
   outcome.HasConnectFailed =
       IsConnecting && code == ResultCode::TargetUnreachable;
+  outcome.HasConnectTimedOut = HasConnectTimedOut;
   outcome.Code = code;
   outcome.Message = std::move(message);
   if (isAnswering())
--- a/packages/gateway/internal/TargetExchange.h
+++ b/packages/gateway/internal/TargetExchange.h
@@ -80,6 +80,7 @@
   bool IsWritten = false;
   bool HasRetried = false;
   bool IsConnecting = false;
+  bool HasConnectTimedOut = false;
   bool IsHeadSeen = false;
   /// The target refused the request before running it: the answer is not passed
   /// on.
