--- a/packages/entry/internal/TargetReach.cpp
+++ b/packages/entry/internal/TargetReach.cpp
@@ -105,7 +105,8 @@
 
 std::vector<TargetGroup> TargetReach::listCutOff(base::MonoTime now) const {
   std::vector<TargetGroup> groups;
-  for (const auto &[group, failures] : Groups) {
+  for (const auto &known : Groups) {
+    const TargetGroup &group = known.first;
     const bool IsIncluded =
         std::ranges::any_of(listEnclosing(group), [&](const auto &it) {
           return it != group && isMarked(it, now);
--- a/packages/entry/tests/UnreachableTargetsTest.cpp
+++ b/packages/entry/tests/UnreachableTargetsTest.cpp
@@ -40,8 +40,9 @@
     for (auto &filler : Fillers) {
       filler.open(tcp::v4());
       filler.native_non_blocking(true);
-      ::connect(filler.native_handle(), endpoint.data(),
-                static_cast<socklen_t>(endpoint.size()));
+      // The result is "in progress" or, for the first ones, success.
+      static_cast<void>(::connect(filler.native_handle(), endpoint.data(),
+                                  static_cast<socklen_t>(endpoint.size())));
     }
   }
   std::string address() const {
