A relayed request is served only under the same version of its route

The entry that got the relayed request had an older configuration than the one that relayed it. Entries get changes at different times; a client must not see its entry go back.

Fix: the version and the name of the route go with the request, and an entry that has another version refuses it as not run, so that the next entry is tried.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -122,8 +122,10 @@
   gateway::AnswerKind classifyRelayed(const protocol::AnswerHead &head);
   void onRelayDone(const gateway::TargetOutcome &outcome);
   void onRelayRefused(const std::string &text);
-  /// Applies what the entry that relayed this request sent with it.
-  void readRelayHeaders();
+  /// Applies and removes what the entry that relayed this request sent with it.
+  /// Refuses the request and returns false if this VM has another version of
+  /// its route.
+  bool readRelayHeaders();
   /// Adds the target to the answer to a relayed request.
   void nameAnsweringTarget();
   void send(PooledTarget &target);
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -102,16 +102,17 @@
 
 bool EntryRequest::findRoute() {
   const auto *route = Handler.routes().match(Metadata.Host, Request.Target);
+  if (route)
+    Route = *route;
+  if (Origin == RequestOrigin::Entry && !readRelayHeaders())
+    return false;
   if (!route) {
     answerFailure(ResultCode::UnknownRoute, "no route matches", {});
     return false;
   }
-  Route = *route;
   Deadline = ArrivedAt +
              std::min(Metadata.ClientTimeout.value_or(DefaultClientTimeout),
                       Route->Timeout);
-  if (Origin == RequestOrigin::Entry)
-    readRelayHeaders();
   Service = Handler.chooseService(*Route);
   const auto *service = Handler.view().config().findService(Service);
   IsKeyed = service && service->IsKeyed;
--- a/packages/entry/internal/EntryRequestRelay.cpp
+++ b/packages/entry/internal/EntryRequestRelay.cpp
@@ -37,6 +37,10 @@
   return ec == std::errc() && ptr == end ? std::optional(number) : std::nullopt;
 }
 
+std::string formatRoute(const routing::Route &route) {
+  return std::to_string(route.Version) + " " + route.Name;
+}
+
 std::optional<keyspace::TargetInstance>
 readAnsweringTarget(const Headers &headers) {
   const auto text = findHeader(headers, internal::AnsweringTargetHeader);
@@ -51,14 +55,23 @@
 
 } // namespace
 
-void EntryRequest::readRelayHeaders() {
+bool EntryRequest::readRelayHeaders() {
+  if (!Route || findHeader(Request.Headers, internal::RouteHeader) !=
+                    formatRoute(*Route)) {
+    refuse(ResultCode::NotRunNotReady,
+           "this VM has another version of the request's route",
+           NoHolderRetryAfter);
+    return false;
+  }
   const auto left = parse<std::uint32_t>(
       findHeader(Request.Headers, internal::AttemptsLeftHeader));
   Route->MaxAttempts = std::min(Route->MaxAttempts, left.value_or(1));
   std::erase_if(Request.Headers, [](const protocol::HttpHeader &header) {
     return gateway::equalsIgnoringCase(header.Name,
-                                       internal::AttemptsLeftHeader);
+                                       internal::AttemptsLeftHeader) ||
+           gateway::equalsIgnoringCase(header.Name, internal::RouteHeader);
   });
+  return true;
 }
 
 void EntryRequest::nameAnsweringTarget() {
@@ -109,6 +122,8 @@
   call.Request.Headers.push_back(
       {std::string(internal::AttemptsLeftHeader),
        std::to_string(std::max(Route->MaxAttempts, tried + 1) - tried)});
+  call.Request.Headers.push_back(
+      {std::string(internal::RouteHeader), formatRoute(*Route)});
   auto self = shared_from_this();
   call.Classify = [self](const protocol::AnswerHead &head) {
     return self->classifyRelayed(head);
--- a/packages/entry/internal/RelayHeaders.h
+++ b/packages/entry/internal/RelayHeaders.h
@@ -7,6 +7,9 @@
 
 /// On a relayed request: the number of targets to which it may be sent.
 constexpr std::string_view AttemptsLeftHeader = "Mill-Attempts-Left";
+/// On a relayed request: version and name of the route that it takes. Entries
+/// get changes of the configuration at slightly different times.
+constexpr std::string_view RouteHeader = "Mill-Route";
 /// On its answer: the id and the start time of the target that gave it.
 constexpr std::string_view AnsweringTargetHeader = "Mill-Answering-Target";
 
--- a/packages/entry/tests/UnreachableTargetsTest.cpp
+++ b/packages/entry/tests/UnreachableTargetsTest.cpp
@@ -115,11 +115,12 @@
 };
 
 /// Two entries, four targets, and a core; the first entry gets \p addresses as
-/// those of the targets.
+/// those of the targets, the second \p version as that of the routes.
 class CutFleet {
 public:
-  CutFleet(bool keyed, const std::vector<std::string> &addresses)
-      : IsKeyed(keyed), CutAddresses(addresses),
+  CutFleet(bool keyed, const std::vector<std::string> &addresses,
+           std::uint64_t version = 2)
+      : IsKeyed(keyed), CutAddresses(addresses), SoundVersion(version),
         Client(EventLoop.EventLoop, {}) {
     EventLoop.run([this] {
       for (std::size_t i = 0; i < TargetCount; ++i) {
@@ -211,6 +212,8 @@
     vault.Version = 1;
     vault.IsKeyed = IsKeyed;
     update.Items.Services = {vault};
+    for (auto &route : update.Items.Routes)
+      route.Version = host == CutHost ? 2 : SoundVersion;
     for (std::size_t i = 0; i < TargetCount; ++i) {
       fleet::Target target;
       target.Instance = {"t-" + std::to_string(i), 1};
@@ -240,6 +243,8 @@
 
   bool IsKeyed;
   std::vector<std::string> CutAddresses;
+  /// Version of the routes at the entry that reaches targets; the other has 2.
+  std::uint64_t SoundVersion;
   std::uint16_t LinkPort = findFreePort(CoreHost);
   std::uint16_t ClientPort = findFreePort(CutHost);
   std::uint16_t ReadyPort = findFreePort(SoundHost);
@@ -311,3 +316,13 @@
   CHECK(fleet.countServed(SoundHost, "GET", "/read/x", 40) == 0);
   CHECK(fleet.countRuns() - before <= MostInPause);
 }
+
+TEST_CASE("A relayed request is not handled by another configuration") {
+  const auto version = GENERATE(std::uint64_t{1}, std::uint64_t{3});
+  const SilentAddress silent;
+  CutFleet fleet(false, std::vector(TargetCount, silent.address()), version);
+  REQUIRE(waitFor(
+      [&] { return fleet.isReady(CutHost) && fleet.isReady(SoundHost); }));
+  CHECK(fleet.countServed(CutHost, "GET", "/read/x", 20) == 0);
+  CHECK(fleet.countRuns() == 0);
+}
