Entries log requests sent to targets that their view does not list as ready

The line has the target's presence in the entry's view, both views' versions, the core that granted the permit, the time spent connecting and the attempt. Permits carry the version of the core's view, and the line on switching cores says for how long the view was not confirmed. No decision has changed.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -129,6 +129,8 @@
   /// Adds the target to the answer to a relayed request.
   void nameAnsweringTarget();
   void send(PooledTarget &target);
+  /// Writes a log line if the view does not list \p instance as ready.
+  void logIfDeparted(const keyspace::TargetInstance &instance) const;
   /// The request without an address.
   gateway::TargetCall makeCall();
   /// Starts a call whose answer is delivered to the client.
@@ -214,6 +216,8 @@
   std::vector<keyspace::TargetInstance> Tried;
   /// The permit that was asked for or granted; 0 for none.
   std::uint64_t Permit = 0;
+  /// Who granted it.
+  PermitOrigin PermitSource;
   /// The steps that remain until a permit is granted. Not set before the first.
   std::optional<std::deque<PermitStep>> PermitSteps;
   /// The shortest time to return of the steps that were refused.
--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -17,6 +17,12 @@
 
 namespace magnoliamill::entry {
 
+/// The core that decides on a permit, and the version of its view then.
+struct PermitOrigin {
+  std::string Core;
+  fleet::ViewVersion View;
+};
+
 /// The final decision on a permit: granted, refused, or unknown if the request
 /// has to be sent without a permit.
 struct PermitResult {
@@ -25,6 +31,8 @@
   keyspace::TargetInstance Target;
   /// When refused.
   base::Duration RetryAfter{};
+  /// Where the permit was asked for.
+  PermitOrigin Origin{};
 };
 
 /// Not thread-safe: all methods run on the thread of the event loop.
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -217,6 +217,7 @@
   auto self = shared_from_this();
   // Connecting takes time, and a request may be sent again on a new connection.
   call.MayWrite = [self, instance] {
+    self->logIfDeparted(instance);
     return self->Handler.pool().notices().isOpen(instance,
                                                  base::readMonotonic());
   };
@@ -229,6 +230,27 @@
             });
 }
 
+void EntryRequest::logIfDeparted(
+    const keyspace::TargetInstance &instance) const {
+  const auto *known = Handler.view().findTarget(instance);
+  if (known && known->State == fleet::TargetState::Ready)
+    return;
+  const auto version = Handler.view().version();
+  base::logWarning("entry", ResultCode::NotRunNoTarget,
+                   "a request is sent to a target that takes no new requests",
+                   {{"request", Metadata.Id},
+                    {"target", instance.Id},
+                    {"in_view", known != nullptr},
+                    {"attempt", Tried.size()},
+                    {"connect_ms", base::toMs(base::readMonotonic() - SentAt)},
+                    {"relayed", Origin == RequestOrigin::Entry},
+                    {"permit_core", Permit == 0 ? "" : PermitSource.Core},
+                    {"permit_term", PermitSource.View.Term},
+                    {"permit_number", PermitSource.View.Number},
+                    {"view_term", version.Term},
+                    {"view_number", version.Number}});
+}
+
 gateway::TargetCall EntryRequest::makeCall() {
   gateway::TargetCall call;
   call.Host = Metadata.Host;
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -85,6 +85,7 @@
 
 void EntryRequest::onPermit(const PermitResult &result) {
   if (result.Decision == PermitDecision::Granted) {
+    PermitSource = result.Origin;
     if (refuseIfQuarantined())
       return;
     PooledTarget *target = Handler.pool().find(result.Target);
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -114,8 +114,11 @@
   }
   auto pending = std::move(Waiting.extract(it).mapped());
   if (reply.Decision == PermitDecision::Granted)
-    Granted[reply.Number] = std::move(pending.Core);
-  pending.Done({reply.Decision, reply.Target, reply.RetryAfter});
+    Granted[reply.Number] = pending.Core;
+  pending.Done({reply.Decision,
+                reply.Target,
+                reply.RetryAfter,
+                {std::move(pending.Core), reply.View}});
 }
 
 void PermitClient::onFault(const std::string &core, const std::string &reason) {
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -119,12 +119,14 @@
 }
 
 void ViewSubscription::switchCore(const std::string &reason) {
-  base::logWarning("view", ResultCode::PeerUnreachable,
-                   "switching to another core for the view",
-                   {{"core", Core},
-                    {"reason", reason},
-                    {"term", CurrentView.version().Term},
-                    {"number", CurrentView.version().Number}});
+  base::logWarning(
+      "view", ResultCode::PeerUnreachable,
+      "switching to another core for the view",
+      {{"core", Core},
+       {"reason", reason},
+       {"unconfirmed_ms", base::toMs(base::readMonotonic() - ConfirmedAt)},
+       {"term", CurrentView.version().Term},
+       {"number", CurrentView.version().Number}});
   if (Link)
     Link->close();
   Link = nullptr;
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -81,6 +81,8 @@
   base::Duration RetryAfter{};
   /// How many entries ask this core for permits.
   std::uint32_t EntryCount = 1;
+  /// Version of the core's view at the time of the decision.
+  ViewVersion View{};
 };
 
 /// What a target's answer says about the target.
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -31,6 +31,7 @@
   void answer(const admission::PermitIssuer::Answers &answers);
 
   admission::PermitIssuer Issuer;
+  ViewVersion CurrentView;
   /// The number of each link that has asked, and the reverse.
   std::map<std::shared_ptr<Link>, std::uint64_t> Numbers;
   std::map<std::uint64_t, std::weak_ptr<Link>> Links;
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -477,6 +477,7 @@
     encode(reply.Target, to.initTarget());
     to.setRetryAfterMs(toWireMs(reply.RetryAfter));
     to.setEntryCount(reply.EntryCount);
+    encodeVersion(reply.View, to.initView());
   }
   void operator()(const PermitEnd &end) {
     auto to = To.initPermitEnd();
@@ -524,7 +525,8 @@
           static_cast<admission::PermitDecision>(from.getDecision()),
           decode(from.getTarget()),
           std::chrono::milliseconds(from.getRetryAfterMs()),
-          from.getEntryCount()};
+          from.getEntryCount(),
+          decode(from.getView())};
 }
 
 PermitEnd decode(wire::PermitEnd::Reader from) {
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -45,6 +45,7 @@
 }
 
 void PermitDesk::onView(const View &view) {
+  CurrentView = view.version();
   if (!view.lastChange().IsWhole) {
     for (const auto &instance : view.lastChange().Targets)
       update(view, instance);
@@ -106,7 +107,8 @@
       continue;
     if (const auto to = link->second.lock())
       to->send(PermitReply{it.Id.Number, it.Decision, it.Target, it.RetryAfter,
-                           static_cast<std::uint32_t>(Numbers.size())});
+                           static_cast<std::uint32_t>(Numbers.size()),
+                           CurrentView});
   }
 }
 
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -182,6 +182,8 @@
   retryAfterMs @3 :UInt32;
   # How many entries ask this core for permits.
   entryCount @4 :UInt32;
+  # The core's view at the time of the decision.
+  view @5 :ViewMark;
 }
 struct PermitEnd {
   number @0 :UInt64;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -400,7 +400,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eef64b4edf02fd08, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eef64b4edf02fd08, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2947,6 +2947,9 @@
 
   inline  ::uint32_t getEntryCount() const;
 
+  inline bool hasView() const;
+  inline  ::magnoliamill::fleet::wire::ViewMark::Reader getView() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2994,6 +2997,13 @@
   inline  ::uint32_t getEntryCount();
   inline void setEntryCount( ::uint32_t value);
 
+  inline bool hasView();
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder getView();
+  inline void setView( ::magnoliamill::fleet::wire::ViewMark::Reader value);
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder initView();
+  inline void adoptView(::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> disownView();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3013,6 +3023,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::magnoliamill::fleet::wire::TargetLife::Pipeline getTarget();
+  inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6873,6 +6884,45 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitReply::Reader::hasView() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitReply::Builder::hasView() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Reader PermitReply::Reader::getView() const {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder PermitReply::Builder::getView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline PermitReply::Pipeline::getView() {
+  return  ::magnoliamill::fleet::wire::ViewMark::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PermitReply::Builder::setView( ::magnoliamill::fleet::wire::ViewMark::Reader value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder PermitReply::Builder::initView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitReply::Builder::adoptView(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> PermitReply::Builder::disownView() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PermitEnd::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
