--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/RequestHandler.h"
+#include "entry/internal/RelayHeaders.h"
 #include "gateway/tests/Support.h"
 
 #include <catch2/catch.hpp>
@@ -123,13 +124,17 @@
   }
 
   /// Sends a request, waits for the answer and returns its status.
-  int request(const std::string &method, const std::string &path) {
+  int request(const std::string &method, const std::string &path,
+              RequestOrigin origin = RequestOrigin::Client) {
     Collected = AnswerCollector();
     HasFailed = false;
     RetryAfterMs = 0;
     gateway::HttpCall call;
     call.Method = method;
     call.Target = path;
+    if (origin == RequestOrigin::Entry)
+      call.Headers = {{std::string(entry::internal::RouteHeader),
+                       "1 route" + path.substr(0, path.rfind('/') + 1)}};
     auto sink = Collected.makeSink();
     sink.Head = [this, take = sink.Head](const protocol::AnswerHead &head) {
       HasRetryAfter = hasHeader(head.Headers, "Retry-After");
@@ -138,9 +143,8 @@
       take(head);
     };
     sink.Fail = [this](const protocol::RequestFailure &) { HasFailed = true; };
-    EventLoop.run([&] {
-      Handler->handle(std::move(call), std::move(sink), RequestOrigin::Client);
-    });
+    EventLoop.run(
+        [&] { Handler->handle(std::move(call), std::move(sink), origin); });
     REQUIRE(waitFor([this] { return Collected.isEnded() || HasFailed; }));
     return Collected.status();
   }
@@ -183,6 +187,27 @@
       update.Holders = {makeHolder(update.Targets.front())};
     apply(update);
   }
+  /// The view lists the first target as leaving, or not at all if \p gone. The
+  /// second one holds its keys.
+  void departFirst(bool gone) {
+    fleet::ViewUpdate update;
+    update.Version = {1, ++Number};
+    auto target = makeTarget(First, 1);
+    target.State = fleet::TargetState::Leaving;
+    if (gone)
+      update.GoneTargets = {target.Instance};
+    else
+      update.Targets = {target};
+    if (Options.IsKeyed)
+      update.Holders = {makeHolder(makeTarget(Second, 1))};
+    apply(update);
+  }
+  /// The whole view, as a core has it.
+  fleet::ViewUpdate describeView() {
+    fleet::ViewUpdate update;
+    EventLoop.run([&] { update = View.describeWhole(); });
+    return update;
+  }
   /// A core reports requests under which targets ended.
   void report(const dispatch::CrashReport &report) {
     EventLoop.run([&] { Handler->crashes().onReport(report); });
@@ -196,6 +221,9 @@
   keyspace::TargetInstance first() const {
     return makeTarget(First, 1).Instance;
   }
+  keyspace::TargetInstance second() const {
+    return makeTarget(Second, 1).Instance;
+  }
   int countAtFirst() const { return FirstCount; }
   int countAtSecond() const { return SecondCount; }
   int retryAfterMs() const { return RetryAfterMs; }
--- a/packages/entry/tests/RequestNoticesTest.cpp
+++ b/packages/entry/tests/RequestNoticesTest.cpp
@@ -1,6 +1,6 @@
 // Tests that requests respect what targets told in earlier answers.
 #include "EntryFixture.h"
-#include "base/Listener.h"
+#include "PermitQueue.h"
 
 #include <thread>
 
@@ -27,62 +27,6 @@
             "\r\nContent-Length: 2\r\n\r\nok");
 }
 
-/// A core on loopback that queues permits until it is told to grant them.
-class Core {
-public:
-  Core() : Acceptor(EventLoop.EventLoop.context()) {
-    REQUIRE(base::openListener(Acceptor, "127.0.0.1", 0));
-    Acceptor.async_accept([this](boost::system::error_code ec,
-                                 boost::asio::ip::tcp::socket socket) {
-      if (ec)
-        return;
-      Link = std::make_shared<fleet::Link>(EventLoop.EventLoop.context());
-      fleet::LinkHooks hooks;
-      hooks.OnFrame = [this](const fleet::Frame &frame) {
-        if (const auto *ask = std::get_if<fleet::PermitAsk>(&frame))
-          onAsk(ask->Number);
-      };
-      hooks.OnClosed = [](const std::string &) {};
-      Link->accept(std::move(socket), std::move(hooks));
-    });
-  }
-  ~Core() {
-    EventLoop.run([this] {
-      Acceptor.close();
-      if (Link)
-        Link->close();
-    });
-  }
-
-  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
-  bool awaitAsks(std::size_t n) {
-    return waitFor([this, n] { return Asks >= n; });
-  }
-  /// Grants the permit that was asked for as number \p index, from 0.
-  void grant(std::size_t index, const keyspace::TargetInstance &target) {
-    EventLoop.run([&] {
-      Link->send(fleet::PermitReply{
-          Numbers[index], admission::PermitDecision::Granted, target, {}});
-    });
-  }
-
-private:
-  void onAsk(std::uint64_t number) {
-    Numbers.push_back(number);
-    fleet::PermitReply reply;
-    reply.Number = number;
-    reply.Decision = admission::PermitDecision::Queued;
-    Link->send(reply);
-    ++Asks;
-  }
-
-  ScopedEventLoop EventLoop;
-  boost::asio::ip::tcp::acceptor Acceptor;
-  std::shared_ptr<fleet::Link> Link;
-  std::vector<std::uint64_t> Numbers;
-  std::atomic<std::size_t> Asks{0};
-};
-
 } // namespace
 
 TEST_CASE("No request reaches a leaving target after its drain time") {
@@ -236,7 +180,7 @@
 }
 
 TEST_CASE("A permit does not open a target that gave notice") {
-  Core core;
+  PermitQueue core;
 
   SECTION("a request that waits for it is refused when the pause begins") {
     Entry entry([](Peer &peer, int) { refuseWithPause(peer, 20s); },
