A permit does not open a target that has departed in the entry's view

Cause: a belief outweighed a newer one. The entry checked a permit, and the moment before the write, against what the target had announced, not against its own view. The core's view was 8 updates older.

Change: TargetPool::mayGetRequests() decides with view and notices, and is asked when a permit arrives and immediately before each write, so also after a wait, on a new connection, for a retry and for relayed requests. A key's holder counts only if it is ready. An unused permit is returned with the version of the entry's view; a core with an older view issues no more permits for the target until it has an update that lists it, and the entry asks again, so the request keeps its place among the others. Versions of views decide, no times: an entry that is behind changes nothing at a core.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -110,6 +110,12 @@
   std::deque<PermitStep> planPermitSteps();
   std::uint64_t ask(const PermitStep &step);
   void onPermit(const PermitResult &result);
+  /// Sends the request to the target of a permit, unless the key has moved or
+  /// the target has departed or closed while the request waited.
+  void usePermit(const PermitResult &result);
+  /// Returns a permit for a target that is not ready in the view, and asks
+  /// again.
+  void returnPermit(const PermitResult &result);
   void endPermit(admission::PermitUse use, base::Duration latency = {});
   PooledTarget *chooseTarget();
   /// False if this VM can't connect to any target that could get the request.
@@ -129,8 +135,8 @@
   /// Adds the target to the answer to a relayed request.
   void nameAnsweringTarget();
   void send(PooledTarget &target);
-  /// Writes a log line if the view does not list \p instance as ready.
-  void logIfDeparted(const keyspace::TargetInstance &instance) const;
+  /// Whether the request may still be written to \p instance.
+  bool mayWrite(const keyspace::TargetInstance &instance) const;
   /// The request without an address.
   gateway::TargetCall makeCall();
   /// Starts a call whose answer is delivered to the client.
@@ -216,8 +222,8 @@
   std::vector<keyspace::TargetInstance> Tried;
   /// The permit that was asked for or granted; 0 for none.
   std::uint64_t Permit = 0;
-  /// Who granted it.
-  PermitOrigin PermitSource;
+  /// Permits that were returned because of this VM's view.
+  std::uint32_t ReturnedPermits = 0;
   /// The steps that remain until a permit is granted. Not set before the first.
   std::optional<std::deque<PermitStep>> PermitSteps;
   /// The shortest time to return of the steps that were refused.
--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -55,6 +55,8 @@
   void end(std::uint64_t number, admission::PermitUse use,
            base::Duration latency,
            std::optional<fleet::TargetNotice> notice = std::nullopt);
+  /// Ends a permit for a target that is not ready in the view \p version.
+  void endDeparted(std::uint64_t number, fleet::ViewVersion version);
   /// Whether more than half of \p cores did not answer a moment ago.
   bool areMostSilent(const std::vector<fleet::VmAddress> &cores,
                      base::MonoTime now) const;
@@ -71,6 +73,7 @@
     base::MonoTime Timeout;
   };
 
+  void sendEnd(fleet::PermitEnd end);
   std::shared_ptr<fleet::Link> linkTo(const std::string &core);
   void onReply(const fleet::PermitReply &reply);
   /// The core does not answer: its pending requests go on without a permit.
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -89,6 +89,13 @@
               const std::vector<keyspace::TargetInstance> &instances);
 
   PooledTarget *find(const keyspace::TargetInstance &instance);
+  /// The target, if the view lists it as ready; null otherwise.
+  PooledTarget *findReady(const keyspace::TargetInstance &instance);
+  /// Whether the target may get a request with a permit at \p now, according to
+  /// the view and to the notices. A permit alone does not suffice: the core
+  /// that granted it may have an older view.
+  bool mayGetRequests(const keyspace::TargetInstance &instance,
+                      base::MonoTime now) const;
 
   /// What targets told about themselves. Decides on each request, also on those
   /// for which choose() is not called.
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -162,7 +162,7 @@
   if (!IsKeyed)
     return Handler.pool().choose(Service, Tried, now);
   const auto *holder = Handler.view().holderOf(Service, *Metadata.Key);
-  return holder ? Handler.pool().find(*holder) : nullptr;
+  return holder ? Handler.pool().findReady(*holder) : nullptr;
 }
 
 void EntryRequest::tryNext() {
@@ -216,11 +216,7 @@
   Handler.format().AddTargetHeaders(call.Request.Headers, instance.Id);
   auto self = shared_from_this();
   // Connecting takes time, and a request may be sent again on a new connection.
-  call.MayWrite = [self, instance] {
-    self->logIfDeparted(instance);
-    return self->Handler.pool().notices().isOpen(instance,
-                                                 base::readMonotonic());
-  };
+  call.MayWrite = [self, instance] { return self->mayWrite(instance); };
   call.Classify = [self](const protocol::AnswerHead &head) {
     return self->classifyAnswer(head);
   };
@@ -230,25 +226,18 @@
             });
 }
 
-void EntryRequest::logIfDeparted(
-    const keyspace::TargetInstance &instance) const {
-  const auto *known = Handler.view().findTarget(instance);
-  if (known && known->State == fleet::TargetState::Ready)
-    return;
-  const auto version = Handler.view().version();
-  base::logWarning("entry", ResultCode::NotRunNoTarget,
-                   "a request is sent to a target that takes no new requests",
-                   {{"request", Metadata.Id},
-                    {"target", instance.Id},
-                    {"in_view", known != nullptr},
-                    {"attempt", Tried.size()},
-                    {"connect_ms", base::toMs(base::readMonotonic() - SentAt)},
-                    {"relayed", Origin == RequestOrigin::Entry},
-                    {"permit_core", Permit == 0 ? "" : PermitSource.Core},
-                    {"permit_term", PermitSource.View.Term},
-                    {"permit_number", PermitSource.View.Number},
-                    {"view_term", version.Term},
-                    {"view_number", version.Number}});
+bool EntryRequest::mayWrite(const keyspace::TargetInstance &instance) const {
+  const auto now = base::readMonotonic();
+  if (Handler.pool().mayGetRequests(instance, now))
+    return true;
+  base::logInfo("entry", "a call is not written, its target has closed",
+                {{"request", Metadata.Id},
+                 {"target", instance.Id},
+                 {"attempt", Tried.size()},
+                 {"since_sent_ms", base::toMs(now - SentAt)},
+                 {"view_term", Handler.view().version().Term},
+                 {"view_number", Handler.view().version().Number}});
+  return false;
 }
 
 gateway::TargetCall EntryRequest::makeCall() {
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -1,8 +1,11 @@
 // The permits of a client attempt: whom to ask, and what to do with the answer.
 #include "base/Log.h"
+#include "base/Metrics.h"
 #include "entry/EntryRequest.h"
 #include "entry/RequestHandler.h"
 
+#include <prometheus/counter.h>
+
 namespace magnoliamill::entry {
 
 using admission::PermitDecision;
@@ -12,6 +15,9 @@
 
 /// Data centres that are asked for a target of a service without keys.
 constexpr std::size_t MaxDataCentres = 3;
+/// Permits that one request returns before it is sent without one: a core that
+/// has lost several targets grants permits for one after the other.
+constexpr std::uint32_t MaxReturnedPermits = 3;
 /// Upper bound of Retry-After during a target's pause: the remaining time
 /// divided by this. Clients wait no longer.
 constexpr int MaxPauseDivisor = 3;
@@ -84,21 +90,8 @@
 }
 
 void EntryRequest::onPermit(const PermitResult &result) {
-  if (result.Decision == PermitDecision::Granted) {
-    PermitSource = result.Origin;
-    if (refuseIfQuarantined())
-      return;
-    PooledTarget *target = Handler.pool().find(result.Target);
-    const bool IsCurrent = target && (!IsKeyed || target == chooseTarget());
-    const bool IsOpen =
-        Handler.pool().notices().isOpen(result.Target, base::readMonotonic());
-    if (IsCurrent && IsOpen && timeLeft() > base::Duration::zero())
-      return send(*target);
-    // While the request waited, the key has moved or the target has closed.
-    endPermit(admission::PermitUse::Abandoned);
-    SkipsPermit = true;
-    return tryNext();
-  }
+  if (result.Decision == PermitDecision::Granted)
+    return usePermit(result);
   Permit = 0;
   if (result.Decision == PermitDecision::Refused)
     PermitRetryAfter = std::min(PermitRetryAfter.value_or(result.RetryAfter),
@@ -108,6 +101,44 @@
   tryNext();
 }
 
+void EntryRequest::usePermit(const PermitResult &result) {
+  if (refuseIfQuarantined())
+    return;
+  PooledTarget *target = Handler.pool().findReady(result.Target);
+  if (!target && ReturnedPermits < MaxReturnedPermits)
+    return returnPermit(result);
+  const bool IsCurrent = target && (!IsKeyed || target == chooseTarget());
+  const bool IsOpen =
+      Handler.pool().notices().isOpen(result.Target, base::readMonotonic());
+  if (IsCurrent && IsOpen && timeLeft() > base::Duration::zero())
+    return send(*target);
+  endPermit(admission::PermitUse::Abandoned);
+  SkipsPermit = true;
+  tryNext();
+}
+
+void EntryRequest::returnPermit(const PermitResult &result) {
+  ++ReturnedPermits;
+  const auto version = Handler.view().version();
+  base::counter("mill_entry_permits_returned_total",
+                "Permits for targets that are not ready in this VM's view.")
+      .Increment();
+  base::logInfo(
+      "entry", "a permit is returned, its target is not ready in the view",
+      {{"request", Metadata.Id},
+       {"target", result.Target.Id},
+       {"in_view", Handler.view().findTarget(result.Target) != nullptr},
+       {"core", result.Origin.Core},
+       {"core_term", result.Origin.View.Term},
+       {"core_number", result.Origin.View.Number},
+       {"view_term", version.Term},
+       {"view_number", version.Number},
+       {"age_ms", base::toMs(base::readMonotonic() - ArrivedAt)}});
+  Handler.permits().endDeparted(std::exchange(Permit, 0), version);
+  PermitSteps.reset();
+  tryNext();
+}
+
 void EntryRequest::onPause(const keyspace::TargetInstance &target) {
   const bool IsQueued = !IsFinished && IsKeyed && Permit != 0 && Tried.empty();
   if (!IsQueued)
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -52,14 +52,23 @@
 void PermitClient::end(std::uint64_t number, admission::PermitUse use,
                        base::Duration latency,
                        std::optional<fleet::TargetNotice> notice) {
+  sendEnd({number, use, latency, notice});
+}
+
+void PermitClient::endDeparted(std::uint64_t number,
+                               fleet::ViewVersion version) {
+  sendEnd({number, admission::PermitUse::Abandoned, {}, std::nullopt, version});
+}
+
+void PermitClient::sendEnd(fleet::PermitEnd end) {
   std::string core;
-  if (auto granted = Granted.extract(number); !granted.empty())
+  if (auto granted = Granted.extract(end.Number); !granted.empty())
     core = std::move(granted.mapped());
-  else if (auto pending = Waiting.extract(number); !pending.empty())
+  else if (auto pending = Waiting.extract(end.Number); !pending.empty())
     core = std::move(pending.mapped().Core);
   // A link that was lost meanwhile has ended the permits given on it.
   if (auto it = Links.find(core); it != Links.end())
-    it->second->send(fleet::PermitEnd{number, use, latency, notice});
+    it->second->send(end);
 }
 
 bool PermitClient::areMostSilent(const std::vector<fleet::VmAddress> &cores,
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -69,6 +69,19 @@
   return it == Targets.end() ? nullptr : &it->second;
 }
 
+PooledTarget *TargetPool::findReady(const keyspace::TargetInstance &instance) {
+  PooledTarget *target = find(instance);
+  return target && target->Description.State == fleet::TargetState::Ready
+             ? target
+             : nullptr;
+}
+
+bool TargetPool::mayGetRequests(const keyspace::TargetInstance &instance,
+                                base::MonoTime now) const {
+  auto it = Targets.find(instance);
+  return it != Targets.end() && mayGetRequests(it->second, now);
+}
+
 double TargetPool::expectedLatencyUs(const PooledTarget &target) const {
   const auto latency = target.Health.meanLatency();
   const double us = latency.count() > 0 ? static_cast<double>(latency.count())
--- a/packages/entry/tests/DepartedTargetTest.cpp
+++ b/packages/entry/tests/DepartedTargetTest.cpp
@@ -64,6 +64,8 @@
       CHECK(entry.request("POST", "/order/1", origin) == 200);
     CHECK(entry.countAtFirst() == 0);
     CHECK(entry.countAtSecond() == RequestCount);
+    // One permit was returned.
+    CHECK(core.countAsks() <= RequestCount + 1);
   }
   SECTION("although the request waited for its permit meanwhile") {
     PermitQueue core;
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -98,6 +98,9 @@
   base::Duration Latency{};
   /// Not set if the target has not answered.
   std::optional<TargetNotice> Notice{};
+  /// Version of the view by which the entry did not send the request, since the
+  /// target is not ready there. Not set otherwise.
+  std::optional<ViewVersion> ReturnedBy{};
 };
 
 /// An entry asks for other entries.
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -28,6 +28,9 @@
 
 private:
   void update(const View &view, const keyspace::TargetInstance &instance);
+  /// Stops issuing permits for the target of \p end if a newer view than this
+  /// core's does not list it as ready.
+  void removeIfDeparted(const admission::PermitId &id, const PermitEnd &end);
   void answer(const admission::PermitIssuer::Answers &answers);
 
   admission::PermitIssuer Issuer;
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -484,6 +484,8 @@
     to.setNumber(end.Number);
     to.setUse(static_cast<std::uint8_t>(end.Use));
     to.setLatencyUs(static_cast<std::uint64_t>(end.Latency.count()));
+    if (end.ReturnedBy)
+      encodeVersion(*end.ReturnedBy, to.initReturnedBy());
     to.setHasNotice(end.Notice.has_value());
     if (!end.Notice || !end.Notice->RateLimit)
       return;
@@ -539,6 +541,8 @@
                 static_cast<admission::PermitUse>(from.getUse()),
                 base::Duration(static_cast<base::Duration::rep>(
                     std::min(from.getLatencyUs(), MaxLatencyUs)))};
+  if (from.hasReturnedBy())
+    end.ReturnedBy = decode(from.getReturnedBy());
   if (!from.getHasNotice())
     return end;
   end.Notice.emplace();
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -85,9 +85,29 @@
   if (failed)
     base::logInfo("permit", "an entry reports a failed call to a target",
                   {{"target", failed->Id}, {"entry_link", it->second}});
+  removeIfDeparted(id, end);
   answer(Issuer.release(id, end.Use, end.Latency, now));
 }
 
+void PermitDesk::removeIfDeparted(const admission::PermitId &id,
+                                  const PermitEnd &end) {
+  if (!end.ReturnedBy || *end.ReturnedBy <= CurrentView)
+    return;
+  const auto target = Issuer.targetOf(id);
+  if (!target)
+    return;
+  base::logInfo("permit",
+                "no more permits for a target that a newer view does not list "
+                "as ready",
+                {{"target", target->Id},
+                 {"view_term", CurrentView.Term},
+                 {"view_number", CurrentView.Number},
+                 {"newer_term", end.ReturnedBy->Term},
+                 {"newer_number", end.ReturnedBy->Number}});
+  // The update that this core lacks lists the target again if it is ready.
+  answer(Issuer.remove(*target));
+}
+
 void PermitDesk::onLinkClosed(const std::shared_ptr<Link> &link,
                               base::MonoTime now) {
   auto node = Numbers.extract(link);
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -194,6 +194,9 @@
   hasNotice @3 :Bool;
   hasRateLimit @4 :Bool;
   rateLimit @5 :Float64;
+  # The view by which the entry did not send the request: it does not list the
+  # target as ready. Absent otherwise.
+  returnedBy @6 :ViewMark;
 }
 # Requests under which targets have ended.
 struct CrashReport {
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -415,7 +415,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3061,6 +3061,9 @@
 
   inline double getRateLimit() const;
 
+  inline bool hasReturnedBy() const;
+  inline  ::magnoliamill::fleet::wire::ViewMark::Reader getReturnedBy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3107,6 +3110,13 @@
   inline double getRateLimit();
   inline void setRateLimit(double value);
 
+  inline bool hasReturnedBy();
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder getReturnedBy();
+  inline void setReturnedBy( ::magnoliamill::fleet::wire::ViewMark::Reader value);
+  inline  ::magnoliamill::fleet::wire::ViewMark::Builder initReturnedBy();
+  inline void adoptReturnedBy(::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> disownReturnedBy();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3125,6 +3135,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline getReturnedBy();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7007,6 +7018,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitEnd::Reader::hasReturnedBy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitEnd::Builder::hasReturnedBy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Reader PermitEnd::Reader::getReturnedBy() const {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder PermitEnd::Builder::getReturnedBy() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline PermitEnd::Pipeline::getReturnedBy() {
+  return  ::magnoliamill::fleet::wire::ViewMark::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitEnd::Builder::setReturnedBy( ::magnoliamill::fleet::wire::ViewMark::Reader value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::ViewMark::Builder PermitEnd::Builder::initReturnedBy() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitEnd::Builder::adoptReturnedBy(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> PermitEnd::Builder::disownReturnedBy() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::ViewMark>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool CrashReport::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
