Entries leave cores that have lost the leader before their view is too old

With two cores cut off, an entry had the leader's view only after 3306 ms (test; 2000 are allowed), so a departure that was acknowledged meanwhile was not in force.

An entry that contacted a core took its view for confirmed at that moment, whatever the core itself had last received from the leader, waited up to 250 ms for its next check and as long again before it contacted the next core.

Change: a confirmation carries its age. Cores keep the time of the leader's last one and send it to each entry that subscribes; they pass on only confirmations of the leader that they follow. An entry keeps the time across cores, replaces a core when the confirmation is due instead of at its next check, and gives a core that it just contacted 550 ms for its first one if there are others. If all cores have lost the leader it stays 1250 ms with each, as before.

Older cores send no age: then 1250 + 550 ms.

--- a/packages/entry/CoreSelector.h
+++ b/packages/entry/CoreSelector.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,14 @@
     return oldest == cores.end() ? std::string() : *oldest;
   }
 
+  /// Whether there is another core than \p current that did not fail recently.
+  bool hasOther(const std::vector<fleet::VmAddress> &known,
+                std::string_view current, base::MonoTime now) const {
+    return std::ranges::any_of(listCandidates(known), [&](const auto &core) {
+      return core != current && !isAvoided(core, now);
+    });
+  }
+
   /// Records that the core was lost, stopped responding or had an outdated
   /// view.
   void onFault(const std::string &core, base::MonoTime now) {
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -44,11 +44,17 @@
   void connect();
   void onFrame(fleet::Frame frame);
   void onUpdate(const fleet::ViewUpdate &update);
+  void onCurrent(const fleet::ViewCurrent &current);
+  /// Leaves the current core. Another one is contacted with the next check.
   void switchCore(const std::string &reason);
+  /// The same, and contacts another core at once.
+  void replaceCore(const std::string &reason);
   /// Reconnects if the view names a preferable core: cores' data centres are
   /// known only from the first view.
   void preferOwnDataCentre();
   void startTimer();
+  /// When the core is replaced unless it confirms the view before.
+  base::MonoTime confirmationDue() const;
   void checkConnection();
 
   base::EventLoopThread &EventLoop;
@@ -60,7 +66,11 @@
   fleet::View CurrentView;
   /// Host of the current core.
   std::string Core;
-  /// When the core last confirmed that the view is current.
+  /// When the core was contacted.
+  base::MonoTime FollowedSince;
+  /// The core has sent a confirmation since then, maybe an old one.
+  bool HasConfirmed = false;
+  /// When the leader last confirmed that the view is current.
   base::MonoTime ConfirmedAt;
   base::MonoTime NextEntriesAsk;
 };
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -16,6 +16,9 @@
 /// confirmations may be missing, because a change must take effect everywhere
 /// within 2 s.
 constexpr base::Duration SilenceLimit = std::chrono::milliseconds(1250);
+/// Time for the first confirmation by a core that was just contacted, if there
+/// are others: together with SilenceLimit less than those 2 s.
+constexpr base::Duration FirstConfirmTime = std::chrono::milliseconds(550);
 constexpr base::Duration CheckInterval = std::chrono::milliseconds(250);
 /// How often the core is asked for other entries.
 constexpr base::Duration EntriesInterval = std::chrono::seconds(3);
@@ -53,7 +56,8 @@
   Core = Selector.choose(CurrentView.cores(), base::readMonotonic());
   if (Core.empty())
     return;
-  ConfirmedAt = base::readMonotonic();
+  FollowedSince = base::readMonotonic();
+  HasConfirmed = false;
   Link = std::make_shared<fleet::Link>(EventLoop.context());
   fleet::LinkHooks hooks;
   hooks.OnFrame = [this](fleet::Frame frame) { onFrame(std::move(frame)); };
@@ -80,9 +84,17 @@
     return Hooks.OnCrashes(*report);
   if (const auto *list = std::get_if<fleet::EntryList>(&frame))
     return Hooks.OnEntries(list->Entries);
-  if (auto *current = std::get_if<fleet::ViewCurrent>(&frame))
-    if (current->Version >= CurrentView.version())
-      ConfirmedAt = base::readMonotonic();
+  if (const auto *current = std::get_if<fleet::ViewCurrent>(&frame))
+    onCurrent(*current);
+}
+
+void ViewSubscription::onCurrent(const fleet::ViewCurrent &current) {
+  if (current.Version < CurrentView.version())
+    return;
+  ConfirmedAt = base::readMonotonic() - current.Age;
+  // The confirmation of a core that has lost the leader expires soon.
+  if (!std::exchange(HasConfirmed, true))
+    startTimer();
 }
 
 void ViewSubscription::onUpdate(const fleet::ViewUpdate &update) {
@@ -135,13 +147,21 @@
   // is not contacted in a tight loop.
 }
 
+void ViewSubscription::replaceCore(const std::string &reason) {
+  switchCore(reason);
+  connect();
+}
+
 void ViewSubscription::send(const fleet::Frame &frame) {
   if (Link && Link->isOpen())
     Link->send(frame);
 }
 
 void ViewSubscription::startTimer() {
-  Timer.expires_after(CheckInterval);
+  auto wait = CheckInterval;
+  if (Link)
+    wait = std::min(wait, base::delayUntil(confirmationDue()));
+  Timer.expires_after(wait);
   Timer.async_wait([this](const boost::system::error_code &ec) {
     if (ec)
       return;
@@ -150,12 +170,23 @@
   });
 }
 
+base::MonoTime ViewSubscription::confirmationDue() const {
+  const auto due = ConfirmedAt + SilenceLimit;
+  // There is no better core if all have lost the leader, or none has had one.
+  const bool HasOther =
+      !CurrentView.isEmpty() &&
+      Selector.hasOther(CurrentView.cores(), Core, base::readMonotonic());
+  if (!HasOther)
+    return std::max(due, FollowedSince + SilenceLimit);
+  return HasConfirmed ? due : std::max(due, FollowedSince + FirstConfirmTime);
+}
+
 void ViewSubscription::checkConnection() {
   if (!Link)
     return connect();
   const auto now = base::readMonotonic();
-  if (now - ConfirmedAt > SilenceLimit)
-    return switchCore("the core does not confirm the view");
+  if (now >= confirmationDue())
+    return replaceCore("the core does not confirm the view");
   if (now < NextEntriesAsk || !Link->isOpen())
     return;
   NextEntriesAsk = now + EntriesInterval;
--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 using namespace magnoliamill;
@@ -40,7 +41,7 @@
   return update;
 }
 
-/// Three cores with the same view until \p CutOffCount of them are cut off from
+/// Three cores with the same view until some of them are cut off from
 /// the leader: the one that the entry follows, then those that it contacts
 /// next.
 class Cores {
@@ -54,11 +55,13 @@
   void confirmNew() {
     broadcast(NewView, [](const State &core) { return core.HasNewView; });
   }
-  void cutOff(std::size_t CutOffCount) {
+  /// If \p report, they send how long the leader has not confirmed their view.
+  void cutOff(std::size_t count, bool report) {
     const std::lock_guard lock(Mutex);
     Followed->IsCutOff = true;
-    ToCutOff = CutOffCount - 1;
-    IsCut = true;
+    ToCutOff = count - 1;
+    CutAt = base::readMonotonic();
+    ReportsAge = report;
   }
 
 private:
@@ -74,7 +77,7 @@
       return;
     const std::lock_guard lock(Mutex);
     Followed = &core;
-    if (IsCut && !core.IsCutOff && !core.HasNewView) {
+    if (CutAt && !core.IsCutOff && !core.HasNewView) {
       core.IsCutOff = ToCutOff > 0;
       core.HasNewView = !core.IsCutOff;
       ToCutOff -= core.IsCutOff ? 1 : 0;
@@ -82,6 +85,8 @@
     const auto version = core.HasNewView ? NewView : OldView;
     if (hello->KnownView < version)
       from->send(makeView(version));
+    if (core.IsCutOff && ReportsAge)
+      from->send(fleet::ViewCurrent{OldView, base::readMonotonic() - *CutAt});
   }
   LoopbackCore::FrameHook hookOf(State &core) {
     return [this, &core](const auto &from, const auto &frame) {
@@ -105,7 +110,8 @@
   /// The core that the entry contacted last.
   State *Followed = nullptr;
   std::size_t ToCutOff = 0;
-  bool IsCut = false;
+  std::optional<base::MonoTime> CutAt;
+  bool ReportsAge = false;
   std::array<LoopbackCore, 3> All{
       LoopbackCore{hookOf(States[0]), "127.0.81.1", Port},
       LoopbackCore{hookOf(States[1]), "127.0.81.2", Port},
@@ -117,6 +123,7 @@
 TEST_CASE("An entry has the leader's view within the drain time although the "
           "cores that it contacts first are cut off") {
   const std::size_t CutOffCount = GENERATE(1, 2);
+  const bool ReportsAge = GENERATE(false, true);
   Cores cores;
   ScopedEventLoop loop;
   fleet::FleetSettings settings;
@@ -144,7 +151,7 @@
     cores.confirmOld();
   }
 
-  cores.cutOff(CutOffCount);
+  cores.cutOff(CutOffCount, ReportsAge);
   const auto start = base::readMonotonic();
   while (number != NewView.Number &&
          base::readMonotonic() < start + DrainTime + 5s) {
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -62,6 +62,8 @@
                      CrashRelay::Source source);
   void onViewUpdate(ViewUpdate update);
   void relayViewCurrent(const ViewCurrent &current);
+  /// The leader's last confirmation of LocalView.
+  ViewCurrent describeCurrent() const;
   void afterStep();
   void updateLeadership();
   void startLeading();
@@ -85,6 +87,8 @@
   ControlFormat Format;
   FleetState State;
   View LocalView;
+  /// When the leader last confirmed LocalView.
+  base::MonoTime ViewConfirmedAt;
   /// LocalView encoded as a frame; null after LocalView has changed.
   EncodedFrame EncodedView;
   std::unique_ptr<node::GroupRunner> Runner;
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -60,9 +60,11 @@
   std::string Body;
 };
 
-/// Version is the leader's newest view.
+/// Confirms that Version was the leader's newest view.
 struct ViewCurrent {
   ViewVersion Version;
+  /// Time since the leader confirmed it.
+  base::Duration Age{};
 };
 
 struct Ping {};
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -270,8 +270,11 @@
       onViewUpdate(std::move(*update));
     return;
   }
-  if (auto *current = std::get_if<ViewCurrent>(&frame))
-    return relayViewCurrent(*current);
+  if (auto *current = std::get_if<ViewCurrent>(&frame)) {
+    if (host == FollowedCore)
+      relayViewCurrent(*current);
+    return;
+  }
   if (auto *reply = std::get_if<CallReply>(&frame))
     return onReply(std::move(*reply));
   if (auto *report = std::get_if<SpeedReport>(&frame)) {
@@ -333,8 +336,17 @@
                  {"term", LocalView.version().Term},
                  {"number", LocalView.version().Number}});
   Subscribers.insert(from);
-  if (!LocalView.isEmpty() && hello.KnownView != LocalView.version())
+  if (LocalView.isEmpty())
+    return;
+  if (hello.KnownView != LocalView.version())
     from->send(encodedView());
+  // An entry leaves a core that has lost the leader.
+  if (!hello.IsCore)
+    from->send(describeCurrent());
+}
+
+ViewCurrent CoreNode::describeCurrent() const {
+  return {LocalView.version(), base::readMonotonic() - ViewConfirmedAt};
 }
 
 /// Encoded once for all subscribers that ask for the same view: after a restart
@@ -349,6 +361,7 @@
   EncodedView = nullptr;
   switch (LocalView.apply(update)) {
   case View::Outcome::Applied:
+    ViewConfirmedAt = base::readMonotonic();
     Permits.onView(LocalView);
     return broadcast(encodeShared(std::move(update)));
   case View::Outcome::Stale:
@@ -379,14 +392,16 @@
 }
 
 void CoreNode::relayViewCurrent(const ViewCurrent &current) {
-  // An entry that isn't told that its view is current looks for another core.
-  if (current.Version == LocalView.version())
-    broadcast(encodeShared(current));
+  if (current.Version != LocalView.version())
+    return;
+  ViewConfirmedAt = base::readMonotonic() - current.Age;
+  broadcast(encodeShared(current));
 }
 
 void CoreNode::publish(ViewUpdate update) {
   EncodedView = nullptr;
   LocalView.apply(update);
+  ViewConfirmedAt = base::readMonotonic();
   Permits.onView(LocalView);
   broadcast(encodeShared(std::move(update)));
 }
@@ -543,6 +558,7 @@
   }
   if (Leader && now >= NextViewCurrent && Runner->core().hasLeaderLease(now)) {
     NextViewCurrent = now + ViewCurrentInterval;
+    ViewConfirmedAt = now;
     broadcast(encodeShared(ViewCurrent{Leader->version()}));
   }
   sendPending();
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -428,7 +428,9 @@
     to.setBody(asData(reply.Body));
   }
   void operator()(const ViewCurrent &current) {
-    encodeVersion(current.Version, To.initViewCurrent());
+    auto to = To.initViewCurrent();
+    encodeVersion(current.Version, to);
+    to.setAgeMs(toWireMs(current.Age));
   }
   void operator()(const EntriesAsk &) { To.setEntriesAsk(); }
   void operator()(const EntryList &list) {
@@ -585,7 +587,9 @@
     return CallReply{from.getReply().getId(), from.getReply().getStatus(),
                      toString(from.getReply().getBody())};
   case wire::Frame::VIEW_CURRENT:
-    return ViewCurrent{decode(from.getViewCurrent())};
+    return ViewCurrent{
+        decode(from.getViewCurrent()),
+        std::chrono::milliseconds(from.getViewCurrent().getAgeMs())};
   case wire::Frame::PING:
     return Ping{};
   case wire::Frame::PONG:
--- a/packages/fleet/tests/CoreNodeTest.cpp
+++ b/packages/fleet/tests/CoreNodeTest.cpp
@@ -82,6 +82,7 @@
 
   std::optional<ViewVersion> Whole;
   std::optional<ViewVersion> Current;
+  base::MonoTime SubscribedAt = base::readMonotonic();
 
 private:
   std::shared_ptr<Link> Connection;
@@ -108,5 +109,7 @@
     Follower same(core, *version);
     CHECK(core.runUntil([&] { return same.Current == version; }));
     CHECK_FALSE(same.Whole);
+    // At once: a subscriber leaves a core that has lost the leader.
+    CHECK(base::readMonotonic() - same.SubscribedAt < 200ms);
   }
 }
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -149,7 +149,7 @@
     view @2 :ViewUpdate;
     call @3 :Call;
     reply @4 :CallReply;
-    # Confirms that the view with this number is current.
+    # Confirms that the view with this number is, or was, the leader's newest.
     viewCurrent @5 :ViewMark;
     ping @6 :Void;
     pong @7 :Void;
@@ -217,4 +217,9 @@
   answers @1 :UInt32;
   meanLogRatio @2 :Float32;
 }
-struct ViewMark { term @0 :UInt64; number @1 :UInt64; }
+struct ViewMark {
+  term @0 :UInt64;
+  number @1 :UInt64;
+  # In confirmations: how long ago the leader gave it.
+  ageMs @2 :UInt32;
+}
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -475,7 +475,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5ffad27199e8b20, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f5ffad27199e8b20, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3440,6 +3440,8 @@
 
   inline  ::uint64_t getNumber() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3474,6 +3476,9 @@
   inline  ::uint64_t getNumber();
   inline void setNumber( ::uint64_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7286,6 +7291,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ViewMark::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ViewMark::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ViewMark::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
