Entries ask only cores for other entries that state that they understand it

What callers would see: while VMs are replaced one after the other, an older core closes the link of each newer entry every three seconds, at the first frame of a kind that it does not have. The entry then changes its core, and leaves that one for 5 s.

Change: hellos state a version of the protocol, cores answer an entry's hello with their own, and an entry sends EntriesAsk only to a core that has stated version 2.

The core of UnreachableTargetsTest answers hellos now, as cores do: its entries would not ask it for others otherwise.

--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -44,6 +44,7 @@
   void connect();
   void onFrame(fleet::Frame frame);
   void onUpdate(const fleet::ViewUpdate &update);
+  void onHello(const fleet::Hello &hello);
   void onCurrent(const fleet::ViewCurrent &current);
   /// Leaves the current core. Another one is contacted with the next check.
   void switchCore(const std::string &reason);
@@ -66,6 +67,8 @@
   fleet::View CurrentView;
   /// Host of the current core.
   std::string Core;
+  /// Version of the protocol that the core understands.
+  std::uint16_t CoreProtocol = fleet::FirstProtocolVersion;
   /// When the core was contacted.
   base::MonoTime FollowedSince;
   /// The core has sent a confirmation since then, maybe an old one.
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -58,6 +58,7 @@
     return;
   FollowedSince = base::readMonotonic();
   HasConfirmed = false;
+  CoreProtocol = fleet::FirstProtocolVersion;
   Link = std::make_shared<fleet::Link>(EventLoop.context());
   fleet::LinkHooks hooks;
   hooks.OnFrame = [this](fleet::Frame frame) { onFrame(std::move(frame)); };
@@ -80,6 +81,8 @@
 void ViewSubscription::onFrame(fleet::Frame frame) {
   if (auto *update = std::get_if<fleet::ViewUpdate>(&frame))
     return onUpdate(*update);
+  if (const auto *hello = std::get_if<fleet::Hello>(&frame))
+    return onHello(*hello);
   if (const auto *report = std::get_if<dispatch::CrashReport>(&frame))
     return Hooks.OnCrashes(*report);
   if (const auto *list = std::get_if<fleet::EntryList>(&frame))
@@ -88,6 +91,15 @@
     onCurrent(*current);
 }
 
+void ViewSubscription::onHello(const fleet::Hello &hello) {
+  CoreProtocol = hello.Protocol;
+  if (CoreProtocol != fleet::ProtocolVersion)
+    base::logInfo("view", "the core has another version of the protocol",
+                  {{"core", Core},
+                   {"core_protocol", CoreProtocol},
+                   {"protocol", fleet::ProtocolVersion}});
+}
+
 void ViewSubscription::onCurrent(const fleet::ViewCurrent &current) {
   if (current.Version < CurrentView.version())
     return;
@@ -187,7 +199,8 @@
   const auto now = base::readMonotonic();
   if (now >= confirmationDue())
     return replaceCore("the core does not confirm the view");
-  if (now < NextEntriesAsk || !Link->isOpen())
+  const bool HasEntries = CoreProtocol >= fleet::EntriesProtocolVersion;
+  if (now < NextEntriesAsk || !HasEntries)
     return;
   NextEntriesAsk = now + EntriesInterval;
   send(fleet::EntriesAsk{});
--- a/packages/entry/tests/UnreachableTargetsTest.cpp
+++ b/packages/entry/tests/UnreachableTargetsTest.cpp
@@ -92,8 +92,10 @@
     });
   }
   void onFrame(fleet::Link &from, const fleet::Frame &frame) {
-    if (const auto *hello = std::get_if<fleet::Hello>(&frame))
+    if (const auto *hello = std::get_if<fleet::Hello>(&frame)) {
+      from.send(fleet::Hello{});
       from.send(DescribeView(hello->Host));
+    }
     if (std::holds_alternative<fleet::EntriesAsk>(frame))
       from.send(fleet::EntryList{{{CutHost, "dc-a"}, {SoundHost, "dc-a"}}});
   }
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -75,6 +75,7 @@
   void publish(ViewUpdate update);
   void broadcast(const EncodedFrame &frame);
   const EncodedFrame &encodedView();
+  /// \p host is the core to which it is sent; empty for an entry.
   Hello makeHello(const std::string &host) const;
   std::vector<VmAddress> listCores() const;
   /// Host of the leader; empty when no leader is known.
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -18,7 +18,17 @@
 
 namespace magnoliamill::fleet {
 
-/// The first frame of a link, from the side that opened it.
+/// Version of the protocol between the VMs of a fleet. It rises with each new
+/// kind of frame; a frame is sent only to a VM that has stated its version.
+/// docs/PROTOCOL.md has the rules.
+constexpr std::uint16_t ProtocolVersion = 2;
+/// Version of VMs that state none.
+constexpr std::uint16_t FirstProtocolVersion = 1;
+/// The first version with EntriesAsk and EntryList.
+constexpr std::uint16_t EntriesProtocolVersion = 2;
+
+/// The first frame of a link, from the side that opened it, and the answer of a
+/// core to an entry's.
 struct Hello {
   /// Numeric IP of the sender.
   std::string Host;
@@ -34,6 +44,8 @@
   /// Host of the leader that the sender follows, if it is a core; empty when it
   /// knows none. A core that is not a member yet finds the leader by it.
   std::string Leader;
+  /// What the sender understands.
+  std::uint16_t Protocol = ProtocolVersion;
 };
 
 using ConsensusBatch = std::vector<consensus::Message>;
@@ -113,10 +125,16 @@
   std::vector<VmAddress> Entries;
 };
 
-using Frame =
-    std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
-                 ViewCurrent, Ping, Pong, SpeedReport, PermitAsk, PermitReply,
-                 PermitEnd, dispatch::CrashReport, EntriesAsk, EntryList>;
+/// A frame of a kind that a later version has added; only received. Links drop
+/// it.
+struct UnknownFrame {
+  std::uint16_t Kind = 0;
+};
+
+using Frame = std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
+                           ViewCurrent, Ping, Pong, SpeedReport, PermitAsk,
+                           PermitReply, PermitEnd, dispatch::CrashReport,
+                           EntriesAsk, EntryList, UnknownFrame>;
 
 std::string encodeFrame(const Frame &frame);
 /// Error: PeerProtocol when \p bytes are malformed.
--- a/packages/fleet/Link.h
+++ b/packages/fleet/Link.h
@@ -64,6 +64,7 @@
   void read();
   void onRead(std::size_t n);
   bool dispatchFrames();
+  void deliver(Frame frame);
   void write();
 
   boost::asio::ip::tcp::socket Socket;
@@ -73,6 +74,8 @@
   base::MonoTime LastHeard;
   std::array<char, 16384> ReadBuffer{};
   std::string Received;
+  /// A frame of an unknown kind was received and logged.
+  bool HasUnknownFrames = false;
   std::deque<EncodedFrame> Queue;
   /// Bytes in Queue.
   std::size_t Queued = 0;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -230,7 +230,7 @@
   hello.DataCentre = Settings.DataCentre;
   hello.IsCore = true;
   hello.Incarnation = Incarnation;
-  hello.WantsView = host == FollowedCore;
+  hello.WantsView = !host.empty() && host == FollowedCore;
   hello.KnownView = LocalView.version();
   hello.Leader = FollowedCore;
   return hello;
@@ -320,6 +320,7 @@
     Links.add(hello.Leader);
   } else {
     Entries.put(from.get(), {hello.Host, hello.DataCentre});
+    from->send(makeHello({}));
   }
   const auto now = base::readMonotonic();
   const auto crashes = hello.IsCore ? Crashes.describeForCore(now)
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -405,6 +405,7 @@
     to.setWantsView(hello.WantsView);
     encodeVersion(hello.KnownView, to.initKnownView());
     to.setLeader(asText(hello.Leader));
+    to.setProtocol(hello.Protocol);
   }
   void operator()(const ConsensusBatch &batch) {
     auto to = To.initConsensus(sizeOf(batch));
@@ -438,6 +439,9 @@
     for (capnp::uint i = 0; i < to.size(); ++i)
       encode(list.Entries[i], to[i]);
   }
+  void operator()(const UnknownFrame &) {
+    KJ_FAIL_REQUIRE("unknown frames are not sent");
+  }
   void operator()(const Ping &) { To.setPing(); }
   void operator()(const Pong &) { To.setPong(); }
   void operator()(const SpeedReport &report) {
@@ -556,10 +560,14 @@
 }
 
 Hello decode(wire::Hello::Reader from) {
-  return {toString(from.getHost()),  toString(from.getDataCentre()),
-          from.getIsCore(),          from.getIncarnation(),
-          from.getWantsView(),       decode(from.getKnownView()),
-          toString(from.getLeader())};
+  return {toString(from.getHost()),
+          toString(from.getDataCentre()),
+          from.getIsCore(),
+          from.getIncarnation(),
+          from.getWantsView(),
+          decode(from.getKnownView()),
+          toString(from.getLeader()),
+          std::max(from.getProtocol(), FirstProtocolVersion)};
 }
 
 Call decode(wire::Call::Reader from) {
@@ -622,7 +630,7 @@
   case wire::Frame::PERMIT_END:
     return decode(from.getPermitEnd());
   }
-  KJ_FAIL_REQUIRE("unknown kind of frame");
+  return UnknownFrame{static_cast<std::uint16_t>(from.which())};
 }
 
 std::string serialize(capnp::MallocMessageBuilder &message) {
--- a/packages/fleet/internal/Link.cpp
+++ b/packages/fleet/internal/Link.cpp
@@ -2,6 +2,7 @@
 // write.
 #include "fleet/Link.h"
 
+#include "base/Log.h"
 #include "fleet/internal/FrameCompression.h"
 
 #include <boost/asio/write.hpp>
@@ -148,8 +149,7 @@
       fail(frame.error().Message);
       return false;
     }
-    if (Hooks.OnFrame)
-      Hooks.OnFrame(std::move(frame.value()));
+    deliver(std::move(frame.value()));
     if (State != Phase::Open)
       return false;
   }
@@ -157,6 +157,17 @@
   return true;
 }
 
+void Link::deliver(Frame frame) {
+  if (const auto *unknown = std::get_if<UnknownFrame>(&frame)) {
+    if (!std::exchange(HasUnknownFrames, true))
+      base::logInfo("link", "frames of an unknown kind are dropped",
+                    {{"kind", unknown->Kind}, {"protocol", ProtocolVersion}});
+    return;
+  }
+  if (Hooks.OnFrame)
+    Hooks.OnFrame(std::move(frame));
+}
+
 void Link::send(EncodedFrame frame) {
   if (State == Phase::Closed)
     return;
--- a/packages/fleet/tests/ViewTest.cpp
+++ b/packages/fleet/tests/ViewTest.cpp
@@ -4,12 +4,15 @@
 #include "fleet/FleetState.h"
 #include "fleet/Frame.h"
 #include "fleet/internal/FrameCompression.h"
+#include "fleet/tests/UnknownFrames.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
 using namespace magnoliamill;
 using namespace magnoliamill::fleet;
+using namespace std::chrono_literals;
+using fleet::tests::makeUnknownFrame;
 
 namespace {
 
@@ -169,6 +172,29 @@
   CHECK_FALSE(internal::decompressFrame("x", 100));
 }
 
+TEST_CASE("Frames of other versions of the protocol are decoded") {
+  SECTION("a hello states the sender's version; older builds state none") {
+    const auto versionOf = [](std::uint16_t stated) {
+      Hello hello;
+      hello.Protocol = stated;
+      return std::get<Hello>(decodeFrame(encodeFrame(hello)).value()).Protocol;
+    };
+    CHECK(versionOf(ProtocolVersion) == ProtocolVersion);
+    CHECK(versionOf(UINT16_MAX) == UINT16_MAX);
+    CHECK(versionOf(0) == FirstProtocolVersion);
+  }
+  SECTION("a confirmation of the view has its age; older builds send none") {
+    const auto decoded =
+        decodeFrame(encodeFrame(ViewCurrent{{2, 3}, 1500ms})).value();
+    CHECK(std::get<ViewCurrent>(decoded).Version == ViewVersion{2, 3});
+    CHECK(std::get<ViewCurrent>(decoded).Age == base::Duration(1500ms));
+  }
+  SECTION("a kind that a later version has added") {
+    CHECK(std::get<UnknownFrame>(decodeFrame(makeUnknownFrame(999)).value())
+              .Kind == 999);
+  }
+}
+
 TEST_CASE("Malformed frames and commands are refused") {
   const std::string good = encodeFrame(makeWhole(1));
   rc::check([&good] {
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -129,6 +129,8 @@
   knownView @5 :ViewMark;
   # Host of the leader that the sender follows; empty when it knows none.
   leader @6 :Text;
+  # Version of this protocol that the sender understands; 0 before version 2.
+  protocol @7 :UInt16;
 }
 # A call by a target or an operator, passed to the leader.
 struct Call {
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -2270,6 +2270,8 @@
   inline bool hasLeader() const;
   inline  ::capnp::Text::Reader getLeader() const;
 
+  inline  ::uint16_t getProtocol() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2335,6 +2337,9 @@
   inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownLeader();
 
+  inline  ::uint16_t getProtocol();
+  inline void setProtocol( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5735,6 +5740,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t Hello::Reader::getProtocol() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Hello::Builder::getProtocol() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setProtocol( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Call::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
