Requests under which a target has ended get one permit at a time

What is refused was decided by targets that ended, so three targets ended with all their slots.

Change: an ask for a permit carries the hash of what the request contains. Once a target has ended under it and none has answered it since, the core issues one permit at a time for it (admission/PermitTrials) and refuses the others with 250 ms to come back; after a failure the next one waits 1 s for the report on whether the target has ended. An answer ends that at once. Other requests are not touched.

Not covered: a request without a permit (no core answers, a retry), and one trial for each core that is asked (services without keys in several data centres).

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -42,6 +42,8 @@
   base::Duration LatencyObjective{};
   /// Time until the answer is of no use.
   base::Duration Timeout{};
+  /// Hash of what the request contains; 0 if the entry does not send it.
+  std::uint64_t Content = 0;
 };
 
 enum class PermitDecision : std::uint8_t {
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -81,6 +81,7 @@
   request.MayWait = step.MayWait;
   request.LatencyObjective = ArrivedAt + Route->LatencyObjective - now;
   request.Timeout = Deadline - now;
+  request.Content = content();
   return Handler.permits().ask(
       Handler.view().cores(), step.DataCentre, step.Name, std::move(request),
       [self = shared_from_this()](const PermitResult &result) {
--- a/packages/fleet/CrashRelay.h
+++ b/packages/fleet/CrashRelay.h
@@ -21,6 +21,10 @@
   News merge(const dispatch::CrashReport &report, Source source,
              base::MonoTime now);
 
+  /// Whether a target has ended under a request with \p content, and none has
+  /// answered it since.
+  bool isKnown(std::uint64_t content) const { return Known.isKnown(content); }
+
   /// For a core or an entry that has just connected.
   dispatch::CrashReport describeForCore(base::MonoTime now) const {
     return dispatch::makeReport(Known.list(now), now);
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "admission/PermitIssuer.h"
+#include "admission/PermitTrials.h"
 #include "fleet/Link.h"
 #include "fleet/View.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -15,7 +17,11 @@
 /// Not thread-safe: all methods run on the thread of the event loop.
 class PermitDesk {
 public:
-  explicit PermitDesk(std::uint64_t seed) : Issuer(seed) {}
+  /// Whether a target has ended under a request with this content.
+  using SuspectHook = std::function<bool(std::uint64_t content)>;
+
+  explicit PermitDesk(std::uint64_t seed, SuspectHook suspect = {})
+      : Issuer(seed), IsSuspect(std::move(suspect)) {}
 
   /// Applies the last change of \p view.
   void onView(const View &view);
@@ -31,9 +37,16 @@
   /// Stops issuing permits for the target of \p end if a newer view than this
   /// core's does not list it as ready.
   void removeIfDeparted(const admission::PermitId &id, const PermitEnd &end);
+  /// Refuses the permit and returns true if the request may end targets and
+  /// another attempt at it is under way.
+  bool refuseIfOnTrial(const admission::PermitId &id,
+                       const admission::PermitRequest &request,
+                       base::MonoTime now);
   void answer(const admission::PermitIssuer::Answers &answers);
 
   admission::PermitIssuer Issuer;
+  admission::PermitTrials Trials;
+  SuspectHook IsSuspect;
   ViewVersion CurrentView;
   /// The number of each link that has asked, and the reverse.
   std::map<std::shared_ptr<Link>, std::uint64_t> Numbers;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -63,7 +63,10 @@
                Permits.onLinkClosed(link, base::readMonotonic());
              },
              [this](const auto &host) { return makeHello(host); }}),
-      Permits(base::hash64(Settings.Host, 2)), Timer(loop.context()) {}
+      Permits(
+          base::hash64(Settings.Host, 2),
+          [this](std::uint64_t content) { return Crashes.isKnown(content); }),
+      Timer(loop.context()) {}
 
 CoreNode::~CoreNode() { Links.closeAll(); }
 
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -475,6 +475,7 @@
     to.setMayWait(ask.Request.MayWait);
     to.setObjectiveMs(toWireMs(ask.Request.LatencyObjective));
     to.setTimeoutMs(toWireMs(ask.Request.Timeout));
+    to.setContent(ask.Request.Content);
   }
   void operator()(const PermitReply &reply) {
     auto to = To.initPermitReply();
@@ -522,6 +523,7 @@
   ask.Request.LatencyObjective =
       std::chrono::milliseconds(from.getObjectiveMs());
   ask.Request.Timeout = std::chrono::milliseconds(from.getTimeoutMs());
+  ask.Request.Content = from.getContent();
   return ask;
 }
 
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -3,6 +3,7 @@
 
 #include "base/Log.h"
 #include "base/Metrics.h"
+#include "node/CrashWatch.h"
 
 #include <prometheus/counter.h>
 
@@ -64,7 +65,27 @@
   auto [it, added] = Numbers.try_emplace(from, NextNumber);
   if (added)
     Links[NextNumber++] = from;
-  answer(Issuer.request({it->second, ask.Number}, ask.Request, now));
+  const admission::PermitId id{it->second, ask.Number};
+  if (!refuseIfOnTrial(id, ask.Request, now))
+    answer(Issuer.request(id, ask.Request, now));
+}
+
+bool PermitDesk::refuseIfOnTrial(const admission::PermitId &id,
+                                 const admission::PermitRequest &request,
+                                 base::MonoTime now) {
+  const bool MayEndTargets =
+      request.Content != 0 && IsSuspect && IsSuspect(request.Content);
+  if (!MayEndTargets ||
+      Trials.tryBegin(request.Content, id, now + request.Timeout, now))
+    return false;
+  base::logInfo("permit",
+                "a permit is refused, a target has ended under the request and "
+                "another attempt at it is under way",
+                {{"content", node::formatContent(request.Content)},
+                 {"entry_link", id.Requester}});
+  answer(
+      {{id, PermitDecision::Refused, {}, admission::PermitTrials::RetryAfter}});
+  return true;
 }
 
 void PermitDesk::onEnd(const std::shared_ptr<Link> &from, const PermitEnd &end,
@@ -86,6 +107,7 @@
     base::logInfo("permit", "an entry reports a failed call to a target",
                   {{"target", failed->Id}, {"entry_link", it->second}});
   removeIfDeparted(id, end);
+  Trials.end(id, end.Use, now);
   answer(Issuer.release(id, end.Use, end.Latency, now));
 }
 
@@ -114,6 +136,7 @@
   if (node.empty())
     return;
   Links.erase(node.mapped());
+  Trials.endAll(node.mapped());
   answer(Issuer.releaseAll(node.mapped(), now));
 }
 
@@ -122,6 +145,9 @@
 void PermitDesk::answer(const admission::PermitIssuer::Answers &answers) {
   for (const auto &it : answers) {
     countDecision(it.Decision);
+    if (it.Decision == PermitDecision::Refused ||
+        it.Decision == PermitDecision::Unknown)
+      Trials.abandon(it.Id);
     auto link = Links.find(it.Id.Requester);
     if (link == Links.end())
       continue;
--- a/packages/fleet/tests/PermitDeskTest.cpp
+++ b/packages/fleet/tests/PermitDeskTest.cpp
@@ -1,11 +1,12 @@
-// Tests that a core issues no permits for a target that has departed in a newer
-// view than its own.
+// Tests which permits a core does not issue: for a target that has departed in
+// a newer view than its own, and for a request under which targets end.
 #include "fleet/PermitDesk.h"
 
 #include "base/EventLoopThread.h"
 #include "base/Listener.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace magnoliamill;
 using namespace magnoliamill::fleet;
@@ -21,7 +22,7 @@
   update.Version = {1, number};
   update.IsWhole = true;
   update.Targets = {
-      {Instance, 1, "10.0.0.1:80", "stock", "dc-a", 1, TargetState::Ready}};
+      {Instance, 1, "10.0.0.1:80", "stock", "dc-a", 4, TargetState::Ready}};
   return update;
 }
 
@@ -56,7 +57,7 @@
     REQUIRE(CurrentView.apply(update) == View::Outcome::Applied);
     Desk.onView(CurrentView);
   }
-  PermitReply ask() {
+  PermitReply ask(std::uint64_t content = 0) {
     Reply.reset();
     PermitAsk ask;
     ask.Number = ++Number;
@@ -64,6 +65,7 @@
     ask.Request.DataCentre = "dc-a";
     ask.Request.LatencyObjective = 1s;
     ask.Request.Timeout = 1s;
+    ask.Request.Content = content;
     AtEntry->send(ask);
     const auto end = base::readMonotonic() + 5s;
     while (!Reply && base::readMonotonic() < end)
@@ -77,9 +79,18 @@
         Number, admission::PermitUse::Abandoned, {}, std::nullopt, version});
   }
 
+  void end(std::uint64_t number, admission::PermitUse use) {
+    AtEntry->send(PermitEnd{number, use, 10ms});
+  }
+  /// Moves the time of the desk.
+  void advance(base::Duration time) { Elapsed += time; }
+
+  /// Contents of requests under which a target has ended.
+  std::set<std::uint64_t> Suspects;
+
 private:
   void onFrame(const Frame &frame) {
-    const auto now = base::readMonotonic();
+    const auto now = base::readMonotonic() + Elapsed;
     if (const auto *ask = std::get_if<PermitAsk>(&frame))
       Desk.onAsk(AtCore, *ask, now);
     if (const auto *end = std::get_if<PermitEnd>(&frame))
@@ -91,7 +102,9 @@
   std::shared_ptr<Link> AtCore = std::make_shared<Link>(EventLoop.context());
   std::shared_ptr<Link> AtEntry = std::make_shared<Link>(EventLoop.context());
   View CurrentView;
-  PermitDesk Desk{1};
+  PermitDesk Desk{
+      1, [this](std::uint64_t content) { return Suspects.contains(content); }};
+  base::Duration Elapsed{};
   std::optional<PermitReply> Reply;
   std::uint64_t Number = 0;
 };
@@ -120,3 +133,47 @@
     CHECK(fixture.ask().Decision == PermitDecision::Granted);
   }
 }
+
+TEST_CASE("Attempts at a request under which a target has ended don't end all "
+          "slots of the next one") {
+  constexpr std::uint64_t Deadly = 7;
+  constexpr int AttemptCount = 4;
+  DeskFixture fixture;
+  fixture.receive(makeView(1));
+  const auto countGranted = [&](std::uint64_t content) {
+    int granted = 0;
+    for (int i = 0; i < AttemptCount; ++i) {
+      const auto reply = fixture.ask(content);
+      granted += reply.Decision == PermitDecision::Granted ? 1 : 0;
+      if (reply.Decision == PermitDecision::Refused)
+        CHECK(reply.RetryAfter > base::Duration::zero());
+    }
+    return granted;
+  };
+
+  SECTION("before a target has ended they run together") {
+    CHECK(countGranted(Deadly) == AttemptCount);
+  }
+  SECTION("after that one at a time") {
+    fixture.Suspects = {Deadly};
+    CHECK(countGranted(Deadly) == 1);
+    CHECK(countGranted(Deadly + 1) == AttemptCount - 1);
+  }
+  SECTION("the next one when the report on a failure has had its time") {
+    fixture.Suspects = {Deadly};
+    const auto first = fixture.ask(Deadly);
+    REQUIRE(first.Decision == PermitDecision::Granted);
+    fixture.end(first.Number, admission::PermitUse::Failed);
+    CHECK(countGranted(Deadly) == 0);
+    fixture.advance(admission::PermitTrials::ReportTime);
+    CHECK(countGranted(Deadly) == 1);
+  }
+  SECTION("at once when the first is answered") {
+    fixture.Suspects = {Deadly};
+    const auto first = fixture.ask(Deadly);
+    fixture.end(first.Number, admission::PermitUse::Answered);
+    CHECK(countGranted(Deadly) == 1);
+    fixture.Suspects = {};
+    CHECK(countGranted(Deadly) == AttemptCount - 1);
+  }
+}
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -176,6 +176,8 @@
   mayWait @5 :Bool;
   objectiveMs @6 :UInt32;
   timeoutMs @7 :UInt32;
+  # Hash of what the request contains; 0 when absent.
+  content @8 :UInt64;
 }
 struct PermitReply {
   number @0 :UInt64;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -385,7 +385,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fefa125c182d4b2a, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fefa125c182d4b2a, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2833,6 +2833,8 @@
 
   inline  ::uint32_t getTimeoutMs() const;
 
+  inline  ::uint64_t getContent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2897,6 +2899,9 @@
   inline  ::uint32_t getTimeoutMs();
   inline void setTimeoutMs( ::uint32_t value);
 
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6824,6 +6829,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PermitAsk::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PermitReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
