Mesh shape: no VM may write a request without keys to a leaving target

DispatchAgent::mayWrite() is asked before each write and needs the dispatcher's lease and an active target in its view. The existing test of a leaving target checked its slots only.

--- a/packages/ownership/tests/HandoverTest.cpp
+++ b/packages/ownership/tests/HandoverTest.cpp
@@ -143,6 +143,10 @@
     sim.run(3000 * Ms);
     REQUIRE(countAt(sim, instance) == 0);
     REQUIRE(sim.isAllServed());
+    // Nor does it get requests without keys.
+    for (const auto &vm : sim.Vms)
+      REQUIRE_FALSE(vm.Agent->mayWrite(instance, std::nullopt,
+                                       vm.Clock.read(sim.Now)));
   }
   SECTION("a target that leaves by a date is emptied gradually") {
     const auto leave = sim.Now / Ms + 30000;
