--- a/packages/entry/tests/OtherBuildsTest.cpp
+++ b/packages/entry/tests/OtherBuildsTest.cpp
@@ -1,8 +1,9 @@
 // Tests an entry beside a core of another build.
 #include "LoopbackCore.h"
-#include "entry/ViewSubscription.h"
+#include "SubscribedEntry.h"
 #include "fleet/tests/UnknownFrames.h"
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -11,7 +12,6 @@
 using namespace magnoliamill::entry::tests;
 using namespace std::chrono_literals;
 using fleet::tests::makeUnknownFrame;
-using gateway::tests::ScopedEventLoop;
 using gateway::tests::waitFor;
 
 namespace {
@@ -69,28 +69,10 @@
       GENERATE(std::uint16_t{0}, fleet::ProtocolVersion,
                std::uint16_t{fleet::ProtocolVersion + 1});
   OtherCore core(protocol);
-  ScopedEventLoop loop;
-  fleet::FleetSettings settings;
-  settings.Vm = "f1";
-  settings.DataCentre = "dc-a";
-  settings.LinkPort = core.port();
-  settings.Seeds = {{"127.0.0.1", 1}};
-  std::atomic<bool> HasView{false};
-  std::unique_ptr<ViewSubscription> subscription;
-  loop.run([&] {
-    ViewSubscriptionHooks hooks;
-    hooks.OnView = [&] { HasView = true; };
-    hooks.OnCrashes = [](const auto &) {};
-    hooks.OnEntries = [](const auto &) {};
-    hooks.DescribeCrashes = [] { return dispatch::CrashReport{}; };
-    subscription = std::make_unique<ViewSubscription>(loop.EventLoop, settings,
-                                                      std::move(hooks));
-    subscription->start();
-  });
-  CHECK(waitFor([&] { return HasView.load(); }));
+  const SubscribedEntry entry(std::array{"127.0.0.1"}, core.port());
+  CHECK(waitFor([&] { return entry.viewNumber() == Version.Number; }));
   std::this_thread::sleep_for(AskTime);
   CHECK(core.countHellos() == 1);
   const bool HasEntries = protocol >= fleet::EntriesProtocolVersion;
   CHECK((core.countEntriesAsks() > 0) == HasEntries);
-  loop.run([&] { subscription.reset(); });
 }
--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -1,10 +1,9 @@
 // Tests how long an entry stays without updates of the view when cores are cut
 // off.
-#include "entry/ViewSubscription.h"
 #include "LoopbackCore.h"
+#include "SubscribedEntry.h"
 
 #include <array>
-#include <atomic>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -13,7 +12,6 @@
 using namespace magnoliamill::entry;
 using namespace magnoliamill::entry::tests;
 using namespace std::chrono_literals;
-using gateway::tests::ScopedEventLoop;
 using gateway::tests::waitFor;
 
 namespace {
@@ -22,13 +20,14 @@
 constexpr base::Duration DrainTime = 2s;
 /// How often the leader confirms the view.
 constexpr base::Duration ConfirmInterval = 400ms;
+constexpr std::array Hosts{"127.0.81.1", "127.0.81.2", "127.0.81.3"};
 constexpr fleet::ViewVersion OldView{1, 1};
 constexpr fleet::ViewVersion NewView{1, 2};
 
 std::uint16_t findFreePort() {
   boost::asio::io_context context;
   boost::asio::ip::tcp::acceptor acceptor(
-      context, {boost::asio::ip::make_address("127.0.81.1"), 0});
+      context, {boost::asio::ip::make_address(Hosts.front()), 0});
   return acceptor.local_endpoint().port();
 }
 
@@ -36,7 +35,7 @@
   fleet::ViewUpdate update;
   update.Version = version;
   update.IsWhole = true;
-  for (const auto *host : {"127.0.81.1", "127.0.81.2", "127.0.81.3"})
+  for (const auto *host : Hosts)
     update.Cores.push_back({host, "dc-a"});
   return update;
 }
@@ -113,9 +112,9 @@
   std::optional<base::MonoTime> CutAt;
   bool ReportsAge = false;
   std::array<LoopbackCore, 3> All{
-      LoopbackCore{hookOf(States[0]), "127.0.81.1", Port},
-      LoopbackCore{hookOf(States[1]), "127.0.81.2", Port},
-      LoopbackCore{hookOf(States[2]), "127.0.81.3", Port}};
+      LoopbackCore{hookOf(States[0]), Hosts[0], Port},
+      LoopbackCore{hookOf(States[1]), Hosts[1], Port},
+      LoopbackCore{hookOf(States[2]), Hosts[2], Port}};
 };
 
 } // namespace
@@ -125,26 +124,8 @@
   const std::size_t CutOffCount = GENERATE(1, 2);
   const bool ReportsAge = GENERATE(false, true);
   Cores cores;
-  ScopedEventLoop loop;
-  fleet::FleetSettings settings;
-  settings.Vm = "f1";
-  settings.DataCentre = "dc-a";
-  settings.LinkPort = cores.port();
-  for (const auto *host : {"127.0.81.1", "127.0.81.2", "127.0.81.3"})
-    settings.Seeds.push_back({host, 1});
-  std::atomic<std::uint64_t> number{0};
-  std::unique_ptr<ViewSubscription> subscription;
-  loop.run([&] {
-    ViewSubscriptionHooks hooks;
-    hooks.OnView = [&] { number = subscription->view().version().Number; };
-    hooks.OnCrashes = [](const auto &) {};
-    hooks.OnEntries = [](const auto &) {};
-    hooks.DescribeCrashes = [] { return dispatch::CrashReport{}; };
-    subscription = std::make_unique<ViewSubscription>(loop.EventLoop, settings,
-                                                      std::move(hooks));
-    subscription->start();
-  });
-  REQUIRE(waitFor([&] { return number == OldView.Number; }));
+  const SubscribedEntry entry(Hosts, cores.port());
+  REQUIRE(waitFor([&] { return entry.viewNumber() == OldView.Number; }));
   // The first view may lead the entry to another core.
   for (int i = 0; i < 5; ++i) {
     std::this_thread::sleep_for(ConfirmInterval / 4);
@@ -153,13 +134,12 @@
 
   cores.cutOff(CutOffCount, ReportsAge);
   const auto start = base::readMonotonic();
-  while (number != NewView.Number &&
+  while (entry.viewNumber() != NewView.Number &&
          base::readMonotonic() < start + DrainTime + 5s) {
     std::this_thread::sleep_for(ConfirmInterval / 4);
     cores.confirmNew();
   }
   const auto delay = base::readMonotonic() - start;
-  CHECK(number == NewView.Number);
+  CHECK(entry.viewNumber() == NewView.Number);
   CHECK(base::toMs(delay) <= base::toMs(DrainTime));
-  loop.run([&] { subscription.reset(); });
 }
--- a/packages/fleet/tests/PermitDeskTest.cpp
+++ b/packages/fleet/tests/PermitDeskTest.cpp
@@ -140,7 +140,7 @@
   constexpr int AttemptCount = 4;
   DeskFixture fixture;
   fixture.receive(makeView(1));
-  const auto countGranted = [&](std::uint64_t content) {
+  const auto CountGranted = [&](std::uint64_t content) {
     int granted = 0;
     for (int i = 0; i < AttemptCount; ++i) {
       const auto reply = fixture.ask(content);
@@ -152,28 +152,28 @@
   };
 
   SECTION("before a target has ended they run together") {
-    CHECK(countGranted(Deadly) == AttemptCount);
+    CHECK(CountGranted(Deadly) == AttemptCount);
   }
   SECTION("after that one at a time") {
     fixture.Suspects = {Deadly};
-    CHECK(countGranted(Deadly) == 1);
-    CHECK(countGranted(Deadly + 1) == AttemptCount - 1);
+    CHECK(CountGranted(Deadly) == 1);
+    CHECK(CountGranted(Deadly + 1) == AttemptCount - 1);
   }
   SECTION("the next one when the report on a failure has had its time") {
     fixture.Suspects = {Deadly};
     const auto first = fixture.ask(Deadly);
     REQUIRE(first.Decision == PermitDecision::Granted);
     fixture.end(first.Number, admission::PermitUse::Failed);
-    CHECK(countGranted(Deadly) == 0);
+    CHECK(CountGranted(Deadly) == 0);
     fixture.advance(admission::PermitTrials::ReportTime);
-    CHECK(countGranted(Deadly) == 1);
+    CHECK(CountGranted(Deadly) == 1);
   }
   SECTION("at once when the first is answered") {
     fixture.Suspects = {Deadly};
     const auto first = fixture.ask(Deadly);
     fixture.end(first.Number, admission::PermitUse::Answered);
-    CHECK(countGranted(Deadly) == 1);
+    CHECK(CountGranted(Deadly) == 1);
     fixture.Suspects = {};
-    CHECK(countGranted(Deadly) == AttemptCount - 1);
+    CHECK(CountGranted(Deadly) == AttemptCount - 1);
   }
 }
--- a/packages/fleet/tests/ViewTest.cpp
+++ b/packages/fleet/tests/ViewTest.cpp
@@ -174,14 +174,14 @@
 
 TEST_CASE("Frames of other versions of the protocol are decoded") {
   SECTION("a hello states the sender's version; older builds state none") {
-    const auto versionOf = [](std::uint16_t stated) {
+    const auto DecodeVersion = [](std::uint16_t stated) {
       Hello hello;
       hello.Protocol = stated;
       return std::get<Hello>(decodeFrame(encodeFrame(hello)).value()).Protocol;
     };
-    CHECK(versionOf(ProtocolVersion) == ProtocolVersion);
-    CHECK(versionOf(UINT16_MAX) == UINT16_MAX);
-    CHECK(versionOf(0) == FirstProtocolVersion);
+    CHECK(DecodeVersion(ProtocolVersion) == ProtocolVersion);
+    CHECK(DecodeVersion(UINT16_MAX) == UINT16_MAX);
+    CHECK(DecodeVersion(0) == FirstProtocolVersion);
   }
   SECTION("a confirmation of the view has its age; older builds send none") {
     const auto decoded =
--- a/packages/ownership/tests/HandoverTest.cpp
+++ b/packages/ownership/tests/HandoverTest.cpp
@@ -145,8 +145,8 @@
     REQUIRE(sim.isAllServed());
     // Nor does it get requests without keys.
     for (const auto &vm : sim.Vms)
-      REQUIRE_FALSE(vm.Agent->mayWrite(instance, std::nullopt,
-                                       vm.Clock.read(sim.Now)));
+      REQUIRE_FALSE(
+          vm.Agent->mayWrite(instance, std::nullopt, vm.Clock.read(sim.Now)));
   }
   SECTION("a target that leaves by a date is emptied gradually") {
     const auto leave = sim.Now / Ms + 30000;
