--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -134,10 +134,14 @@
 
   cores.cutOff(CutOffCount, ReportsAge);
   const auto start = base::readMonotonic();
+  auto ConfirmAt = start;
   while (entry.viewNumber() != NewView.Number &&
          base::readMonotonic() < start + DrainTime + 5s) {
-    std::this_thread::sleep_for(ConfirmInterval / 4);
-    cores.confirmNew();
+    if (base::readMonotonic() >= ConfirmAt) {
+      cores.confirmNew();
+      ConfirmAt += ConfirmInterval;
+    }
+    std::this_thread::sleep_for(5ms);
   }
   const auto delay = base::readMonotonic() - start;
   CHECK(entry.viewNumber() == NewView.Number);
