--- a/packages/admission/PermitTrials.h
+++ b/packages/admission/PermitTrials.h
@@ -41,7 +41,8 @@
     });
   }
 
-  /// The check of a target's address takes up to half of it.
+  /// How long the report on a failed call may take; the check of the target's
+  /// address takes up to half of it.
   static constexpr base::Duration ReportTime = std::chrono::seconds(1);
   /// Retry-After value for the other attempts: most requests take less time.
   static constexpr base::Duration RetryAfter = std::chrono::milliseconds(250);
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -113,8 +113,8 @@
   /// Sends the request to the target of a permit, unless the key has moved or
   /// the target has departed or closed while the request waited.
   void usePermit(const PermitResult &result);
-  /// Returns a permit for a target that is not ready in the view, and asks
-  /// again.
+  /// Returns a permit for a target that is not ready in the view, and requests
+  /// another one.
   void returnPermit(const PermitResult &result);
   void endPermit(admission::PermitUse use, base::Duration latency = {});
   PooledTarget *chooseTarget();
--- a/packages/entry/tests/OtherBuildsTest.cpp
+++ b/packages/entry/tests/OtherBuildsTest.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr fleet::ViewVersion Version{1, 1};
-/// An entry that knows no other entries asks for them within this time.
+/// An entry requests the list of other entries within this time.
 constexpr base::Duration AskTime = 1s;
 
 /// A core that states \p protocol, or nothing if that is 0.
