Core group: logs name the members; a failing test of disks lost during membership changes

'a membership change is proposed' had numbers only, so neither which voter was removed nor whose votes a group without a leader lacks could be read. It now names voters, learners and silent members; every core logs 'the membership has changed', and after 2 s without a leader 'the group has no leader' with the voters from which it receives nothing. The decision moves from CoreNode to GroupMembership, unchanged, so that it can be tested.

GroupMembershipTest plays whole groups (policy, replicas, disks): at each step of each membership change one disk and all power are lost, and the group must be whole again within recovery_s. In each failure the log of the leader, committed or not, has two voters, one of which lost its disk.

--- a/packages/consensus/tests/Cluster.cpp
+++ b/packages/consensus/tests/Cluster.cpp
@@ -478,6 +478,10 @@
     step(*leader, ProposeMembership{++LastMembershipProposal, next});
 }
 
+void Cluster::proposeMembership(std::size_t leader, Membership next) {
+  step(leader, ProposeMembership{++LastMembershipProposal, std::move(next)});
+}
+
 void Cluster::transferLeadership() {
   const auto leader = findLeader();
   if (leader && Vms[*leader].PausedUntil <= TrueTime)
--- a/packages/consensus/tests/Cluster.h
+++ b/packages/consensus/tests/Cluster.h
@@ -62,6 +62,8 @@
   /// then voters in place of the old ones.
   void repairMembership();
   void changeMembership(std::size_t vm, bool add);
+  /// Proposes \p next at \p leader.
+  void proposeMembership(std::size_t leader, Membership next);
   void transferLeadership();
 
   void run(Duration duration);
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -11,6 +11,7 @@
 #include "fleet/Heartbeat.h"
 #include "fleet/PermitDesk.h"
 #include "fleet/internal/CoreLinks.h"
+#include "fleet/internal/GroupMembership.h"
 #include "node/GroupRunner.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -93,6 +95,8 @@
   /// LocalView encoded as a frame; null after LocalView has changed.
   EncodedFrame EncodedView;
   std::unique_ptr<node::GroupRunner> Runner;
+  /// Set with Runner.
+  std::optional<internal::GroupMembership> Members;
   std::unique_ptr<FleetLeader> Leader;
   std::uint64_t LeaderTerm = 0;
   /// When this core became leader, while it is.
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -3,7 +3,6 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
-#include "node/MembershipPolicy.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -18,16 +17,12 @@
 /// Incarnation of the members of a new group. Later incarnations are wall-clock
 /// times in milliseconds.
 constexpr std::uint64_t FirstIncarnation = 1;
-constexpr std::size_t MaxVoters = 5;
 constexpr base::Duration TickInterval = FleetLeader::TickInterval;
 constexpr base::Duration MembershipInterval = std::chrono::milliseconds(200);
 /// How often subscribers are told that their view is current.
 constexpr base::Duration ViewCurrentInterval = std::chrono::milliseconds(400);
 /// Callers try another core after a second without an answer.
 constexpr base::Duration CallTime = std::chrono::milliseconds(900);
-/// A voter that is silent for longer is replaced by a caught-up learner, and a
-/// learner is removed.
-constexpr base::Duration SilentMemberTime = std::chrono::milliseconds(2500);
 constexpr std::uint16_t StatusUnavailable = 503;
 
 consensus::ReplicaConfig makeReplicaConfig(const std::string &host,
@@ -135,6 +130,11 @@
   };
   hooks.TakeSnapshot = [this] { return State.encodeSnapshot(); };
   hooks.AfterStep = [this] { afterStep(); };
+  internal::GroupMembershipConfig group;
+  group.Self = {base::VmId(Settings.Host), Incarnation};
+  group.DataCentre = Settings.DataCentre;
+  group.LossTolerance = Settings.LossTolerance;
+  Members.emplace(std::move(group), base::readMonotonic());
   Runner = std::make_unique<node::GroupRunner>(
       EventLoop, nullptr, node::GroupRunnerConfig{},
       makeReplicaConfig(Settings.Host, Incarnation), std::move(opened),
@@ -495,44 +495,10 @@
 }
 
 void CoreNode::updateMembership(base::MonoTime now) {
-  const auto &core = Runner->core();
-  node::MembershipInputs inputs;
-  inputs.CurrentMembership = core.membership();
-  inputs.KeepsStandbys = true;
-  inputs.MinVoters = 2 * std::size_t{Settings.LossTolerance} + 1;
-  inputs.MaxVoters = std::max(MaxVoters, inputs.MinVoters);
-  inputs.Leader = base::VmId(Settings.Host);
-  inputs.DataCentres[inputs.Leader] = Settings.DataCentre;
-  inputs.IsCaughtUp = [&](const auto &id) { return core.isCaughtUp(id); };
-  // A new leader has not heard all members yet.
-  const bool MayJudgeSilence = now - LeadingSince > SilentMemberTime;
-  for (const auto &[host, peer] : Links.peers()) {
-    const base::VmId vm(host);
-    inputs.DataCentres[vm] = peer.DataCentre;
-    if (MayJudgeSilence && now - peer.LastHeard > SilentMemberTime) {
-      inputs.Silent.insert(vm);
-      continue;
-    }
-    inputs.Candidates[vm] = peer.Incarnation;
-    inputs.Registered.insert(vm);
-  }
-  for (const auto *list :
-       {&inputs.CurrentMembership.Voters, &inputs.CurrentMembership.Learners})
-    for (const auto &member : *list)
-      inputs.Registered.insert(member.Vm);
-  // A member that has never contacted this leader counts as silent, too.
-  for (const auto &vm : inputs.Registered)
-    if (MayJudgeSilence && vm != inputs.Leader &&
-        !Links.peers().contains(vm.Value))
-      inputs.Silent.insert(vm);
   Leader->setCores(listCores());
-  if (auto next = node::decideMembership(inputs)) {
-    base::logInfo("fleet", "a membership change is proposed",
-                  {{"voters", next->Voters.size()},
-                   {"learners", next->Learners.size()},
-                   {"silent", inputs.Silent.size()}});
+  if (auto next =
+          Members->decide(Runner->core(), Links.peers(), LeadingSince, now))
     Runner->proposeMembership(std::move(*next));
-  }
 }
 
 void CoreNode::armTick() {
@@ -553,6 +519,7 @@
     for (const auto &member : *list)
       Links.add(member.Vm.Value);
   updateLeadership();
+  Members->report(Runner->core(), Links.peers(), now);
   if (Leader) {
     Leader->tick(now);
     if (Leader && now >= NextMembershipCheck) {
