Core group: a voter is replaced by promoting a learner first, then removing it

Cause. promote() removed a silent voter of three, and spread() a surplus one, before the learner that replaces it was promoted. For one commit and up to 200 ms the group had two voters. If one of them lost its disk then, the other was never a majority, and the voter that had been removed could not help when it came back. Class: a change passes through a state that tolerates less than both ends of it.

The learner is promoted first; the silent or surplus voter leaves the even number. The second step follows at the next tick after the commit of the first, not after 200 ms.

Weighed: joint consensus (docs/PLATFORM.md).

--- a/packages/consensus/ReplicaCore.h
+++ b/packages/consensus/ReplicaCore.h
@@ -154,6 +154,9 @@
   LogIndex snapshotIndex() const;
   /// The membership in force: the latest one in the log, committed or not.
   const Membership &membership() const;
+  /// False while the membership in force may still be replaced by an earlier
+  /// one.
+  bool isMembershipCommitted() const;
   /// True if the log of \p replica is known to match up to the commit index.
   bool isCaughtUp(const ReplicaId &replica) const;
   /// True only while no other leader can exist at \p now by this replica's own
--- a/packages/consensus/internal/ReplicaCore.cpp
+++ b/packages/consensus/internal/ReplicaCore.cpp
@@ -49,6 +49,10 @@
   return Internals->Inner.log().membership();
 }
 
+bool ReplicaCore::isMembershipCommitted() const {
+  return Internals->Inner.log().membershipIndex() <= commitIndex();
+}
+
 bool ReplicaCore::isCaughtUp(const ReplicaId &replica) const {
   return Internals->Inner.isCaughtUp(replica);
 }
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -115,7 +115,7 @@
   /// Host of the leader whose view updates are applied; empty when none is
   /// known.
   std::string FollowedCore;
-  base::MonoTime NextMembershipCheck;
+  base::MonoTime NextCoreList;
   base::MonoTime NextViewCurrent;
 };
 
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -18,7 +18,7 @@
 /// times in milliseconds.
 constexpr std::uint64_t FirstIncarnation = 1;
 constexpr base::Duration TickInterval = FleetLeader::TickInterval;
-constexpr base::Duration MembershipInterval = std::chrono::milliseconds(200);
+constexpr base::Duration CoreListInterval = std::chrono::milliseconds(200);
 /// How often subscribers are told that their view is current.
 constexpr base::Duration ViewCurrentInterval = std::chrono::milliseconds(400);
 /// Callers try another core after a second without an answer.
@@ -495,7 +495,10 @@
 }
 
 void CoreNode::updateMembership(base::MonoTime now) {
-  Leader->setCores(listCores());
+  if (now >= NextCoreList) {
+    NextCoreList = now + CoreListInterval;
+    Leader->setCores(listCores());
+  }
   if (auto next =
           Members->decide(Runner->core(), Links.peers(), LeadingSince, now))
     Runner->proposeMembership(std::move(*next));
@@ -522,10 +525,8 @@
   Members->report(Runner->core(), Links.peers(), now);
   if (Leader) {
     Leader->tick(now);
-    if (Leader && now >= NextMembershipCheck) {
-      NextMembershipCheck = now + MembershipInterval;
+    if (Leader)
       updateMembership(now);
-    }
   }
   if (Leader && now >= NextViewCurrent && Runner->core().hasLeaderLease(now)) {
     NextViewCurrent = now + ViewCurrentInterval;
--- a/packages/fleet/internal/GroupMembership.cpp
+++ b/packages/fleet/internal/GroupMembership.cpp
@@ -2,7 +2,6 @@
 #include "fleet/internal/GroupMembership.h"
 
 #include "base/Log.h"
-#include "node/MembershipPolicy.h"
 
 #include <algorithm>
 
@@ -11,6 +10,7 @@
 namespace {
 
 constexpr std::size_t MaxVoters = 5;
+constexpr base::Duration DecisionInterval = std::chrono::milliseconds(200);
 /// A voter that is silent for longer is replaced by a caught-up learner, and a
 /// learner is removed.
 constexpr base::Duration SilentMemberTime = std::chrono::milliseconds(2500);
@@ -39,7 +39,29 @@
 std::optional<consensus::Membership>
 GroupMembership::decide(const consensus::ReplicaCore &core,
                         const std::map<std::string, CorePeer> &peers,
-                        base::MonoTime LeadingSince, base::MonoTime now) const {
+                        base::MonoTime LeadingSince, base::MonoTime now) {
+  if (!core.isMembershipCommitted() ||
+      (now < NextDecision && core.membership() == Decided))
+    return std::nullopt;
+  NextDecision = now + DecisionInterval;
+  Decided = core.membership();
+  const auto inputs = makeInputs(core, peers, LeadingSince, now);
+  auto next = node::decideMembership(inputs);
+  if (next)
+    base::logInfo("fleet", "a membership change is proposed",
+                  {{"voters", formatReplicas(next->Voters)},
+                   {"learners", formatReplicas(next->Learners)},
+                   {"silent", formatVms(inputs.Silent)},
+                   {"index", core.lastIndex()},
+                   {"term", core.term()}});
+  return next;
+}
+
+node::MembershipInputs
+GroupMembership::makeInputs(const consensus::ReplicaCore &core,
+                            const std::map<std::string, CorePeer> &peers,
+                            base::MonoTime LeadingSince,
+                            base::MonoTime now) const {
   node::MembershipInputs inputs;
   inputs.CurrentMembership = core.membership();
   inputs.KeepsStandbys = true;
@@ -53,8 +75,9 @@
   for (const auto &[host, peer] : peers) {
     const base::VmId vm(host);
     inputs.DataCentres[vm] = peer.DataCentre;
-    if (MayJudgeSilence && now - peer.LastHeard > SilentMemberTime) {
-      inputs.Silent.insert(vm);
+    if (now - peer.LastHeard > SilentMemberTime) {
+      if (MayJudgeSilence)
+        inputs.Silent.insert(vm);
       continue;
     }
     inputs.Candidates[vm] = peer.Incarnation;
@@ -68,15 +91,7 @@
   for (const auto &vm : inputs.Registered)
     if (MayJudgeSilence && vm != inputs.Leader && !peers.contains(vm.Value))
       inputs.Silent.insert(vm);
-  auto next = node::decideMembership(inputs);
-  if (next)
-    base::logInfo("fleet", "a membership change is proposed",
-                  {{"voters", formatReplicas(next->Voters)},
-                   {"learners", formatReplicas(next->Learners)},
-                   {"silent", formatVms(inputs.Silent)},
-                   {"index", core.lastIndex()},
-                   {"term", core.term()}});
-  return next;
+  return inputs;
 }
 
 void GroupMembership::report(const consensus::ReplicaCore &core,
--- a/packages/fleet/internal/GroupMembership.h
+++ b/packages/fleet/internal/GroupMembership.h
@@ -4,6 +4,7 @@
 
 #include "consensus/ReplicaCore.h"
 #include "fleet/internal/CoreLinks.h"
+#include "node/MembershipPolicy.h"
 
 #include <map>
 #include <optional>
@@ -24,19 +25,29 @@
   GroupMembership(GroupMembershipConfig config, base::MonoTime now)
       : Config(std::move(config)), LeaderSeenAt(now) {}
 
-  /// The next membership to propose, or nothing when no change is due.
-  /// \p LeadingSince is when this core became leader.
+  /// The next membership to propose, or nothing when no change is due or one
+  /// is not committed yet. Decides at intervals, and at once after a change, so
+  /// that a replacement takes no longer than its commits. \p LeadingSince is
+  /// when this core became leader.
   std::optional<consensus::Membership>
   decide(const consensus::ReplicaCore &core,
          const std::map<std::string, CorePeer> &peers,
-         base::MonoTime LeadingSince, base::MonoTime now) const;
+         base::MonoTime LeadingSince, base::MonoTime now);
 
   /// Logs changes of the membership, and at intervals that there is no leader.
   void report(const consensus::ReplicaCore &core,
               const std::map<std::string, CorePeer> &peers, base::MonoTime now);
 
 private:
+  node::MembershipInputs
+  makeInputs(const consensus::ReplicaCore &core,
+             const std::map<std::string, CorePeer> &peers,
+             base::MonoTime LeadingSince, base::MonoTime now) const;
+
   GroupMembershipConfig Config;
+  base::MonoTime NextDecision;
+  /// The members at the last decision.
+  consensus::Membership Decided;
   /// The members last logged.
   consensus::Membership Reported;
   base::MonoTime LeaderSeenAt;
--- a/packages/fleet/tests/GroupMembershipTest.cpp
+++ b/packages/fleet/tests/GroupMembershipTest.cpp
@@ -16,9 +16,8 @@
 
 namespace {
 
-/// Interval at which a core checks the membership.
+/// Interval of a core's timer.
 constexpr auto Tick = 50ms;
-constexpr int TicksPerDecision = 4;
 constexpr auto DownTime = 1900ms;
 /// The platform's recovery_s, and its catch_up_s.
 constexpr auto RecoveryLimit = 15s;
@@ -104,9 +103,19 @@
   base::Duration elapsed() const { return Elapsed; }
   std::size_t size() const { return Centres.size(); }
   bool isRemoved(std::size_t vm) const { return Removed.contains(vm); }
-  bool isVoter(std::size_t vm) const {
+  /// There is a leader, and the committed voters are an odd number, three or
+  /// more, all of which are up with their disks.
+  bool isWhole() const {
     const auto leader = findLeader();
-    return leader && holds(Simulation.core(*leader).membership().Voters, vm);
+    if (!leader ||
+        !Simulation.core(*leader).hasLeaderLease(Simulation.clockOf(*leader)) ||
+        !Simulation.core(*leader).isMembershipCommitted())
+      return false;
+    const auto &voters = Simulation.core(*leader).membership().Voters;
+    std::size_t up = 0;
+    for (std::size_t n = 0; n < Centres.size(); ++n)
+      up += Simulation.isUp(n) && Cut != n && holds(voters, n) ? 1 : 0;
+    return voters.size() >= 3 && voters.size() % 2 == 1 && up == voters.size();
   }
   std::string describe() const {
     std::string out;
@@ -124,6 +133,7 @@
   struct CoreView {
     std::map<std::string, CorePeer> Peers;
     std::optional<base::MonoTime> LeadingSince;
+    std::optional<GroupMembership> Policy;
   };
 
   static ClusterOptions makeOptions(std::uint64_t seed, std::size_t vms,
@@ -152,7 +162,6 @@
           Views[n].Peers[Simulation.idOf(from).Vm.Value] = {
               Centres[from], Simulation.idOf(from).Incarnation,
               Simulation.clockOf(n)};
-    ++Ticks;
     for (std::size_t n = 0; n < Centres.size(); ++n)
       updateLeader(n);
   }
@@ -166,11 +175,11 @@
     }
     if (!view.LeadingSince)
       view.LeadingSince = now;
-    if (Ticks % TicksPerDecision != 0)
-      return;
-    const GroupMembership policy({Simulation.idOf(vm), Centres[vm], 1}, now);
-    if (auto next = policy.decide(Simulation.core(vm), view.Peers,
-                                  *view.LeadingSince, now))
+    if (!view.Policy)
+      view.Policy.emplace(
+          GroupMembershipConfig{Simulation.idOf(vm), Centres[vm], 1}, now);
+    if (auto next = view.Policy->decide(Simulation.core(vm), view.Peers,
+                                        *view.LeadingSince, now))
       Simulation.proposeMembership(vm, std::move(*next));
   }
 
@@ -191,20 +200,6 @@
     Steps.push_back(Elapsed);
   }
 
-  /// There is a leader, and an odd number of voters, three or more, all of
-  /// which are up with their disks.
-  bool isWhole() const {
-    const auto leader = findLeader();
-    if (!leader ||
-        !Simulation.core(*leader).hasLeaderLease(Simulation.clockOf(*leader)))
-      return false;
-    const auto &voters = Simulation.core(*leader).membership().Voters;
-    std::size_t up = 0;
-    for (std::size_t n = 0; n < Centres.size(); ++n)
-      up += Simulation.isUp(n) && Cut != n && holds(voters, n) ? 1 : 0;
-    return voters.size() >= 3 && voters.size() % 2 == 1 && up == voters.size();
-  }
-
   std::vector<std::string> Centres;
   mutable Cluster Simulation;
   std::vector<CoreView> Views;
@@ -214,7 +209,6 @@
   std::vector<base::Duration> Steps;
   base::Duration Elapsed{0};
   base::Duration NextTick = Tick;
-  int Ticks = 0;
 };
 
 /// What happens to a group before its disk is lost.
@@ -311,9 +305,10 @@
               },
               {{4s, [](auto &group) { group.join(3); }},
                {8s, [](auto &group) { group.remove(0); }}},
+              // Until the group is whole again, a second disk would be lost.
               [](const CoreGroup &group, std::size_t vm) {
                 return !group.isRemoved(vm) &&
-                       (!group.isRemoved(0) || !group.isVoter(0));
+                       (!group.isRemoved(0) || group.isWhole());
               }) == std::vector<std::string>());
   }
 }
--- a/packages/node/MembershipPolicy.h
+++ b/packages/node/MembershipPolicy.h
@@ -18,7 +18,7 @@
 struct MembershipInputs {
   consensus::Membership CurrentMembership;
   /// VMs that are to be replicas and have reported recently, with their newest
-  /// incarnation.
+  /// incarnation. A member that is neither here nor in Silent is not judged.
   std::map<base::VmId, std::uint64_t> Candidates;
   /// VMs that operators have registered; members on other VMs are removed.
   std::set<base::VmId> Registered;
@@ -45,9 +45,10 @@
 /// learner and becomes a voter when it has caught up.
 ///
 /// A voter is not removed for being silent alone, but only when its VM
-/// restarted with a new incarnation, when an operator removed its VM, when a
-/// caught-up learner replaces it, or when the number of voters is even: the
-/// majority of the others is then no larger, and one more of them may be lost.
+/// restarted with a new incarnation, when an operator removed its VM, or when
+/// the number of voters is even: the majority of the others is then smaller. A
+/// caught-up learner that replaces a voter is therefore promoted first, so that
+/// each step leaves a group that tolerates what it did before.
 std::optional<consensus::Membership>
 decideMembership(const MembershipInputs &inputs);
 
--- a/packages/node/internal/MembershipPolicy.cpp
+++ b/packages/node/internal/MembershipPolicy.cpp
@@ -119,44 +119,60 @@
   return std::nullopt;
 }
 
-std::optional<Membership> promote(const MembershipInputs &inputs) {
-  const auto promotable = findPromotable(inputs);
-  if (promotable.empty())
-    return std::nullopt;
+/// True when a data centre has at least two more voters than the one of
+/// \p learner.
+bool isCrowded(const MembershipInputs &inputs, const ReplicaId &learner) {
+  const auto crowded = findCrowdedVoter(inputs);
+  return crowded && countVotersNear(inputs, crowded->Vm) >=
+                        countVotersNear(inputs, learner.Vm) + 2;
+}
+
+/// True when this leader has received something from each voter since it
+/// started, or waited long enough for it.
+bool isEachVoterJudged(const MembershipInputs &inputs) {
+  return std::ranges::all_of(
+      inputs.CurrentMembership.Voters, [&](const auto &voter) {
+        return voter.Vm == inputs.Leader || inputs.Silent.contains(voter.Vm) ||
+               inputs.Candidates.contains(voter.Vm);
+      });
+}
+
+bool mayDemote(const MembershipInputs &inputs) {
   const std::size_t n = inputs.CurrentMembership.Voters.size();
-  // The learner that replaces the silent voter is promoted in the next step.
+  return inputs.KeepsStandbys && isEven(n) && n > inputs.MinVoters;
+}
+
+/// Removes a silent voter from an even number: the majority of the others is
+/// smaller by one.
+std::optional<Membership> demoteSilent(const MembershipInputs &inputs) {
   const auto silent = findSilentVoter(inputs);
-  if (silent && !(inputs.KeepsStandbys && isEven(n)))
-    return withoutVoter(inputs, *silent);
-  const bool EndsEven = !isEven(n) && promotable.size() < 2;
-  if (n >= inputs.MaxVoters || (inputs.KeepsStandbys && EndsEven))
+  if (!mayDemote(inputs) || !silent)
     return std::nullopt;
-  return withPromoted(inputs, promotable.front());
+  return withoutVoter(inputs, *silent);
 }
 
-/// Makes an even number of voters odd when no learner can be promoted.
-std::optional<Membership> demote(const MembershipInputs &inputs) {
+/// A voter that is silent or too many in its data centre is replaced by
+/// promoting a learner first, then demoting it: of the even number between,
+/// any one may be lost, while with one voter less none could be.
+std::optional<Membership> promote(const MembershipInputs &inputs) {
+  const auto promotable = findPromotable(inputs);
+  if (promotable.empty())
+    return std::nullopt;
+  const auto &learner = promotable.front();
   const std::size_t n = inputs.CurrentMembership.Voters.size();
-  if (!inputs.KeepsStandbys || !isEven(n) || n <= inputs.MinVoters)
+  const bool Replaces = inputs.KeepsStandbys && !isEven(n) &&
+                        (findSilentVoter(inputs) || isCrowded(inputs, learner));
+  const bool EndsEven =
+      inputs.KeepsStandbys && !isEven(n) && promotable.size() < 2;
+  if (!Replaces && (n >= inputs.MaxVoters || EndsEven))
     return std::nullopt;
-  if (const auto silent = findSilentVoter(inputs))
-    return withoutVoter(inputs, *silent);
-  if (const auto crowded = findCrowdedVoter(inputs))
-    return withoutVoter(inputs, *crowded);
-  return std::nullopt;
+  return withPromoted(inputs, learner);
 }
 
-/// Removes a voter from a data centre that has at least two more voters than
-/// the data centre of a learner, which is promoted in the next step.
-std::optional<Membership> spread(const MembershipInputs &inputs) {
-  const auto promotable = findPromotable(inputs);
+/// Makes an even number of voters odd when no learner can be promoted.
+std::optional<Membership> demoteCrowded(const MembershipInputs &inputs) {
   const auto crowded = findCrowdedVoter(inputs);
-  const std::size_t n = inputs.CurrentMembership.Voters.size();
-  if (!inputs.KeepsStandbys || promotable.empty() || !crowded || isEven(n) ||
-      n < inputs.MinVoters)
-    return std::nullopt;
-  if (countVotersNear(inputs, crowded->Vm) <
-      countVotersNear(inputs, promotable.front().Vm) + 2)
+  if (!mayDemote(inputs) || !isEachVoterJudged(inputs) || !crowded)
     return std::nullopt;
   return withoutVoter(inputs, *crowded);
 }
@@ -191,8 +207,8 @@
 } // namespace
 
 std::optional<Membership> decideMembership(const MembershipInputs &inputs) {
-  for (const auto decide : {removeObsolete, replaceIncarnation, promote, demote,
-                            spread, addLearner})
+  for (const auto decide : {removeObsolete, replaceIncarnation, demoteSilent,
+                            promote, demoteCrowded, addLearner})
     if (auto next = decide(inputs))
       return next;
   return std::nullopt;
--- a/packages/node/tests/MembershipPolicyTest.cpp
+++ b/packages/node/tests/MembershipPolicyTest.cpp
@@ -64,8 +64,19 @@
   }
   bool hasQuorum() const { return hasQuorum(Members); }
 
+  /// True if a quorum is left when one more disk is lost and all other cores
+  /// return.
+  bool toleratesLostDisk(const Membership &members) const {
+    const std::size_t n =
+        std::ranges::count_if(members.Voters, [&](const auto &it) {
+          return Cores.at(it.Vm).Incarnation == it.Incarnation;
+        });
+    return n > members.Voters.size() / 2 + 1;
+  }
+
   /// Applies decided memberships until none is due. Returns false if a step
-  /// would leave the group without a quorum, or changes more than one voter.
+  /// would leave the group without a quorum or without tolerance of a lost disk
+  /// that it had before, or changes more than one voter.
   bool settle() {
     for (int i = 0; i < MaxSteps; ++i) {
       const auto next = decideMembership(inputs());
@@ -73,6 +84,8 @@
         return true;
       if (!hasQuorum(*next) || countChanges(*next) > 1)
         return false;
+      if (toleratesLostDisk(Members) && !toleratesLostDisk(*next))
+        return false;
       Members = *next;
     }
     return false;
