Consensus: writes that wait for the disk are synced together

Not the leader's Match of the learner: the learner (vm0.3) has 403 writes in its queue 28 s after the faults ended, and acknowledges each message only behind them (trial with prints). Each message that arrived behind an unsynced write made a write request of its own, an empty one for a heartbeat, and each was synced by itself. With syncs of up to 60 ms and more than about 30 messages a second the queue shrinks by 7 to 9 in 300 ms, or grows without end.

Messages behind a write under way wait for it without a request of their own, as the runner already allowed; requests that wait are merged (PersistMerge), so one sync serves them all.

Tests: no write for a heartbeat behind a write, merged requests have the effect of each in turn, on disk models.

--- a/packages/consensus/ReplicaCore.h
+++ b/packages/consensus/ReplicaCore.h
@@ -122,7 +122,7 @@
   /// Messages that may be sent at once.
   std::vector<Message> Send;
   /// Messages that may be sent only after Persist is synced, because they
-  /// acknowledge its contents.
+  /// acknowledge its contents; without Persist, after all earlier requests are.
   std::vector<Message> SendAfterPersist;
   std::optional<RestoreSnapshot> Restore;
   /// Newly committed entries, in order; each is reported once.
--- a/packages/consensus/internal/Replica.cpp
+++ b/packages/consensus/internal/Replica.cpp
@@ -229,10 +229,11 @@
 
 void Replica::finishStep() {
   const bool changed = Term != PersistedTerm || VotedFor != PersistedVote;
-  // The messages may acknowledge contents of an earlier write request that is
-  // not synced yet.
-  const bool behind = !Out.SendAfterPersist.empty() && !Persists.isIdle();
-  if (!Out.Persist && !changed && !behind) {
+  if (!Out.Persist && !changed) {
+    // The messages may acknowledge contents of an earlier write request that
+    // is not synced yet.
+    if (!Persists.isIdle())
+      return;
     for (Message &it : Out.SendAfterPersist)
       Out.Send.push_back(std::move(it));
     Out.SendAfterPersist.clear();
--- a/packages/consensus/tests/Cluster.cpp
+++ b/packages/consensus/tests/Cluster.cpp
@@ -2,6 +2,7 @@
 #include "Cluster.h"
 
 #include "consensus/MembershipCodec.h"
+#include "consensus/PersistMerge.h"
 
 #include <fmt/format.h>
 
@@ -241,16 +242,7 @@
   Vm &it = Vms[vm];
   for (const Message &message : actions.Send)
     transmit(message);
-  if (actions.Persist) {
-    it.Writes.push_back(
-        {std::move(*actions.Persist), std::move(actions.SendAfterPersist)});
-    const Duration delay =
-        it.HasDisk ? pickDuration(Options.MaxSync) : Duration(0);
-    if (it.Writes.size() == 1)
-      at(TrueTime + delay.count(), vm, [this, vm] { finishWrite(vm); });
-  } else if (!actions.SendAfterPersist.empty()) {
-    fault("messages wait for a write that was not requested");
-  }
+  write(vm, actions);
   if (actions.Restore) {
     it.Applied = it.SnapshotAt = actions.Restore->Index;
     it.Register = std::stoi(actions.Restore->Data);
@@ -273,6 +265,28 @@
   }
 }
 
+void Cluster::write(std::size_t vm, Actions &actions) {
+  Vm &it = Vms[vm];
+  if (!actions.Persist && actions.SendAfterPersist.empty())
+    return;
+  if (!actions.Persist && it.Writes.empty())
+    return fault("messages wait for a write that was not requested");
+  // The first write is in flight; those behind it are synced together.
+  const bool IsQueued =
+      !actions.Persist ||
+      (it.Writes.size() > 1 &&
+       mergePersistRequests(it.Writes.back().Request, *actions.Persist));
+  if (!IsQueued) {
+    it.Writes.push_back({std::move(*actions.Persist), {}});
+    const Duration delay =
+        it.HasDisk ? pickDuration(Options.MaxSync) : Duration(0);
+    if (it.Writes.size() == 1)
+      at(TrueTime + delay.count(), vm, [this, vm] { finishWrite(vm); });
+  }
+  std::ranges::move(actions.SendAfterPersist,
+                    std::back_inserter(it.Writes.back().HeldMessages));
+}
+
 void Cluster::finishWrite(std::size_t vm) {
   Vm &it = Vms[vm];
   Write write = std::move(it.Writes.front());
--- a/packages/consensus/tests/Cluster.h
+++ b/packages/consensus/tests/Cluster.h
@@ -141,6 +141,7 @@
   void step(std::size_t vm, const Event &event);
   void perform(std::size_t vm, Actions &actions);
   void transmit(const Message &message);
+  void write(std::size_t vm, Actions &actions);
   void finishWrite(std::size_t vm);
   void apply(std::size_t vm, const Entry &entry);
   void takeSnapshot(std::size_t vm);
--- a/packages/consensus/tests/CoreTest.cpp
+++ b/packages/consensus/tests/CoreTest.cpp
@@ -2,8 +2,10 @@
 #include "Cluster.h"
 #include "consensus/LogWindow.h"
 #include "consensus/MembershipCodec.h"
+#include "consensus/PersistMerge.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace magnoliamill;
 using namespace magnoliamill::consensus;
@@ -119,7 +121,7 @@
     ReplicaCore core = makeCore(state);
     const auto ask = [&](const ReplicaId &from, VoteRequest body) {
       const auto out = core.step(Receive{makeMessage(from, 2, body)}, Start);
-      const auto &sent = out.Persist ? out.SendAfterPersist : out.Send;
+      const auto &sent = out.Send.empty() ? out.SendAfterPersist : out.Send;
       return std::get<VoteReply>(sent.at(0).Body).Granted;
     };
     REQUIRE_FALSE(ask(B, {0, 0, false, false}));
@@ -282,6 +284,66 @@
   }
 }
 
+TEST_CASE("A disk slower than its messages falls behind without end",
+          "[consensus]") {
+  SECTION("heartbeats behind a write request no further write") {
+    auto core = makeCore(makeState({A, B, C}));
+    const Entry entry{1, 1, EntryKind::NoOp, {}};
+    const auto stored = core.step(
+        Receive{makeMessage(B, 1, AppendRequest{0, 0, 0, {entry}, 1})}, Start);
+    REQUIRE(stored.Persist);
+    const auto heartbeat = core.step(
+        Receive{makeMessage(B, 1, AppendRequest{1, 1, 0, {}, 2})}, Start);
+    CHECK_FALSE(heartbeat.Persist);
+    CHECK(heartbeat.Send.empty());
+    CHECK(heartbeat.SendAfterPersist.size() == 1);
+    core.step(Persisted{stored.Persist->PersistId}, Start);
+    const auto after = core.step(
+        Receive{makeMessage(B, 1, AppendRequest{1, 1, 0, {}, 3})}, Start);
+    CHECK(after.Send.size() == 1);
+  }
+  SECTION("writes that wait are merged, with the effect of each in turn") {
+    CHECK(rc::check([] {
+      PersistRequest merged;
+      DurableState single;
+      DurableState together;
+      const LogIndex stored = *rc::gen::inRange<LogIndex>(0, 4);
+      for (LogIndex n = 1; n <= stored; ++n)
+        single.Entries.push_back({n, 1, EntryKind::NoOp, {}});
+      together = single;
+      LogIndex last = stored;
+      const auto requests = *rc::gen::inRange(1, 6);
+      for (int n = 0; n < requests; ++n) {
+        PersistRequest request;
+        request.PersistId = static_cast<std::uint64_t>(n) + 1;
+        request.Term = static_cast<TermNumber>(n) + 2;
+        if (*rc::gen::arbitrary<bool>())
+          request.TruncateAfter = last =
+              *rc::gen::inRange<LogIndex>(0, last + 1);
+        const auto added = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < added; ++i)
+          request.Append.push_back({++last, request.Term, EntryKind::NoOp, {}});
+        applyToDisk(request, single);
+        if (n == 0)
+          merged = request;
+        else
+          RC_ASSERT(mergePersistRequests(merged, request));
+      }
+      applyToDisk(merged, together);
+      RC_ASSERT(merged.PersistId == static_cast<std::uint64_t>(requests));
+      RC_ASSERT(together.Term == single.Term);
+      RC_ASSERT(together.Entries == single.Entries);
+    }));
+  }
+  SECTION("a snapshot is never merged") {
+    PersistRequest snapshot;
+    snapshot.InstallSnapshot.emplace();
+    PersistRequest other;
+    CHECK_FALSE(mergePersistRequests(other, snapshot));
+    CHECK_FALSE(mergePersistRequests(snapshot, other));
+  }
+}
+
 TEST_CASE("The window of committed entries", "[consensus]") {
   LogWindow window(30);
   window.restart(10);
--- a/packages/node/internal/GroupRunner.cpp
+++ b/packages/node/internal/GroupRunner.cpp
@@ -2,6 +2,7 @@
 #include "node/GroupRunner.h"
 
 #include "base/Log.h"
+#include "consensus/PersistMerge.h"
 
 #include <cstdlib>
 
@@ -90,6 +91,13 @@
         Writes.back().SendAfter.push_back(std::move(message));
     return;
   }
+  // The first write is in flight; those behind it are synced together.
+  if (Writes.size() > 1 && consensus::mergePersistRequests(
+                               Writes.back().Request, *actions.Persist)) {
+    for (auto &message : actions.SendAfterPersist)
+      Writes.back().SendAfter.push_back(std::move(message));
+    return;
+  }
   Writes.push_back(
       {std::move(*actions.Persist), std::move(actions.SendAfterPersist)});
   writeNext();
