Targets: a refusal written again is not taken for the answer to a later request

In the mesh shape a refusal (Mill-Not-Run) has no id; on a kept connection a second copy of it was the answer to the next request. In the fleet answers have the request's id, and copies with another id are discarded already; a refusal, or any answer, without an id was taken for the current request also on a connection that earlier requests had used.

Mesh: a refusal ends its connection. Fleet: an answer without an id on a connection that was used before is no answer, the outcome is unknown. A request is never sent to the same target again after a refusal (keyed requests are not retried, others exclude the targets tried), so a copy with the same id cannot meet its request; by reading.

'A refusal written twice does not refuse the next request' (gateway) and 'An earlier refusal written again on a kept connection says nothing' (entry) failed before: the second request was reported as not run, 503 instead of 502. The section with another id passed before. A section of the test that had a keyed request retried at its holder was wrong and is left out: there is no such retry. The fixture's targets repeat the request's id now, as those of the platform do.

An answer counts from its complete head on. Two tests, cut at each byte of the head, with and without acceptance of bodies without length, passed at once.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -154,7 +154,8 @@
   /// attempts or time left, this VM may exit before its end, or the budget is
   /// used up.
   bool tryTakeRetry();
-  gateway::AnswerKind classifyAnswer(const protocol::AnswerHead &head);
+  gateway::AnswerKind classifyAnswer(const protocol::AnswerHead &head,
+                                     bool IsReused);
   void waitForHolder();
   void startTimer(base::MonoTime time);
   void onTimer();
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -217,8 +217,8 @@
   auto self = shared_from_this();
   // Connecting takes time, and a request may be sent again on a new connection.
   call.MayWrite = [self, instance] { return self->mayWrite(instance); };
-  call.Classify = [self](const protocol::AnswerHead &head) {
-    return self->classifyAnswer(head);
+  call.Classify = [self](const protocol::AnswerHead &head, bool IsReused) {
+    return self->classifyAnswer(head, IsReused);
   };
   startCall(std::move(call),
             [self, instance](const gateway::TargetOutcome &outcome) {
@@ -293,10 +293,13 @@
 }
 
 gateway::AnswerKind
-EntryRequest::classifyAnswer(const protocol::AnswerHead &head) {
+EntryRequest::classifyAnswer(const protocol::AnswerHead &head, bool IsReused) {
   const auto metadata = Handler.format().ReadAnswer(head.Status, head.Headers);
   if (!metadata.Id.empty() && metadata.Id != Metadata.Id)
     return gateway::AnswerKind::Stale;
+  // It may be an earlier answer, written again.
+  if (metadata.Id.empty() && IsReused)
+    return gateway::AnswerKind::Invalid;
   // Another target at the address speaks only for itself.
   if (!metadata.IsWrongTarget) {
     Handler.readNotices(Tried.back(), metadata, Metadata.Id);
--- a/packages/entry/internal/EntryRequestRelay.cpp
+++ b/packages/entry/internal/EntryRequestRelay.cpp
@@ -125,7 +125,7 @@
   call.Request.Headers.push_back(
       {std::string(internal::RouteHeader), formatRoute(*Route)});
   auto self = shared_from_this();
-  call.Classify = [self](const protocol::AnswerHead &head) {
+  call.Classify = [self](const protocol::AnswerHead &head, bool) {
     return self->classifyRelayed(head);
   };
   startCall(std::move(call), [self](const gateway::TargetOutcome &outcome) {
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -43,6 +43,9 @@
   format.AddTargetHeaders = [](Headers &, const std::string &) {};
   format.ReadAnswer = [](std::uint16_t, const Headers &headers) {
     AnswerMetadata metadata;
+    // Targets repeat the id of the request.
+    if (!hasHeader(headers, "No-Id"))
+      metadata.Id = hasHeader(headers, "Id") ? valueOf(headers, "Id") : "r-1";
     metadata.IsWrongTarget = hasHeader(headers, "Other-Target");
     metadata.IsNotRun = metadata.IsWrongTarget || hasHeader(headers, "Not-Run");
     metadata.IsLeaving = hasHeader(headers, "Leaving");
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -68,6 +68,52 @@
   }
 }
 
+TEST_CASE(
+    "An earlier refusal written again on a kept connection says nothing") {
+  EntryOptions options;
+  options.IsKeyed = true;
+
+  SECTION("without the id of its request: the outcome is unknown") {
+    Entry entry(
+        [&](Peer &peer, int number) {
+          peer.send(Answer);
+          if (number > 1)
+            return;
+          // Wait for the next request, so that the kept connection is used.
+          peer.readRequest();
+          peer.send("HTTP/1.1 503 Service Unavailable\r\nNot-Run: yes\r\n"
+                    "No-Id: yes\r\nContent-Length: 0\r\n\r\n");
+        },
+        options);
+    REQUIRE(entry.request("POST", "/order/1") == 200);
+    CHECK(entry.request("POST", "/order/2") == 502);
+    CHECK_FALSE(entry.hasRetryAfter());
+  }
+  SECTION("of another request: the answer behind it counts") {
+    Entry entry(
+        [&](Peer &peer, int number) {
+          if (number > 1)
+            peer.send("HTTP/1.1 503 Service Unavailable\r\nNot-Run: yes\r\n"
+                      "Id: r-0\r\nContent-Length: 0\r\n\r\n");
+          peer.send(Answer);
+        },
+        options);
+    REQUIRE(entry.request("POST", "/order/1") == 200);
+    CHECK(entry.request("POST", "/order/2") == 200);
+    CHECK(entry.countRequests() == 2);
+  }
+}
+
+TEST_CASE("An answer that ends in its head has an unknown outcome") {
+  Entry entry([](Peer &peer, int) {
+    peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Le");
+    peer.close();
+  });
+  CHECK(entry.request("POST", "/order/1") == 502);
+  CHECK_FALSE(entry.hasRetryAfter());
+  CHECK(entry.countRequests() == 1);
+}
+
 TEST_CASE("An answer without end is given up, and its outcome is unknown") {
   struct Form {
     const char *Title;
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -43,9 +43,13 @@
   std::optional<base::SlotNumber> Slot;
   base::MonoTime Deadline;
   bool Idempotent = false;
-  /// Classifies an answer by its head. If empty, an answer with a status of at
-  /// least 400 and "Mill-Not-Run: 1" is NotRun and any other is Deliver.
-  std::function<AnswerKind(const protocol::AnswerHead &)> Classify;
+  /// Classifies an answer by its head. \p IsReused tells that earlier requests
+  /// were sent on the connection, whose answers may arrive again. If empty, an
+  /// answer with a status of at least 400 and "Mill-Not-Run: 1" is NotRun and
+  /// any other is Deliver; a refusal then ends its connection, since nothing
+  /// distinguishes it from a later one.
+  std::function<AnswerKind(const protocol::AnswerHead &, bool IsReused)>
+      Classify;
   /// Accepts an answer whose body is delimited by the close of the connection.
   bool AcceptsCloseDelimited = false;
   /// Called immediately before the first byte is written. If it returns false,
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -257,7 +257,7 @@
   auto verdict = isRefusedBeforeRunning(response) ? AnswerKind::NotRun
                                                   : AnswerKind::Deliver;
   if (Call.Classify)
-    verdict = Call.Classify(head);
+    verdict = Call.Classify(head, Connection->IsReused);
   if (verdict == AnswerKind::Invalid) {
     IsHeadSeen = false;
     fail(ResultCode::TargetProtocol,
@@ -355,8 +355,12 @@
     outcome.Message = RefusalText;
     outcome.RetryAfterMs = readRetryAfterMs(Parser->get());
   }
+  // Without a classification, a refusal has no id: written again, it would pass
+  // for the answer to the next request.
+  const bool MayRepeat = IsRefused && !Call.Classify;
   const bool IsReusable = Parser->is_done() && Parser->keep_alive() &&
-                          !Parser->need_eof() && Connection->Buffer.size() == 0;
+                          !Parser->need_eof() && !MayRepeat &&
+                          Connection->Buffer.size() == 0;
   Connection->KeepAliveTimeout = readKeepAlive(Parser->get());
   releaseConnection(IsReusable);
   finish(std::move(outcome));
--- a/packages/gateway/tests/EndlessAnswerTest.cpp
+++ b/packages/gateway/tests/EndlessAnswerTest.cpp
@@ -84,7 +84,7 @@
 };
 
 /// Discards answers with the header "X-Stale".
-AnswerKind classifyStale(const protocol::AnswerHead &head) {
+AnswerKind classifyStale(const protocol::AnswerHead &head, bool) {
   for (const auto &header : head.Headers)
     if (header.Name == "X-Stale")
       return AnswerKind::Stale;
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -141,6 +141,25 @@
   CHECK(answer.outcome().Code == ResultCode::AnswerTruncated);
 }
 
+TEST_CASE("An answer that ends in its head is never a complete answer") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 2\r\n\r\n";
+  const auto cut = GENERATE_COPY(range(std::size_t{1}, head.size()));
+  const bool AcceptsCloseDelimited = GENERATE(false, true);
+  Fixture fixture([&](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send(head.substr(0, cut));
+    peer.close();
+  });
+  auto call = makeCall(fixture.Server.address(), "POST");
+  call.AcceptsCloseDelimited = AcceptsCloseDelimited;
+  const auto answer = fixture.run(std::move(call));
+  CHECK(answer.status() == 0);
+  CHECK_FALSE(answer.isEnded());
+  CHECK_FALSE(answer.outcome().Answered);
+  CHECK(answer.outcome().MayHaveRun);
+}
+
 TEST_CASE("A close-delimited answer is rejected by default") {
   Fixture fixture([](Peer &peer, std::size_t) {
     peer.readRequest();
@@ -246,6 +265,30 @@
   CHECK(answer.outcome().Message == "busy");
 }
 
+TEST_CASE("A refusal written twice does not refuse the next request") {
+  constexpr auto Refusal = "HTTP/1.1 503 Busy\r\nMill-Not-Run: 1\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  std::atomic<int> ran{0};
+  Fixture fixture([&](Peer &peer, std::size_t number) {
+    if (number == 1) {
+      peer.readRequest();
+      peer.send(Refusal);
+    }
+    while (!peer.readRequest().empty()) {
+      ++ran;
+      if (number == 1)
+        peer.send(Refusal);
+      peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+  });
+  REQUIRE(fixture.run("POST").outcome().Code ==
+          ResultCode::NotRunTargetRefused);
+  const auto answer = fixture.run("POST");
+  CHECK(answer.outcome().Answered);
+  CHECK(answer.body() == "ok");
+  CHECK(ran == 1);
+}
+
 TEST_CASE("The rate that a target names is read from its answer") {
   const auto read = [](const std::string &header) {
     Fixture fixture([&](Peer &peer, std::size_t) {
