--- a/packages/base/JsonReader.h
+++ b/packages/base/JsonReader.h
@@ -27,7 +27,7 @@
          std::uint64_t max = std::numeric_limits<std::uint64_t>::max());
   /// A time or duration in milliseconds, not below 0.
   std::int64_t milliseconds(std::string_view name);
-  /// An integer or floating-point number, not below 0.
+  /// An integer or finite floating-point number, not below 0.
   double decimal(std::string_view name);
   /// \p fallback when the field is absent.
   bool flag(std::string_view name, bool fallback);
--- a/packages/base/internal/JsonReader.cpp
+++ b/packages/base/internal/JsonReader.cpp
@@ -2,6 +2,7 @@
 #include "base/JsonReader.h"
 
 #include <boost/json/array.hpp>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace magnoliamill::base {
@@ -80,8 +81,8 @@
     return 0;
   }
   const auto number = found->to_number<double>();
-  if (!(number >= 0))
-    setError(ResultCode::OutOfRange, name, "must not be below 0");
+  if (!(number >= 0) || !std::isfinite(number))
+    setError(ResultCode::OutOfRange, name, "must be finite and not below 0");
   return FirstError ? 0 : number;
 }
 
