--- a/packages/consensus/tests/Cluster.h
+++ b/packages/consensus/tests/Cluster.h
@@ -62,6 +62,8 @@
   /// then voters in place of the old ones.
   void repairMembership();
   void changeMembership(std::size_t vm, bool add);
+  /// Proposes \p next at \p leader.
+  void proposeMembership(std::size_t leader, Membership next);
   void transferLeadership();
 
   void run(Duration duration);
@@ -139,6 +141,7 @@
   void step(std::size_t vm, const Event &event);
   void perform(std::size_t vm, Actions &actions);
   void transmit(const Message &message);
+  void write(std::size_t vm, Actions &actions);
   void finishWrite(std::size_t vm);
   void apply(std::size_t vm, const Entry &entry);
   void takeSnapshot(std::size_t vm);
