GroupMembershipTest: groups that are to tolerate two lost disks

Six cores, five voters, two disks and all power lost at each step while a voter that is cut off is replaced.

--- a/packages/fleet/tests/GroupMembershipTest.cpp
+++ b/packages/fleet/tests/GroupMembershipTest.cpp
@@ -26,12 +26,12 @@
 /// Cores whose leader decides the membership as CoreNode does.
 class CoreGroup {
 public:
-  /// The first \p voters cores are the seeds; one core for each data centre in
-  /// \p centres.
+  /// One core for each data centre in \p centres; the first 2 * tolerance + 1
+  /// are the seeds.
   CoreGroup(std::uint64_t seed, std::vector<std::string> centres,
-            std::size_t voters = 3)
-      : Centres(std::move(centres)),
-        Simulation(makeOptions(seed, Centres.size(), voters)),
+            std::size_t tolerance = 1)
+      : Centres(std::move(centres)), Tolerance(tolerance),
+        Simulation(makeOptions(seed, Centres.size(), 2 * tolerance + 1)),
         Views(Centres.size()) {}
 
   void run(base::Duration duration) {
@@ -85,10 +85,12 @@
     Simulation.wipe(vm);
     Views[vm] = {};
   }
-  void loseDiskAndAllPower(std::size_t vm) {
+  /// As many disks are lost as the group is to tolerate, from \p vm on.
+  void loseDisksAndAllPower(std::size_t vm) {
     for (std::size_t n = 0; n < Centres.size(); ++n)
       crash(n);
-    loseDisk(vm);
+    for (std::size_t n = 0; n < Tolerance; ++n)
+      loseDisk((vm + n) % Centres.size());
     heal();
     run(DownTime);
     for (std::size_t n = 0; n < Centres.size(); ++n)
@@ -103,8 +105,8 @@
   base::Duration elapsed() const { return Elapsed; }
   std::size_t size() const { return Centres.size(); }
   bool isRemoved(std::size_t vm) const { return Removed.contains(vm); }
-  /// There is a leader, and the committed voters are an odd number, three or
-  /// more, all of which are up with their disks.
+  /// There is a leader, and the committed voters are an odd number, enough for
+  /// the losses to tolerate, all of which are up with their disks.
   bool isWhole() const {
     const auto leader = findLeader();
     if (!leader ||
@@ -115,7 +117,8 @@
     std::size_t up = 0;
     for (std::size_t n = 0; n < Centres.size(); ++n)
       up += Simulation.isUp(n) && Cut != n && holds(voters, n) ? 1 : 0;
-    return voters.size() >= 3 && voters.size() % 2 == 1 && up == voters.size();
+    return voters.size() > 2 * Tolerance && voters.size() % 2 == 1 &&
+           up == voters.size();
   }
   std::string describe() const {
     std::string out;
@@ -177,7 +180,8 @@
       view.LeadingSince = now;
     if (!view.Policy)
       view.Policy.emplace(
-          GroupMembershipConfig{Simulation.idOf(vm), Centres[vm], 1}, now);
+          GroupMembershipConfig{Simulation.idOf(vm), Centres[vm], Tolerance},
+          now);
     if (auto next = view.Policy->decide(Simulation.core(vm), view.Peers,
                                         *view.LeadingSince, now))
       Simulation.proposeMembership(vm, std::move(*next));
@@ -201,6 +205,7 @@
   }
 
   std::vector<std::string> Centres;
+  std::size_t Tolerance;
   mutable Cluster Simulation;
   std::vector<CoreView> Views;
   std::optional<std::size_t> Cut;
@@ -247,7 +252,7 @@
         if (!mayLose(group, vm))
           continue;
         const auto before = group.describe();
-        group.loseDiskAndAllPower(vm);
+        group.loseDisksAndAllPower(vm);
         if (!group.runUntilWhole(RecoveryLimit))
           failures.push_back(
               fmt::format("vm{} lost at {} us{}", vm, at.count(), before));
@@ -276,6 +281,15 @@
                         {9s, [](auto &group) { group.heal(); }}},
                        anyLoss) == std::vector<std::string>());
   }
+  SECTION("while it is replaced in a group that is to tolerate two losses") {
+    CHECK(playLosses(
+              [&] {
+                return CoreGroup(seed, {"a", "b", "c", "d", "e", "f"}, 2);
+              },
+              {{4s, [&](auto &group) { group.cut(seed % 5); }},
+               {9s, [](auto &group) { group.heal(); }}},
+              anyLoss) == std::vector<std::string>());
+  }
   SECTION("while the leader restarts during such a replacement") {
     const auto restartLeader = [](CoreGroup &group) {
       if (const auto leader = group.findLeader()) {
