--- a/packages/fleet/internal/GroupMembership.cpp
+++ b/packages/fleet/internal/GroupMembership.cpp
@@ -70,7 +70,7 @@
   inputs.Leader = Config.Self.Vm;
   inputs.DataCentres[inputs.Leader] = Config.DataCentre;
   inputs.IsCaughtUp = [&](const auto &id) { return core.isCaughtUp(id); };
-  // A new leader has not heard all members yet.
+  // A new leader may not have received anything from some members yet.
   const bool MayJudgeSilence = now - LeadingSince > SilentMemberTime;
   for (const auto &[host, peer] : peers) {
     const base::VmId vm(host);
@@ -114,19 +114,19 @@
   if (now - LeaderSeenAt < LeaderReportInterval || now < NextLeaderReport)
     return;
   NextLeaderReport = now + LeaderReportInterval;
-  std::vector<std::string> unheard;
+  std::vector<std::string> missing;
   for (const auto &voter : members.Voters) {
     const auto it = peers.find(voter.Vm.Value);
-    const bool heard = it != peers.end() &&
-                       now - it->second.LastHeard <= SilentMemberTime &&
-                       it->second.Incarnation == voter.Incarnation;
-    if (voter != Config.Self && !heard)
-      unheard.push_back(voter.Vm.Value);
+    const bool IsReached = it != peers.end() &&
+                           now - it->second.LastHeard <= SilentMemberTime &&
+                           it->second.Incarnation == voter.Incarnation;
+    if (voter != Config.Self && !IsReached)
+      missing.push_back(voter.Vm.Value);
   }
   base::logWarning(
       "fleet", base::ResultCode::NoQuorum, "the group has no leader",
       {{"voters", formatReplicas(members.Voters)},
-       {"unheard", unheard},
+       {"missing", missing},
        {"index", core.lastIndex()},
        {"committed", core.commitIndex()},
        {"term", core.term()},
--- a/packages/node/MembershipPolicy.h
+++ b/packages/node/MembershipPolicy.h
@@ -18,7 +18,7 @@
 struct MembershipInputs {
   consensus::Membership CurrentMembership;
   /// VMs that are to be replicas and have reported recently, with their newest
-  /// incarnation. A member that is neither here nor in Silent is not judged.
+  /// incarnation. A new leader has members that are neither here nor in Silent.
   std::map<base::VmId, std::uint64_t> Candidates;
   /// VMs that operators have registered; members on other VMs are removed.
   std::set<base::VmId> Registered;
@@ -46,9 +46,9 @@
 ///
 /// A voter is not removed for being silent alone, but only when its VM
 /// restarted with a new incarnation, when an operator removed its VM, or when
-/// the number of voters is even: the majority of the others is then smaller. A
-/// caught-up learner that replaces a voter is therefore promoted first, so that
-/// each step leaves a group that tolerates what it did before.
+/// the number of voters is even, where a majority of the others needs one voter
+/// less. A caught-up learner that replaces a voter is therefore promoted first:
+/// each step leaves a group that tolerates the losses that it did before.
 std::optional<consensus::Membership>
 decideMembership(const MembershipInputs &inputs);
 
--- a/packages/node/internal/MembershipPolicy.cpp
+++ b/packages/node/internal/MembershipPolicy.cpp
@@ -142,8 +142,8 @@
   return inputs.KeepsStandbys && isEven(n) && n > inputs.MinVoters;
 }
 
-/// Removes a silent voter from an even number: the majority of the others is
-/// smaller by one.
+/// Removes a silent voter from an even number: a majority of the others needs
+/// one voter less.
 std::optional<Membership> demoteSilent(const MembershipInputs &inputs) {
   const auto silent = findSilentVoter(inputs);
   if (!mayDemote(inputs) || !silent)
@@ -151,9 +151,8 @@
   return withoutVoter(inputs, *silent);
 }
 
-/// A voter that is silent or too many in its data centre is replaced by
-/// promoting a learner first, then demoting it: of the even number between,
-/// any one may be lost, while with one voter less none could be.
+/// Adds a voter when the number stays odd, or when the learner replaces a
+/// silent or surplus voter, which the next step removes from the even number.
 std::optional<Membership> promote(const MembershipInputs &inputs) {
   const auto promotable = findPromotable(inputs);
   if (promotable.empty())
@@ -169,7 +168,7 @@
   return withPromoted(inputs, learner);
 }
 
-/// Makes an even number of voters odd when no learner can be promoted.
+/// Makes an even number of voters odd when none of them is silent.
 std::optional<Membership> demoteCrowded(const MembershipInputs &inputs) {
   const auto crowded = findCrowdedVoter(inputs);
   if (!mayDemote(inputs) || !isEachVoterJudged(inputs) || !crowded)
