--- a/review/standin/Harness.cpp
+++ b/review/standin/Harness.cpp
@@ -509,6 +509,7 @@
     {
       const std::scoped_lock lock(Mutex);
       ++Runs[attempt];
+      RunTimes.push_back(now());
     }
     Log.line("upstream " + Options.Id + " runs " + attempt + " for key " +
              std::to_string(key) + ", " + std::to_string(request.Body.size()) +
@@ -553,6 +554,10 @@
 
 void Upstream::heartbeat() {
   while (!IsEnding) {
+    if (IsSilent) {
+      pause(10);
+      continue;
+    }
     const auto bytes = Json::to_cbor(composeHeartbeat());
     const auto sent = now();
     const auto answer =
@@ -602,6 +607,25 @@
            " keys until " + std::to_string(HeldUntil) + " ms");
 }
 
+std::int64_t Upstream::leave(std::int64_t limit) {
+  IsSilent = true;
+  const auto answer = Fleet.control("DELETE", "/v1/instances/" + Options.Id,
+                                    {{"born", Born}}, 0, limit);
+  Log.line("upstream " + Options.Id + " leaves, status " +
+           std::to_string(answer.Status));
+  return answer.Status == 200 ? now() : -1;
+}
+
+std::string Upstream::takeHeartbeat() {
+  const auto bytes = Json::to_cbor(composeHeartbeat());
+  return {bytes.begin(), bytes.end()};
+}
+
+std::vector<std::int64_t> Upstream::runTimes() const {
+  const std::scoped_lock lock(Mutex);
+  return RunTimes;
+}
+
 std::vector<KeyRow> Upstream::holds() const {
   const std::scoped_lock lock(Mutex);
   if (now() >= HeldUntil)
@@ -620,17 +644,21 @@
   return Runs;
 }
 
-bool sendFirstConfig(const Deployment &fleet, Record &record) {
-  const Json body = {
-      {"upsert",
-       {{"resources",
-         {makeService("barn", "00000001", true),
-          makeRoute("r-book", "00000001", "/book/", "unsafe", "barn", 1500),
-          makeLimits("00000001", 67108864)}}}},
-      {"remove", {{"routes", Json::array()}}}};
+int sendItems(const Deployment &fleet, Record &record, const Json &items) {
+  const Json body = {{"upsert", {{"resources", items}}},
+                     {"remove", {{"routes", Json::array()}}}};
   const auto answer = fleet.control("PATCH", "/v1/config", body, 0, 15000);
-  record.line("operator: first call, status " + std::to_string(answer.Status));
-  return answer.Status == 200;
+  record.line("operator: " + std::to_string(items.size()) + " items, status " +
+              std::to_string(answer.Status));
+  return answer.Status;
+}
+
+bool sendFirstConfig(const Deployment &fleet, Record &record) {
+  return sendItems(
+             fleet, record,
+             {makeService("barn", "00000001", true),
+              makeRoute("r-book", "00000001", "/book/", "unsafe", "barn", 1500),
+              makeLimits("00000001", 67108864)}) == 200;
 }
 
 bool waitUntilHeld(const std::vector<const Upstream *> &upstreams,
--- a/review/standin/Harness.h
+++ b/review/standin/Harness.h
@@ -179,6 +179,16 @@
   bool holdsKey(std::uint32_t key) const;
   /// Runs by attempt id.
   std::map<std::string, int> runs() const;
+  /// Leaves without reporting "draining": sends DELETE until that is
+  /// acknowledged, goes on serving, and sends no more heartbeats of its own.
+  /// Returns the time of the acknowledgement; -1 if there was none.
+  std::int64_t leave(std::int64_t limit);
+  /// The heartbeat that was due, as bytes, without sending it.
+  std::string takeHeartbeat();
+  void stopHeartbeats() { IsSilent = true; }
+  void resumeHeartbeats() { IsSilent = false; }
+  /// When requests were run.
+  std::vector<std::int64_t> runTimes() const;
 
 private:
   void accept();
@@ -196,11 +206,13 @@
   std::uint64_t Sequence = 0;
   int NextCore = 0;
   std::atomic<bool> IsEnding{false};
+  std::atomic<bool> IsSilent{false};
   mutable std::mutex Mutex;
   std::vector<KeyRow> Held;
   std::vector<KeyRow> Released;
   std::int64_t HeldUntil = 0;
   std::map<std::string, int> Runs;
+  std::vector<std::int64_t> RunTimes;
   std::vector<std::thread> Threads;
   std::vector<std::thread> Serving;
 };
@@ -208,6 +220,8 @@
 /// Sends the operator's first call: one keyed service and an unsafe route to
 /// it, with the limits of PROTOCOL.md. False if it isn't acknowledged.
 bool sendFirstConfig(const Deployment &fleet, Record &record);
+/// Sends the items of a call; returns the status of the answer.
+int sendItems(const Deployment &fleet, Record &record, const Json &items);
 /// Waits until the upstreams together hold all keys.
 bool waitUntilHeld(const std::vector<const Upstream *> &upstreams,
                    std::int64_t limit);
