--- a/review/standin/LongRequest.cpp
+++ b/review/standin/LongRequest.cpp
@@ -105,7 +105,9 @@
   const std::string body(LongBytes, 'x');
   int ends = 0;
   for (int i = 0; now() < TimeLimitMs && outcomes.Lost <= AllowedLost; ++i) {
-    sendLong(fleet, record, i, 3 + i % 14, body);
+    // The time at which the body is passed on depends on the machine.
+    const int stay = i % 2 == 0 ? 3 + i / 2 % 14 : 1 + i / 2 % 45;
+    sendLong(fleet, record, i, stay, body);
     pause(30);
     int status = 0;
     if (!fleet.hasEnded("entry0", status))
