Cores: a full disk makes writes wait and does not end the process

Cause: a passing lack of room was handled like a damaged disk. GroupRunner repeats a write that is refused for lack of room (5010) every 100 ms; messages that depend on it wait as they did. The storage cuts what a refused write left, and syncs that, before it writes the next frame: a mixture of two frames after a power loss could not be told from damage. Other errors end the process as before. A leader goes on: its entries commit with the other voters, and handing over would cost an election and gain nothing.

--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -81,6 +81,7 @@
   ProposalDropped = 5007,
   WrongIncarnation = 5008,
   MemberUnknown = 5009,
+  StorageFull = 5010,
 
   // 6xxx: ownership.
   GrantStale = 6001,
--- a/packages/base/internal/ResultCode.cpp
+++ b/packages/base/internal/ResultCode.cpp
@@ -118,6 +118,8 @@
     {ResultCode::WrongIncarnation, "WrongIncarnation",
      "A message names another incarnation of the replica."},
     {ResultCode::MemberUnknown, "MemberUnknown", "No such member."},
+    {ResultCode::StorageFull, "StorageFull",
+     "The disk of the data folder has no room."},
     {ResultCode::GrantStale, "GrantStale", "A newer token is known."},
     {ResultCode::GrantExpired, "GrantExpired", "The grant has run out."},
     {ResultCode::TargetNotAllowed, "TargetNotAllowed",
--- a/packages/consensus/Storage.h
+++ b/packages/consensus/Storage.h
@@ -15,7 +15,9 @@
 public:
   virtual ~Storage() = default;
   /// Returns only after the request is synced (file and folder). Fails with
-  /// StorageFailed; on disk, every later write then fails too.
+  /// StorageFull if the disk has no room: the same request must be written
+  /// again before any other. Fails with StorageFailed otherwise; on disk, every
+  /// later write then fails too.
   virtual base::Result<void> write(const PersistRequest &request) = 0;
   /// Writes a snapshot of the state machine and drops the log entries that it
   /// covers.
@@ -38,7 +40,8 @@
 
 /// Opens or creates the folder. An incompletely written frame at the end of the
 /// log is truncated. Any other damage fails with LogDamaged or SnapshotDamaged
-/// and leaves the files unchanged; I/O errors fail with StorageFailed.
+/// and leaves the files unchanged; I/O errors fail with StorageFailed or
+/// StorageFull.
 /// \p NewIncarnation is used when the folder is new.
 base::Result<OpenedStorage> openDiskStorage(const std::filesystem::path &folder,
                                             std::uint64_t NewIncarnation);
--- a/packages/consensus/internal/DiskStorage.cpp
+++ b/packages/consensus/internal/DiskStorage.cpp
@@ -186,6 +186,7 @@
   if (::fstat(Log.get(), &info) != 0)
     return base::fail(describeErrno("cannot stat", path));
   LogSize = IntactSize;
+  MayHaveTail = false;
   if (static_cast<std::uint64_t>(info.st_size) == IntactSize)
     return base::ok();
   if (::ftruncate(Log.get(), static_cast<off_t>(IntactSize)) != 0)
@@ -201,9 +202,12 @@
                      !request.InstallSnapshot;
   if (empty)
     return base::ok();
+  if (auto cut = cutTail(); !cut)
+    return cut;
   auto done =
       request.InstallSnapshot ? installSnapshot(request) : appendFrame(request);
-  HasFailed = !done;
+  if (!done)
+    return noteFailure(std::move(done));
   Term = request.Term;
   VotedFor = request.VotedFor;
   return done;
@@ -222,10 +226,33 @@
   std::string records;
   encodeRecords(request, records);
   const std::string frame = makeFrame(records, LogSize);
+  MayHaveTail = true;
   if (auto written = Log.writeAll(frame); !written)
     return written;
+  if (auto synced = Log.sync(); !synced)
+    return synced;
   LogSize += frame.size();
-  return Log.sync();
+  MayHaveTail = false;
+  return base::ok();
+}
+
+base::Result<void> DiskStorage::cutTail() {
+  if (!MayHaveTail)
+    return base::ok();
+  if (::ftruncate(Log.get(), static_cast<off_t>(LogSize)) != 0)
+    return noteFailure(
+        base::fail(describeErrno("cannot cut", pathOf(LogFile))));
+  // Synced before the next frame is written: after a power loss, a mixture of
+  // the two could not be told from damage.
+  if (auto synced = Log.sync(); !synced)
+    return noteFailure(std::move(synced));
+  MayHaveTail = false;
+  return base::ok();
+}
+
+base::Result<void> DiskStorage::noteFailure(base::Result<void> failure) {
+  HasFailed = failure.error().Code != base::ResultCode::StorageFull;
+  return failure;
 }
 
 base::Result<void> DiskStorage::installSnapshot(const PersistRequest &request) {
--- a/packages/consensus/internal/DiskStorage.h
+++ b/packages/consensus/internal/DiskStorage.h
@@ -39,6 +39,10 @@
   base::Result<void> appendFrame(const PersistRequest &request);
   base::Result<void> installSnapshot(const PersistRequest &request);
   base::Result<void> replaceLog(const DurableState &state);
+  /// Removes what a write that was refused has left behind the intact frames.
+  base::Result<void> cutTail();
+  /// Refuses all later writes unless the disk was full.
+  base::Result<void> noteFailure(base::Result<void> failure);
   base::Result<void> checkUsable() const;
   std::filesystem::path pathOf(std::string_view name) const {
     return Folder / name;
@@ -52,7 +56,10 @@
   // The term and vote that were last written.
   TermNumber Term = 0;
   std::optional<ReplicaId> VotedFor;
-  // After a failed write or sync the contents of the disk are unknown.
+  // True if bytes may follow the first LogSize ones, a part of a frame.
+  bool MayHaveTail = false;
+  // After a failed write or sync the contents of the disk are unknown, unless
+  // it was refused for lack of room.
   bool HasFailed = false;
 };
 
--- a/packages/consensus/internal/RecordFile.cpp
+++ b/packages/consensus/internal/RecordFile.cpp
@@ -105,9 +105,10 @@
 base::Error describeErrno(std::string_view what,
                           const std::filesystem::path &path) {
   const int number = errno;
-  return {base::ResultCode::StorageFailed, std::string(what) + " " +
-                                               path.string() + ": " +
-                                               std::strerror(number)};
+  const bool IsFull = number == ENOSPC || number == EDQUOT || number == EFBIG;
+  return {
+      IsFull ? base::ResultCode::StorageFull : base::ResultCode::StorageFailed,
+      std::string(what) + " " + path.string() + ": " + std::strerror(number)};
 }
 
 base::Result<std::string> readWholeFile(const std::filesystem::path &path) {
@@ -128,23 +129,36 @@
   }
 }
 
+namespace {
+
+base::Result<void> writeNewFile(const std::filesystem::path &path,
+                                std::string_view content) {
+  const FileHandle file(
+      ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+  if (!file.isOpen())
+    return base::fail(describeErrno("cannot create", path));
+  if (auto written = file.writeAll(content); !written)
+    return written;
+  return file.sync();
+}
+
+} // namespace
+
 base::Result<void> replaceFile(const std::filesystem::path &path,
                                std::string_view content) {
   std::filesystem::path temp = path;
   temp += ".tmp";
-  {
-    const FileHandle file(
-        ::open(temp.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-    if (!file.isOpen())
-      return base::fail(describeErrno("cannot create", temp));
-    if (auto written = file.writeAll(content); !written)
-      return written;
-    if (auto synced = file.sync(); !synced)
-      return synced;
+  if (auto written = writeNewFile(temp, content); !written) {
+    // A part of a file would use the room that others need.
+    ::unlink(temp.c_str());
+    return written;
   }
   if (::rename(temp.c_str(), path.c_str()) != 0)
     return base::fail(describeErrno("cannot rename to", path));
-  return syncFolder(path.parent_path());
+  // From here on the file is replaced, so the call may not be repeated.
+  if (auto synced = syncFolder(path.parent_path()); !synced)
+    return base::fail(base::ResultCode::StorageFailed, synced.error().Message);
+  return base::ok();
 }
 
 base::Result<void> syncFolder(const std::filesystem::path &folder) {
--- a/packages/consensus/internal/RecordFile.h
+++ b/packages/consensus/internal/RecordFile.h
@@ -36,7 +36,8 @@
 base::Result<std::string> readWholeFile(const std::filesystem::path &path);
 
 /// Replaces the file \p path atomically: writes and syncs a temporary file in
-/// the same folder, renames it and syncs the folder.
+/// the same folder, renames it and syncs the folder. After StorageFull the file
+/// is as it was.
 base::Result<void> replaceFile(const std::filesystem::path &path,
                                std::string_view content);
 
@@ -60,7 +61,8 @@
   int Descriptor = -1;
 };
 
-/// StorageFailed with \p what, \p path and the text of errno.
+/// StorageFull if errno says that the disk has no room, otherwise
+/// StorageFailed; with \p what, \p path and the text of errno.
 base::Error describeErrno(std::string_view what,
                           const std::filesystem::path &path);
 
--- a/packages/consensus/tests/StorageTest.cpp
+++ b/packages/consensus/tests/StorageTest.cpp
@@ -3,8 +3,10 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace magnoliamill;
@@ -51,6 +53,23 @@
   return request;
 }
 
+/// While it exists, no file of this process grows beyond \p size bytes.
+class FullDisk {
+public:
+  explicit FullDisk(std::uintmax_t size) {
+    std::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &Former);
+    const rlimit limit{size, Former.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &Former); }
+  FullDisk(const FullDisk &) = delete;
+  FullDisk &operator=(const FullDisk &) = delete;
+
+private:
+  rlimit Former{};
+};
+
 base::ResultCode codeOf(const fs::path &folder) {
   const auto opened = openDiskStorage(folder, 9);
   return opened ? base::ResultCode::Ok : opened.error().Code;
@@ -192,3 +211,76 @@
   REQUIRE(store.Incarnation == 12);
   REQUIRE(store.Store->write(makeRequest(1, 1, 1)));
 }
+
+TEST_CASE("A disk that was full refuses all later writes, or a torn frame is "
+          "followed by another",
+          "[consensus]") {
+  TestFolder folder;
+  const fs::path log = folder.Path / "log";
+  auto opened = openDiskStorage(folder.Path, 9).value();
+  REQUIRE(opened.Store->write(makeRequest(1, 1, 2)));
+  const auto size = fs::file_size(log);
+  const auto request = makeRequest(1, 3, 4);
+  const auto refuse = [&](std::uintmax_t room) {
+    const FullDisk full(room);
+    const auto written = opened.Store->write(request);
+    REQUIRE_FALSE(written);
+    CHECK(written.error().Code == base::ResultCode::StorageFull);
+  };
+  const auto CheckReopened = [&](LogIndex last) {
+    opened = {};
+    opened = openDiskStorage(folder.Path, 9).value();
+    const auto &state = opened.Restored;
+    CHECK(state.SnapshotIndex + state.Entries.size() == last);
+  };
+
+  SECTION("at every byte of a frame") {
+    refuse(size);
+    REQUIRE(opened.Store->write(request));
+    const auto frame = fs::file_size(log) - size;
+    LogIndex last = 4;
+    for (std::uintmax_t n = 0; n < frame; ++n) {
+      const auto next = makeRequest(1, last + 1, last + 2);
+      const auto before = fs::file_size(log);
+      {
+        const FullDisk full(before + n);
+        REQUIRE_FALSE(opened.Store->write(next));
+        REQUIRE_FALSE(opened.Store->write(next));
+      }
+      REQUIRE(opened.Store->write(next));
+      last += 2;
+    }
+    CheckReopened(last);
+  }
+  SECTION("and the process ends before there is room again") {
+    refuse(size + 30);
+    CheckReopened(2);
+    REQUIRE(opened.Store->write(request));
+    CheckReopened(4);
+  }
+  SECTION("while a snapshot is written") {
+    PersistRequest::Snapshot snapshot{2, 1, {}, std::string(4096, 's')};
+    {
+      const FullDisk full(size + 30);
+      REQUIRE_FALSE(opened.Store->writeSnapshot(snapshot));
+      CHECK_FALSE(fs::exists(folder.Path / "snapshot.tmp"));
+    }
+    REQUIRE(opened.Store->writeSnapshot(snapshot));
+    REQUIRE(opened.Store->write(request));
+    CheckReopened(4);
+    CHECK(opened.Restored.SnapshotIndex == 2);
+  }
+  SECTION("while the log is replaced after a snapshot") {
+    const auto large = makeRequest(1, 3, 200);
+    REQUIRE(opened.Store->write(large));
+    PersistRequest::Snapshot snapshot{2, 1, {}, "s"};
+    {
+      const FullDisk full(size + 100);
+      REQUIRE_FALSE(opened.Store->writeSnapshot(snapshot));
+      REQUIRE_FALSE(opened.Store->writeSnapshot(snapshot));
+    }
+    REQUIRE(opened.Store->writeSnapshot(snapshot));
+    REQUIRE(opened.Store->write(makeRequest(1, 201, 202)));
+    CheckReopened(202);
+  }
+}
--- a/packages/gateway/internal/Failure.cpp
+++ b/packages/gateway/internal/Failure.cpp
@@ -19,6 +19,7 @@
   switch (code) {
   case ResultCode::ChangeOutcomeUnknown:
   case ResultCode::StorageFailed:
+  case ResultCode::StorageFull:
   case ResultCode::Internal:
     return false;
   default:
--- a/packages/node/GroupRunner.h
+++ b/packages/node/GroupRunner.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -70,6 +71,10 @@
   void persist(consensus::Actions &actions);
   void writeNext();
   void onWritten(std::uint64_t id);
+  /// The disk has no room: writes the first request again later. Until then
+  /// this replica sends nothing that promises the request to others.
+  void onStorageFull(const std::string &message);
+  void recordRoom();
   void sendAll(std::vector<consensus::Message> messages);
   void applyCommitted(std::vector<consensus::Entry> entries);
   void finishProposals(std::vector<consensus::ProposalOutcome> outcomes);
@@ -98,6 +103,9 @@
   // Pending writes; they are written one at a time and in order.
   std::deque<PendingWrite> Writes;
   bool WriteInFlight = false;
+  boost::asio::steady_timer RetryTimer;
+  /// Since when the disk has had no room; not set while it has.
+  std::optional<base::MonoTime> FullSince;
   // Set to false by the destructor, so that tasks posted earlier do nothing.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/packages/node/internal/GroupRunner.cpp
+++ b/packages/node/internal/GroupRunner.cpp
@@ -2,14 +2,23 @@
 #include "node/GroupRunner.h"
 
 #include "base/Log.h"
+#include "base/Metrics.h"
 #include "consensus/PersistMerge.h"
 
 #include <cstdlib>
+#include <prometheus/gauge.h>
 
 namespace magnoliamill::node {
 namespace {
 
 constexpr std::size_t WindowBytes = 8u << 20;
+/// How often a write is repeated while the disk has no room.
+constexpr base::Duration FullRetryInterval = std::chrono::milliseconds(100);
+
+prometheus::Gauge &storageFullGauge() {
+  return base::gauge("mill_storage_full",
+                     "1 while the disk of the data folder has no room.");
+}
 
 } // namespace
 
@@ -23,7 +32,7 @@
       Hooks(std::move(hooks)), Store(std::move(opened.Store)),
       Core(std::move(core), opened.Restored, base::readMonotonic()),
       Window(WindowBytes), Timer(eventloop.context()),
-      Applied(opened.Restored.SnapshotIndex) {
+      Applied(opened.Restored.SnapshotIndex), RetryTimer(eventloop.context()) {
   Window.restart(Applied);
   if (Applied > 0)
     Hooks.Restore({Applied, opened.Restored.SnapshotData});
@@ -113,6 +122,12 @@
       std::make_shared<consensus::PersistRequest>(Writes.front().Request);
   auto write = [this, alive = Alive, store = Store, request] {
     auto written = store->write(*request);
+    if (!written && written.error().Code == base::ResultCode::StorageFull)
+      return EventLoop.postReply(
+          [this, alive, message = written.error().Message] {
+            if (*alive)
+              onStorageFull(message);
+          });
     if (!written) {
       // A replica that cannot persist what it promised to others must not
       // continue.
@@ -130,8 +145,40 @@
     write();
 }
 
+void GroupRunner::onStorageFull(const std::string &message) {
+  if (!FullSince) {
+    FullSince = base::readMonotonic();
+    storageFullGauge().Set(1);
+    base::logWarning(
+        "storage", base::ResultCode::StorageFull,
+        "the disk has no room, writes wait",
+        {{"error", message}, {"is_leader", isLeader()}, {"applied", Applied}});
+  }
+  RetryTimer.expires_after(FullRetryInterval);
+  RetryTimer.async_wait(
+      [this, alive = Alive](const boost::system::error_code &ec) {
+        if (ec || !*alive)
+          return;
+        WriteInFlight = false;
+        writeNext();
+      });
+}
+
+void GroupRunner::recordRoom() {
+  if (!FullSince)
+    return;
+  storageFullGauge().Set(0);
+  base::logInfo("storage", "the disk has room again",
+                {{"since_ms", base::toMs(base::readMonotonic() - *FullSince)},
+                 {"is_leader", isLeader()},
+                 {"applied", Applied},
+                 {"waiting", Writes.size()}});
+  FullSince.reset();
+}
+
 void GroupRunner::onWritten(std::uint64_t id) {
   WriteInFlight = false;
+  recordRoom();
   auto messages = std::move(Writes.front().SendAfter);
   Writes.pop_front();
   sendAll(std::move(messages));
