Mesh: a stopping VM refuses a request that may outlast its stop

Operators of a system like ours saw requests that came late in a planned stop cut with no answer. Here, mesh shape: a VM that got SIGTERM took a POST with a limit of 40 s, passed it on, and ended it after 20 s with 502 (unknown).

Cause: the end of the stop was not compared with the limit of a request. The rule of the fleet's entries (StopAdmission, moved to packages/dispatch) decides here, too: 503, not run, at once. The test failed before (502, and the target had the request). Fleet shape: not affected, by reading.

--- a/packages/entry/StopAdmission.h
+++ b/packages/dispatch/StopAdmission.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace magnoliamill::entry {
+namespace magnoliamill::dispatch {
 
 class StopAdmission {
 public:
@@ -37,4 +37,4 @@
   std::optional<base::MonoTime> EndsAt;
 };
 
-} // namespace magnoliamill::entry
+} // namespace magnoliamill::dispatch
--- a/packages/entry/tests/StopAdmissionTest.cpp
+++ b/packages/dispatch/tests/StopAdmissionTest.cpp
@@ -1,5 +1,5 @@
 // Plays VMs that stop in series under load and checks what callers get.
-#include "entry/StopAdmission.h"
+#include "dispatch/StopAdmission.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -9,7 +9,7 @@
 #include <vector>
 
 using namespace magnoliamill;
-using namespace magnoliamill::entry;
+using namespace magnoliamill::dispatch;
 using namespace std::chrono_literals;
 
 namespace {
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
+#include "dispatch/StopAdmission.h"
 #include "entry/AnswerMemory.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
@@ -11,7 +12,6 @@
 #include "entry/PermitClient.h"
 #include "entry/RelayPeers.h"
 #include "entry/RequestOrigin.h"
-#include "entry/StopAdmission.h"
 #include "entry/TargetPool.h"
 #include "entry/TargetProbe.h"
 #include "fleet/FleetSettings.h"
@@ -83,7 +83,7 @@
   /// Whether \p route has a higher priority than another route of the service.
   bool isUrgent(const std::string &service, const routing::Route &route) const;
   LinkBudget &link() { return Link; }
-  const StopAdmission &stopAdmission() const { return Stop; }
+  const dispatch::StopAdmission &stopAdmission() const { return Stop; }
   /// How long after \p deadline, that of a request in progress, its answer of
   /// \p route has been passed on at the latest.
   base::Duration deliveryTime(const routing::Route &route,
@@ -130,7 +130,7 @@
   std::map<std::string, dispatch::RetryBudget> Budgets;
   std::set<std::shared_ptr<EntryRequest>> Requests;
   std::set<std::shared_ptr<EntryRequest>> Waiting;
-  StopAdmission Stop;
+  dispatch::StopAdmission Stop;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/tests/StopPropertyTest.cpp
+++ b/packages/entry/tests/StopPropertyTest.cpp
@@ -1,9 +1,9 @@
 // Plays drawn loads of a VM that stops, with the link's rules but without a
 // network. A longer run: RC_PARAMS="seed=N max_success=20000".
+#include "dispatch/StopAdmission.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
 #include "entry/OwedAnswers.h"
-#include "entry/StopAdmission.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -128,7 +128,7 @@
     // Before, they were admitted without regard to a stop.
     for (auto &[id, request] : Requests)
       request.IsOwed = latestDelivery(listOwed(), dueBy(request), Pacer) +
-                           StopAdmission::AnswerMargin <=
+                           dispatch::StopAdmission::AnswerMargin <=
                        Stop.endsAt();
   }
 
@@ -174,9 +174,9 @@
       delivery = latestDelivery(answers, deadline, Pacer) - deadline;
     }
     const bool IsAdmitted = Stop.admits(deadline, delivery);
-    const bool fits =
-        playWorstCase(deadline, bytes) + StopAdmission::AnswerMargin <=
-        Stop.endsAt();
+    const bool fits = playWorstCase(deadline, bytes) +
+                          dispatch::StopAdmission::AnswerMargin <=
+                      Stop.endsAt();
     ++(IsAdmitted ? Result.Admitted : Result.Refused);
     if (!IsAdmitted && fits)
       ++Result.RefusedWrongly;
@@ -236,7 +236,7 @@
   const Load &Settings;
   LinkPacer Pacer;
   LinkBudget Budget;
-  StopAdmission Stop;
+  dispatch::StopAdmission Stop;
   base::MonoTime Now;
   std::multimap<base::MonoTime, std::function<void()>> Events;
   std::map<int, Running> Requests;
--- a/packages/node/RequestFlow.h
+++ b/packages/node/RequestFlow.h
@@ -4,6 +4,7 @@
 
 #include "base/EventLoopThread.h"
 #include "dispatch/Router.h"
+#include "dispatch/StopAdmission.h"
 #include "protocol/Messages.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -49,6 +50,9 @@
   /// centre.
   protocol::CancelHook onForwarded(protocol::ForwardRequest request,
                                    protocol::AnswerSink sink);
+  /// This VM exits \p grace from now: requests whose deadline is later are
+  /// refused from here on.
+  void beginStop(base::Duration grace);
   void setSettings(settings::ViewPtr view);
   void setOwnership(ownership::ViewPtr view);
   /// Number of requests that have not ended.
@@ -69,6 +73,8 @@
   };
 
   void admit(std::shared_ptr<OpenRequest> open, bool MayLeaveDataCentre);
+  /// Refuses the request and returns true if this VM may exit before its end.
+  bool refuseUnlessFitsStop(const OpenRequest &open);
   void perform(dispatch::RouteActions actions);
   void forward(const base::RequestId &id, const base::VmId &vm);
   protocol::AnswerSink sinkFor(const base::RequestId &id,
@@ -83,6 +89,7 @@
   RequestFlowConfig Config;
   RequestFlowHooks Hooks;
   dispatch::Router Router;
+  dispatch::StopAdmission Stop;
   settings::ViewPtr Settings;
   boost::asio::steady_timer Timer;
   std::unordered_map<base::RequestId, std::shared_ptr<OpenRequest>> Requests;
--- a/packages/node/internal/Node.cpp
+++ b/packages/node/internal/Node.cpp
@@ -242,6 +242,7 @@
 void Node::State::beginStop(std::function<void()> done) {
   base::logInfo("node", "planned stop");
   IsStopping = true;
+  Requests->beginStop(MaxStopDuration);
   boost::asio::post(StateThread.context(), [this, done = std::move(done)] {
     OnStopped = done;
     auto timeout = std::make_shared<boost::asio::steady_timer>(
--- a/packages/node/internal/RequestFlow.cpp
+++ b/packages/node/internal/RequestFlow.cpp
@@ -2,6 +2,7 @@
 // VMs.
 #include "node/RequestFlow.h"
 
+#include "base/Log.h"
 #include "base/Metrics.h"
 #include "node/RequestDescription.h"
 
@@ -13,6 +14,9 @@
 namespace magnoliamill::node {
 namespace {
 
+/// Retry-After value if another VM can serve the caller almost immediately.
+constexpr std::uint32_t OtherVmRetryAfterMs = 50;
+
 void countFailure(base::ResultCode code) {
   base::counter("mill_requests_failed_total",
                 "Requests that ended without an answer, by result code.",
@@ -33,6 +37,11 @@
   boost::asio::post(EventLoop.context(), [this] { armTimer(); });
 }
 
+void RequestFlow::beginStop(base::Duration grace) {
+  EventLoop.postReply(
+      [this, grace] { Stop.begin(base::readMonotonic(), grace); });
+}
+
 void RequestFlow::setSettings(settings::ViewPtr view) {
   EventLoop.postReply([this, view = std::move(view)] {
     Settings = view;
@@ -95,11 +104,28 @@
     return;
   }
   open->Deadline = info.value().Deadline;
+  if (refuseUnlessFitsStop(*open))
+    return;
   Requests[open->Request.Id] = open;
   OpenCount = Requests.size();
   perform(Router.submit(std::move(info.value()), MayLeaveDataCentre, now));
 }
 
+bool RequestFlow::refuseUnlessFitsStop(const OpenRequest &open) {
+  if (Stop.admits(open.Deadline, base::Duration::zero()))
+    return false;
+  base::logInfo(
+      "node", "a request may outlast the stop of this VM",
+      {{"request", open.Request.Id.Value},
+       {"service", open.Request.Service.Value},
+       {"limit_ms", open.Request.DeadlineMs},
+       {"stop_left_ms", base::toMs(base::delayUntil(Stop.endsAt()))}});
+  countFailure(base::ResultCode::NotRunNotReady);
+  open.Sink.Fail({base::ResultCode::NotRunNotReady, "this VM is stopping",
+                  OtherVmRetryAfterMs});
+  return true;
+}
+
 void RequestFlow::perform(dispatch::RouteActions actions) {
   for (const auto &route : actions.Forward)
     forward(route.Request, route.Vm);
--- a/tests/WholePathTest.cpp
+++ b/tests/WholePathTest.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 
 using namespace magnoliamill::tests;
+using namespace std::chrono_literals;
 
 TEST_CASE("One data centre serves a keyed service", "[system]") {
   LocalCluster cluster(
@@ -53,3 +55,42 @@
     REQUIRE(cluster.runs().size() == before);
   }
 }
+
+TEST_CASE("A request that came during a planned stop is cut off at its end",
+          "[system]") {
+  constexpr std::uint16_t TargetPort = 21079;
+  LocalCluster cluster("late-in-stop", 21060,
+                       {{"a1", "dc-a", true}, {"a2", "dc-a", false}});
+  cluster.bootstrap();
+  cluster.createTeam();
+  REQUIRE(cluster
+              .set("a1", "/services/barnstock",
+                   R"({"keyed":true,"slots":8,"data_centres":["dc-a"]})", 0,
+                   "service")
+              .Status == 200);
+  cluster.startTarget({"barn-1",
+                       "barnstock",
+                       "dc-a",
+                       {"--port=" + std::to_string(TargetPort)}});
+  const auto send = [&](const std::string &path, const std::string &limit) {
+    return cluster.request(
+        "a2", "POST", "barnstock", path,
+        {{"Mill-Key", "barn-1"}, {"Mill-Deadline-Ms", limit}}, 40s);
+  };
+  waitUntil("requests are answered",
+            [&] { return send("/reserve", "2000").Status == 200; });
+  // Longer than a stop may take.
+  REQUIRE(callHttp(TargetPort, "POST", "/.mill/control", {},
+                   R"({"service_ms":25000})", 2s)
+              .Status == 200);
+  cluster.vm("a2").signal(SIGTERM);
+  waitUntil("a2 is stopping", [&] { return !cluster.isReady("a2"); });
+
+  const auto refused = send("/late", "40000");
+  CHECK(refused.Status == 503);
+  CHECK(refused.outcome() == "not-run");
+  CHECK(std::ranges::none_of(cluster.runs(), [](const RunRecord &run) {
+    return run.Path == "/late";
+  }));
+  CHECK(cluster.vm("a2").wait() == 0);
+}
