OWNER: a heartbeat of another writer ends no hold

Class: evidence taken from one party about another. A later id or birth at an address is only a claim. It is ignored while the process that it contradicts sends heartbeats (three intervals), and afterwards it frees no key before the hold of the owner has ended; onTerminated, which freed them at once, is gone. A heartbeat of an unknown service, or one whose address or service contradicts its own id and birth, is refused with 400. Other places that end a target: leave calls free keys by release or the end of the hold only; Server-Leaving and refused connections concern the entry that saw them (by reading).

"A later process at an address frees the stripes of the earlier one" and "Stripes of a terminated process are reassigned immediately" asked for the fault. In their place: the stripes stay until the hold has ended, and are free at most a second after it. Not covered: a writer with id, birth, address and service of a target.

--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -73,11 +73,18 @@
   void handleLeave(const Call &call, const ReplyHook &reply);
   void handleConfigChange(const Call &call, const ReplyHook &reply);
   void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
+  /// Answers a heartbeat that changes nothing.
+  void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
+                        const ReplyHook &reply);
+  bool isAlive(const keyspace::TargetInstance &instance,
+               base::MonoTime now) const;
                        base::MonoTime now);
   void commitDeparture(const keyspace::TargetInstance &instance,
                        std::function<void(base::Result<void>)> done);
-  void removeEndedInstance(const keyspace::TargetInstance &instance,
-                           std::string_view reason);
+  /// Sends no more requests to the instance. Its keys stay its own until its
+  /// hold ends: that its process has ended is not known for certain.
+  void replaceInstance(const keyspace::TargetInstance &instance,
+                       const keyspace::TargetInstance &successor);
   void updateTarget(const Target &target);
   bool isKeyed(const std::string &service) const;
   void plan(base::MonoTime now);
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint16_t StatusBadRequest = 400;
 constexpr std::uint16_t StatusUnavailable = 503;
 constexpr base::Duration SilenceCheckInterval = std::chrono::seconds(2);
+/// A target that has missed more heartbeats than this may be replaced by
+/// another process with its id or address.
+constexpr int MissedHeartbeats = 2;
 
 /// Adds \p change to the holders of its service in \p update.
 void addHolderChange(ViewUpdate &update, const keyspace::KeyTable &keys,
@@ -129,17 +132,27 @@
   }
   Heartbeat heartbeat = std::move(read.value());
   const TargetInstance &instance = heartbeat.Sender.Instance;
-  auto result = Directory.update(heartbeat.Sender);
-  if (!result.IsAccepted) {
-    base::logInfo("fleet", "a late heartbeat was ignored",
-                  {{"target", instance.Id},
-                   {"born", instance.StartedAtMs},
-                   {"sequence", heartbeat.Sender.Sequence}});
-    return reply(StatusOk, Format.WriteHeartbeatAnswer(
-                               {Config.ControlAddress, std::nullopt, {}}));
+  // Before the first configuration no service is known.
+  if (!State.config().empty() &&
+      !State.config().findService(heartbeat.Sender.Service)) {
+    base::logWarning("fleet", ResultCode::UnknownService,
+                     "a heartbeat of an unknown service was refused",
+                     {{"target", instance.Id},
+                      {"service", heartbeat.Sender.Service},
+                      {"address", heartbeat.Sender.Address}});
+    return refuse(
+        reply, StatusBadRequest,
+        {ResultCode::UnknownService, "the configuration has no service '" +
+                                         heartbeat.Sender.Service + "'"});
   }
-  for (const TargetInstance &ended : result.Ended)
-    removeEndedInstance(ended, "a later process has its id or address");
+  const auto result =
+      Directory.update(heartbeat.Sender, [&](const TargetInstance &it) {
+        return isAlive(it, now);
+      });
+  if (result.Verdict != HeartbeatVerdict::Accepted)
+    return answerUnaccepted(heartbeat.Sender, result.Verdict, reply);
+  for (const TargetInstance &replaced : result.Replaced)
+    replaceInstance(replaced, instance);
   LastHeartbeat[instance] = now;
   if (State.hasDeparted(instance))
     heartbeat.Sender.State = TargetState::Leaving;
@@ -155,6 +168,40 @@
   });
 }
 
+void FleetLeader::answerUnaccepted(const Target &sender,
+                                   HeartbeatVerdict verdict,
+                                   const ReplyHook &reply) {
+  if (verdict == HeartbeatVerdict::Contradicting) {
+    base::logWarning("fleet", ResultCode::AnnouncementInvalid,
+                     "a heartbeat that contradicts its sender was refused",
+                     {{"target", sender.Instance.Id},
+                      {"born", sender.Instance.StartedAtMs},
+                      {"address", sender.Address},
+                      {"service", sender.Service}});
+    return refuse(reply, StatusBadRequest,
+                  {ResultCode::AnnouncementInvalid,
+                   "the target has another address or service"});
+  }
+  base::logInfo("fleet",
+                verdict == HeartbeatVerdict::Late
+                    ? "a late heartbeat was ignored"
+                    : "a heartbeat was ignored, its id or address is in use",
+                {{"target", sender.Instance.Id},
+                 {"born", sender.Instance.StartedAtMs},
+                 {"sequence", sender.Sequence},
+                 {"address", sender.Address}});
+  reply(StatusOk,
+        Format.WriteHeartbeatAnswer({Config.ControlAddress, std::nullopt, {}}));
+}
+
+bool FleetLeader::isAlive(const TargetInstance &instance,
+                          base::MonoTime now) const {
+  const auto it = LastHeartbeat.find(instance);
+  return it != LastHeartbeat.end() && !State.hasDeparted(instance) &&
+         now - it->second <=
+             Config.Grants.HeartbeatInterval * (MissedHeartbeats + 1);
+}
+
 void FleetLeader::answerHeartbeat(const Heartbeat &heartbeat,
                                   const ReplyHook &reply, base::MonoTime now) {
   updateTarget(heartbeat.Sender);
@@ -242,14 +289,14 @@
       });
 }
 
-void FleetLeader::removeEndedInstance(const TargetInstance &instance,
-                                      std::string_view reason) {
-  base::logInfo("fleet", "a target instance has ended",
+void FleetLeader::replaceInstance(const TargetInstance &instance,
+                                  const TargetInstance &successor) {
+  base::logInfo("fleet", "a silent target is replaced by another process",
                 {{"target", instance.Id},
                  {"born", instance.StartedAtMs},
-                 {"reason", reason}});
-  Directory.remove(instance);
-  Grants.onTerminated(instance);
+                 {"successor", successor.Id},
+                 {"successor_born", successor.StartedAtMs}});
+  Grants.onReplaced(instance);
   Speeds.remove(instance);
   LastHeartbeat.erase(instance);
   if (Targets.erase(instance) == 0)
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -6,35 +6,45 @@
 TargetDirectory::TargetDirectory(
     const std::map<keyspace::TargetInstance, Target> &known) {
   for (const auto &[instance, target] : known)
-    update(target);
+    update(target, [](const auto &) { return false; });
 }
 
-TargetDirectory::UpdateResult TargetDirectory::update(const Target &target) {
-  const auto &instance = target.Instance;
-  if (const Target *same = find(instance.Id)) {
-    const bool IsLate = instance.StartedAtMs < same->Instance.StartedAtMs ||
-                        (instance.StartedAtMs == same->Instance.StartedAtMs &&
-                         target.Sequence <= same->Sequence);
-    if (IsLate)
-      return {};
+TargetDirectory::UpdateResult
+TargetDirectory::update(const Target &target, const AliveTest &IsAlive) {
+  const Target *same = find(target.Instance.Id);
+  if (same && same->Instance == target.Instance) {
+    if (target.Sequence <= same->Sequence)
+      return {HeartbeatVerdict::Late, {}};
+    if (target.Address != same->Address || target.Service != same->Service)
+      return {HeartbeatVerdict::Contradicting, {}};
+    put(target);
+    return {HeartbeatVerdict::Accepted, {}};
   }
-  UpdateResult result{true, {}};
-  // Only one process at a time can listen on an address.
-  if (auto it = ByAddress.find(target.Address);
-      it != ByAddress.end() && it->second != instance.Id) {
-    const Target *other = find(it->second);
-    if (other && other->Instance.StartedAtMs > instance.StartedAtMs)
-      return {};
-    if (other)
-      result.Ended.push_back(other->Instance);
-  }
-  if (const Target *same = find(instance.Id);
-      same && same->Instance.StartedAtMs < instance.StartedAtMs)
-    result.Ended.push_back(same->Instance);
-  for (const auto &ended : result.Ended)
-    remove(ended);
+  auto rivals = listRivals(target);
+  for (const auto &rival : rivals)
+    if (IsAlive(rival))
+      return {rival.StartedAtMs > target.Instance.StartedAtMs
+                  ? HeartbeatVerdict::Late
+                  : HeartbeatVerdict::Occupied,
+              {}};
+  for (const auto &rival : rivals)
+    remove(rival);
   put(target);
-  return result;
+  return {HeartbeatVerdict::Accepted, std::move(rivals)};
+}
+
+std::vector<keyspace::TargetInstance>
+TargetDirectory::listRivals(const Target &target) const {
+  std::vector<keyspace::TargetInstance> rivals;
+  if (const Target *same = find(target.Instance.Id);
+      same && same->Instance != target.Instance)
+    rivals.push_back(same->Instance);
+  const auto it = ByAddress.find(target.Address);
+  if (it == ByAddress.end() || it->second == target.Instance.Id)
+    return rivals;
+  if (const Target *other = find(it->second))
+    rivals.push_back(other->Instance);
+  return rivals;
 }
 
 void TargetDirectory::put(const Target &target) {
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -1,148 +1,13 @@
 // Tests the leader's answers to targets and operators.
-#include "fleet/FleetLeader.h"
+#include "LeaderFixture.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace magnoliamill;
 using namespace magnoliamill::fleet;
+using namespace magnoliamill::fleet::tests;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A format that reads prepared values, whatever the body, unless that is
-/// "bad".
-struct FakeFormat {
-  ControlFormat makeFormat() {
-    ControlFormat format;
-    format.ReadHeartbeat =
-        [this](std::string_view id,
-               std::string_view body) -> base::Result<Heartbeat> {
-      if (body == "bad")
-        return base::fail(base::ResultCode::AnnouncementInvalid, "bad");
-      Heartbeat heartbeat = Next;
-      heartbeat.Sender.Instance.Id = id;
-      return heartbeat;
-    };
-    format.WriteHeartbeatAnswer = [this](const HeartbeatAnswer &answer) {
-      Answer = answer;
-      return std::string("answer");
-    };
-    format.CountRowBytes = [](const keyspace::GrantRow &) { return 26; };
-    format.ReadLeaveStartTime = [](std::string_view) { return std::nullopt; };
-    format.ReadConfigChange =
-        [this](std::string_view body) -> base::Result<routing::ConfigItems> {
-      if (body == "bad")
-        return base::fail(base::ResultCode::ValueInvalid, "bad");
-      return Items;
-    };
-    format.WriteConfig = [](const routing::ConfigItems &items) {
-      return std::to_string(items.Routes.size());
-    };
-    format.WriteError = [](const base::Error &error) { return error.Message; };
-    return format;
-  }
-  Heartbeat Next;
-  HeartbeatAnswer Answer;
-  routing::ConfigItems Items;
-};
-
-struct Proposal {
-  Command Proposed;
-  std::function<void(base::Result<void>)> Done;
-};
-
-struct LeaderFixture {
-  LeaderFixture() {
-    routing::Service service;
-    service.Name = "stock";
-    service.Version = 1;
-    service.IsKeyed = true;
-    State.apply(routing::ConfigItems{{}, {service}, {}}, 1);
-    startLeader(1);
-  }
-  void startLeader(std::uint64_t term) {
-    FleetLeaderConfig config;
-    config.Term = term;
-    config.ControlAddress = "10.0.0.9:90";
-    FleetLeaderHooks hooks;
-    hooks.Propose = [this](Command command, auto done) {
-      Proposals.push_back({std::move(command), std::move(done)});
-    };
-    hooks.Publish = [this](const ViewUpdate &update) {
-      Published.apply(update);
-      ++CountPublished;
-    };
-    hooks.HasLease = [this] { return HasLease; };
-    Leader = std::make_unique<FleetLeader>(config, State, Format, Published,
-                                           hooks, Now);
-    Leader->start();
-  }
-  /// Applies the proposed commands and reports them as committed.
-  void commit() {
-    for (auto &proposal : std::exchange(Proposals, {})) {
-      Leader->onApplied(State.apply(proposal.Proposed, ++Index));
-      proposal.Done(base::ok());
-    }
-  }
-  /// Sends a heartbeat. Returns the status of the answer, 0 while there is
-  /// none.
-  std::uint16_t sendHeartbeat(const std::string &id, TargetState state,
-                              std::string body = "ok") {
-    FakeControl.Next.Sender = {{id, 5}, ++Sequence, id + ":80", "stock",
-                               "dc-a",  3,          state};
-    return call(CallKind::Heartbeat, id, std::move(body));
-  }
-  std::uint16_t call(CallKind kind, std::string name, std::string body) {
-    Status = 0;
-    Leader->handle(
-        {1, kind, std::move(name), std::move(body)},
-        [this](std::uint16_t status, std::string text) {
-          Status = status;
-          Text = std::move(text);
-        },
-        Now);
-    return Status;
-  }
-  /// Makes the target "a" the holder of all stripes.
-  void assignAllStripes() {
-    sendHeartbeat("a", TargetState::Ready);
-    Now += 2s;
-    sendHeartbeat("a", TargetState::Ready);
-    Leader->tick(Now);
-    commit();
-    sendHeartbeat("a", TargetState::Ready);
-    Leader->tick(Now);
-  }
-
-  FakeFormat FakeControl;
-  ControlFormat Format = FakeControl.makeFormat();
-  FleetState State;
-  View Published;
-  std::size_t CountPublished = 0;
-  std::vector<Proposal> Proposals;
-  std::unique_ptr<FleetLeader> Leader;
-  base::MonoTime Now{1h};
-  consensus::LogIndex Index = 10;
-  std::uint64_t Sequence = 0;
-  bool HasLease = true;
-  std::uint16_t Status = 0;
-  std::string Text;
-};
-
-routing::Route makeRoute(routing::ItemVersion version, std::string service) {
-  routing::Route route;
-  route.Name = "r";
-  route.Version = version;
-  route.Host = "h";
-  route.PathPrefix = "/";
-  route.Timeout = 800ms;
-  route.Shares = {{std::move(service), 1}};
-  return route;
-}
-
-} // namespace
-
 TEST_CASE("A target is granted stripes by the answers to its heartbeats") {
   LeaderFixture fixture;
   fixture.assignAllStripes();
@@ -249,15 +114,71 @@
   }
 }
 
-TEST_CASE(
-    "A later process at an address frees the stripes of the earlier one") {
+TEST_CASE("One writer's heartbeat ends the holds of another process") {
   LeaderFixture fixture;
   fixture.assignAllStripes();
-  fixture.FakeControl.Next.Sender = {
-      {"b", 9}, 1, "a:80", "stock", "dc-a", 3, TargetState::Ready};
-  fixture.call(CallKind::Heartbeat, "b", "");
-  fixture.Now += 100ms;
-  fixture.Leader->tick(fixture.Now);
-  fixture.commit();
-  CHECK(fixture.State.keys().find("stock")->ownerOf(0)->Id == "b");
+  auto &claim = fixture.FakeControl.Next.Sender;
+  claim = {{"b", 9}, 1, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+  const auto advance = [&](base::Duration time) {
+    fixture.Now += time;
+    fixture.Leader->tick(fixture.Now);
+    fixture.commit();
+  };
+  const auto owner = [&] {
+    return fixture.State.keys().find("stock")->ownerOf(0)->Id;
+  };
+
+  SECTION("whose service is not in the configuration") {
+    claim.Service = "unknown";
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 400);
+  }
+  SECTION("which has its address") {
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 200);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+  }
+  SECTION("which has its id and a later start") {
+    CHECK(fixture.call(CallKind::Heartbeat, "a", "") == 200);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+  }
+  SECTION("which has its id and start, but another address") {
+    claim = {{"a", 5}, 999, "b:80", "stock", "dc-a", 3, TargetState::Ready};
+    CHECK(fixture.call(CallKind::Heartbeat, "a", "") == 400);
+  }
+  SECTION("which has its id and start, but another service") {
+    routing::Service other;
+    other.Name = "other";
+    other.Version = 1;
+    fixture.State.apply(routing::ConfigItems{{}, {other}, {}}, 2);
+    claim = {{"a", 5}, 999, "a:80", "other", "dc-a", 3, TargetState::Ready};
+    CHECK(fixture.call(CallKind::Heartbeat, "a", "") == 400);
+  }
+  advance(100ms);
+  CHECK(owner() == "a");
+  CHECK(fixture.Published.holderOf("stock", 0)->Id == "a");
+  CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+  REQUIRE(fixture.FakeControl.Answer.Rows);
+  CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
+}
+
+TEST_CASE("A process at the address of a silent one waits for longer than the "
+          "hold") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  const auto silent = fixture.Now;
+  const auto owner = [&] {
+    return fixture.State.keys().find("stock")->ownerOf(0)->Id;
+  };
+  std::uint64_t sequence = 0;
+  while (fixture.Now < silent + 5s) {
+    fixture.FakeControl.Next.Sender = {
+        {"b", 9}, ++sequence, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 200);
+    fixture.Now += 100ms;
+    fixture.Leader->tick(fixture.Now);
+    fixture.commit();
+    if (fixture.Now < silent + 4s)
+      CHECK(owner() == "a");
+  }
+  CHECK(owner() == "b");
+  CHECK(fixture.Published.targets().size() == 1);
 }
--- a/packages/fleet/tests/TargetDirectoryTest.cpp
+++ b/packages/fleet/tests/TargetDirectoryTest.cpp
@@ -1,4 +1,4 @@
-// Tests which heartbeats are accepted and which instances they end.
+// Tests which heartbeats are accepted and which instances they replace.
 #include "fleet/TargetDirectory.h"
 
 #include <catch2/catch.hpp>
@@ -14,34 +14,66 @@
           TargetState::Ready};
 }
 
+bool anyAlive(const TargetInstance &) { return true; }
+bool noneAlive(const TargetInstance &) { return false; }
+
 } // namespace
 
 TEST_CASE("Heartbeats are accepted by start time and sequence number") {
   TargetDirectory directory({});
-  REQUIRE(directory.update(makeTarget({"a", 10}, 4)).IsAccepted);
+  const auto verdict = [&](const Target &target, const auto &alive) {
+    return directory.update(target, alive).Verdict;
+  };
+  REQUIRE(verdict(makeTarget({"a", 10}, 4), anyAlive) ==
+          HeartbeatVerdict::Accepted);
 
   SECTION("a repeated or earlier heartbeat is refused") {
-    CHECK_FALSE(directory.update(makeTarget({"a", 10}, 4)).IsAccepted);
-    CHECK_FALSE(directory.update(makeTarget({"a", 10}, 3)).IsAccepted);
-    CHECK(directory.update(makeTarget({"a", 10}, 5)).IsAccepted);
+    CHECK(verdict(makeTarget({"a", 10}, 4), anyAlive) ==
+          HeartbeatVerdict::Late);
+    CHECK(verdict(makeTarget({"a", 10}, 3), anyAlive) ==
+          HeartbeatVerdict::Late);
+    CHECK(verdict(makeTarget({"a", 10}, 5), anyAlive) ==
+          HeartbeatVerdict::Accepted);
+  }
+  SECTION("one that names another address or service is refused") {
+    auto target = makeTarget({"a", 10}, 5);
+    SECTION("address") { target.Address = "10.0.0.2:80"; }
+    SECTION("service") { target.Service = "other"; }
+    CHECK(verdict(target, noneAlive) == HeartbeatVerdict::Contradicting);
+    CHECK(directory.find("a")->Service == "stock");
   }
-  SECTION("a later instance starts a new sequence and ends the earlier one") {
-    const auto result = directory.update(makeTarget({"a", 11}, 1));
-    CHECK(result.IsAccepted);
-    CHECK(result.Ended == std::vector<TargetInstance>{{"a", 10}});
-    CHECK_FALSE(directory.update(makeTarget({"a", 10}, 9)).IsAccepted);
+  SECTION("a later instance starts a new sequence and replaces a silent one") {
+    const auto result = directory.update(makeTarget({"a", 11}, 1), noneAlive);
+    CHECK(result.Verdict == HeartbeatVerdict::Accepted);
+    CHECK(result.Replaced == std::vector<TargetInstance>{{"a", 10}});
+    CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
+          HeartbeatVerdict::Late);
   }
-  SECTION("another target at the address ends the earlier one") {
-    const auto result = directory.update(makeTarget({"b", 12}, 1));
-    CHECK(result.Ended == std::vector<TargetInstance>{{"a", 10}});
-    SECTION("a delayed heartbeat of the ended target is refused") {
-      CHECK_FALSE(directory.update(makeTarget({"a", 10}, 9)).IsAccepted);
+  SECTION("another target at the address replaces a silent one") {
+    const auto result = directory.update(makeTarget({"b", 12}, 1), noneAlive);
+    CHECK(result.Replaced == std::vector<TargetInstance>{{"a", 10}});
+    SECTION("a delayed heartbeat of the replaced target is refused") {
+      CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
+            HeartbeatVerdict::Late);
       CHECK(directory.find("a") == nullptr);
     }
+    SECTION("a target that returns replaces a silent one in turn") {
+      CHECK(verdict(makeTarget({"a", 10}, 9), noneAlive) ==
+            HeartbeatVerdict::Accepted);
+      CHECK(directory.find("b") == nullptr);
+    }
+  }
+  SECTION("an instance that is alive is not replaced") {
+    CHECK(verdict(makeTarget({"a", 11}, 1), anyAlive) ==
+          HeartbeatVerdict::Occupied);
+    CHECK(verdict(makeTarget({"b", 12}, 1), anyAlive) ==
+          HeartbeatVerdict::Occupied);
+    CHECK(directory.find("a")->Instance.StartedAtMs == 10);
+    CHECK(directory.find("b") == nullptr);
   }
-  SECTION("a target at another address ends no other") {
-    CHECK(directory.update(makeTarget({"b", 12}, 1, "10.0.0.2:80"))
-              .Ended.empty());
+  SECTION("a target at another address replaces no other") {
+    CHECK(directory.update(makeTarget({"b", 12}, 1, "10.0.0.2:80"), anyAlive)
+              .Replaced.empty());
     CHECK(directory.find("a") != nullptr);
   }
 }
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -80,8 +80,9 @@
   /// The target will send no more heartbeats, but may use its stripes until its
   /// hold ends.
   void onDeparture(const TargetInstance &instance);
-  /// The process is known to have ended, so its holds are void immediately.
-  void onTerminated(const TargetInstance &instance);
+  /// Another process has the id or the address of the target, which has fallen
+  /// silent. It may use its stripes until its hold ends, and may return.
+  void onReplaced(const TargetInstance &instance);
 
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
@@ -107,7 +108,6 @@
     base::MonoTime LastHeartbeat;
     bool HasReported = false;
     bool IsLeaving = false;
-    bool IsTerminated = false;
   };
   struct Stripe {
     /// Omitted from answers to its owner, so that the owner releases it.
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -221,16 +221,9 @@
   revokeAll(id, it->second);
 }
 
-void GrantController::onTerminated(const TargetInstance &id) {
-  auto it = Instances.find(id);
-  if (it == Instances.end())
-    return;
-  it->second.IsTerminated = true;
-  const ServiceKeys *owned = Table.find(it->second.Service);
-  if (!owned)
-    return;
-  for (std::uint32_t i : owned->stripesOf(id))
-    setActive(it->second.Service, i, false);
+void GrantController::onReplaced(const TargetInstance &id) {
+  if (auto it = Instances.find(id); it != Instances.end())
+    revokeAll(id, it->second);
 }
 
 std::vector<std::uint32_t>
@@ -245,9 +238,8 @@
   }
   for (const TargetInstance &owner : owned->listOwners()) {
     auto state = Instances.find(owner);
-    const bool HasEnded = state == Instances.end() ||
-                          state->second.IsTerminated ||
-                          state->second.HoldEnd <= now;
+    const bool HasEnded =
+        state == Instances.end() || state->second.HoldEnd <= now;
     if (!HasEnded)
       continue;
     const auto stripes = owned->stripesOf(owner);
@@ -263,7 +255,7 @@
 
 bool GrantController::isCandidate(const InstanceState &state,
                                   base::MonoTime now) const {
-  return state.HasReported && !state.IsLeaving && !state.IsTerminated &&
+  return state.HasReported && !state.IsLeaving &&
          now - state.LastHeartbeat <=
              Config.HeartbeatInterval * (MissedHeartbeats + 1);
 }
--- a/packages/keyspace/tests/GrantControllerTest.cpp
+++ b/packages/keyspace/tests/GrantControllerTest.cpp
@@ -131,12 +131,35 @@
   CHECK(fixture.Table.find("stock")->stripesOf(A).empty());
 }
 
-TEST_CASE("Stripes of a terminated process are reassigned immediately") {
+TEST_CASE("Stripes of a replaced process have another holder before its hold "
+          "ends") {
   Fixture fixture;
   fixture.assignAllStripes();
-  fixture.Controller.onTerminated(A);
+  const auto hold = fixture.Controller.config().HoldTime;
+  const auto answered = fixture.Now;
+  fixture.Controller.onReplaced(A);
+  CHECK(fixture.Controller.holderOf("stock", 0) !=
+        fixture.Table.find("stock")->ownerOf(0));
+  while (fixture.Now < answered + hold) {
+    fixture.commit();
+    CHECK_FALSE(fixture.Table.find("stock")->stripesOf(A).empty());
+    fixture.Now += 500ms;
+    fixture.heartbeat(B, fixture.HeldB);
+  }
+  fixture.Now += hold / 50 + 1s;
+  fixture.heartbeat(B, fixture.HeldB);
   fixture.commit();
   CHECK(fixture.Table.find("stock")->stripesOf(A).empty());
+
+  SECTION("and it gets none after it has returned") {
+    for (int round = 0; round < 12; ++round) {
+      fixture.HeldA = Fixture::hold(fixture.heartbeat(A, fixture.HeldA));
+      fixture.HeldB = Fixture::hold(fixture.heartbeat(B, fixture.HeldB));
+      fixture.commit();
+      fixture.Now += 870ms;
+    }
+    CHECK_FALSE(fixture.HeldA.empty());
+  }
 }
 
 TEST_CASE("A new leader first assumes that all owners hold their stripes") {
