LOST: operations on a connection to a target keep its socket

The write of a message goes on with its next part after the connection was dropped, on a destroyed socket.

Class: an asynchronous operation outlives what it uses. Connections are shared with the handlers of their operations. The rest of a body could reach another connection if that got the memory of the dropped one (by reading).

--- a/packages/gateway/internal/ConnectionPool.cpp
+++ b/packages/gateway/internal/ConnectionPool.cpp
@@ -59,7 +59,7 @@
     entry.Idle.erase(entry.Idle.begin());
   }
   ++entry.InUse;
-  auto connection = std::make_unique<TargetConnection>(Context);
+  auto connection = std::make_shared<TargetConnection>(Context);
   connection->Generation = entry.Generation;
   return connection;
 }
--- a/packages/gateway/internal/ConnectionPool.h
+++ b/packages/gateway/internal/ConnectionPool.h
@@ -31,7 +31,9 @@
   /// True if it was idle in the pool before the present call.
   bool IsReused = false;
 };
-using ConnectionPtr = std::unique_ptr<TargetConnection>;
+/// Shared with the operations on the socket: one whose first part is done goes
+/// on with the next part after the connection was dropped.
+using ConnectionPtr = std::shared_ptr<TargetConnection>;
 
 /// Keeps idle connections for reuse and limits the connections per address.
 class ConnectionPool {
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -66,7 +66,7 @@
       std::min(Call.Deadline, base::readMonotonic() + Config.ConnectTimeout));
   Connection->Socket.async_connect(
       tcp::endpoint(address, Call.Address.Port),
-      [self = shared_from_this()](ErrorCode result) {
+      [self = shared_from_this(), connection = Connection](ErrorCode result) {
         self->onConnected(result);
       });
 }
@@ -115,13 +115,13 @@
                 "the dispatcher is no longer allowed to write to the target");
   // Set before the write: a call that ends during it counts as written.
   const bool WasWritten = std::exchange(IsWritten, true);
-  http::async_write(
-      Connection->Socket, Message,
-      [self = shared_from_this(), WasWritten](ErrorCode ec, std::size_t n) {
-        if (ec && n == 0)
-          self->IsWritten = WasWritten;
-        self->onWritten(ec, n);
-      });
+  http::async_write(Connection->Socket, Message,
+                    [self = shared_from_this(), connection = Connection,
+                     WasWritten](ErrorCode ec, std::size_t n) {
+                      if (ec && n == 0)
+                        self->IsWritten = WasWritten;
+                      self->onWritten(ec, n);
+                    });
 }
 
 void TargetExchange::onWritten(ErrorCode ec, std::size_t n) {
@@ -150,9 +150,8 @@
       IsHeadSeen ? std::max(Config.ChunkBytes, FirstReadBytes) : FirstReadBytes;
   Connection->Socket.async_read_some(
       Connection->Buffer.prepare(size),
-      [self = shared_from_this()](ErrorCode ec, std::size_t n) {
-        self->onRead(ec, n);
-      });
+      [self = shared_from_this(), connection = Connection](
+          ErrorCode ec, std::size_t n) { self->onRead(ec, n); });
 }
 
 void TargetExchange::onRead(ErrorCode ec, std::size_t n) {
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -375,3 +375,29 @@
   CHECK(answer.outcome().Code == ResultCode::AnswerTruncated);
   CHECK_FALSE(answer.isEnded());
 }
+
+TEST_CASE("An operation goes on with a socket that a cancelled call has "
+          "dropped") {
+  constexpr std::size_t BodyBytes = 24u << 20;
+  constexpr int Rounds = 20;
+  Fixture fixture(answerAlways);
+  for (int round = 0; round < Rounds; ++round) {
+    // Its first part is written at once, on an open connection.
+    auto large = makeCall(fixture.Server.address(), "GET");
+    large.Request.Body.assign(BodyBytes, 'x');
+    fixture.run("GET");
+    AnswerCollector cancelled;
+    AnswerCollector next;
+    fixture.Runner.run([&] {
+      fixture.Client->call(std::move(large), cancelled.makeSink(),
+                           cancelled.makeDone())();
+      // Its connection may get the memory of the dropped one.
+      fixture.Client->call(makeCall(fixture.Server.address(), "POST"),
+                           next.makeSink(), next.makeDone());
+    });
+    REQUIRE(cancelled.awaitDone());
+    CHECK(cancelled.outcome().Code == ResultCode::NotRunCancelled);
+    REQUIRE(next.awaitDone());
+    CHECK(next.body() == "ok");
+  }
+}
