DRAIN: a departure is committed also for a target that the leader lacks

Class: a new leader answers from a view that is not full yet. A departure is named by id and birth now, so it is committed whether or not the target is known, and for exactly the life that it names. Without a birth an unknown target cannot be named: 400.

--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -250,21 +250,29 @@
 void FleetLeader::handleLeave(const Call &call, const ReplyHook &reply) {
   const Target *known = Directory.find(call.Name);
   const auto started = Format.ReadLeaveStartTime(call.Body);
-  const bool IsOlder =
-      known && started && *started < known->Instance.StartedAtMs;
-  if (!known || IsOlder || State.hasDeparted(known->Instance)) {
-    base::logInfo("fleet",
-                  "a leave call of a target that is not serving was ignored",
-                  {{"target", call.Name}});
-    return reply(StatusOk, Format.WriteHeartbeatAnswer(
-                               {Config.ControlAddress, std::nullopt, {}}));
+  if (!known && !started) {
+    base::logWarning("fleet", ResultCode::AnnouncementInvalid,
+                     "a leave call without a start time was refused",
+                     {{"target", call.Name}});
+    return refuse(reply, StatusBadRequest,
+                  {ResultCode::AnnouncementInvalid,
+                   "the target is unknown, and its start time is missing"});
   }
-  commitDeparture(known->Instance, [this, alive = Alive, reply](
-                                       const base::Result<void> &committed) {
-    if (!committed || !*alive)
-      return reply(StatusUnavailable, "");
+  const TargetInstance instance{
+      call.Name, started ? *started : known->Instance.StartedAtMs};
+  const auto Acknowledge = [this, reply] {
     reply(StatusOk, Format.WriteHeartbeatAnswer(
                         {Config.ControlAddress, std::nullopt, {}}));
+  };
+  if (State.hasDeparted(instance))
+    return Acknowledge();
+  // Also if it is not known: a new leader may not have received its heartbeat
+  // yet, and one may still be on its way.
+  commitDeparture(instance, [alive = Alive, Acknowledge,
+                             reply](const base::Result<void> &committed) {
+    if (!committed || !*alive)
+      return reply(StatusUnavailable, "");
+    Acknowledge();
   });
 }
 
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -182,3 +182,53 @@
   CHECK(owner() == "b");
   CHECK(fixture.Published.targets().size() == 1);
 }
+
+TEST_CASE("A departure that a new leader acknowledges is forgotten") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  // The view of a core that has just started is empty.
+  fixture.Published = View();
+  fixture.startLeader(2);
+  fixture.FakeControl.LeaveStart = 5;
+  CHECK(fixture.call(CallKind::Leave, "a", "") == 0);
+
+  SECTION("and a late heartbeat brings the target back") {
+    fixture.commit();
+    CHECK(fixture.Status == 200);
+    CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+    fixture.Leader->tick(fixture.Now);
+    CHECK(fixture.Published.targets().begin()->second.State ==
+          TargetState::Leaving);
+    CHECK(fixture.Published.holderOf("stock", 0) == nullptr);
+
+    SECTION("also at the leader after it") {
+      fixture.Published = View();
+      fixture.startLeader(3);
+      fixture.sendHeartbeat("a", TargetState::Ready);
+      fixture.Leader->tick(fixture.Now);
+      CHECK(fixture.Published.targets().begin()->second.State ==
+            TargetState::Leaving);
+    }
+  }
+  SECTION("and one that was not committed is not acknowledged") {
+    fixture.Proposals.front().Done(
+        base::fail(base::ResultCode::ProposalDropped, ""));
+    CHECK(fixture.Status == 503);
+  }
+  SECTION("but not that of a later process") {
+    fixture.commit();
+    fixture.FakeControl.Next.Sender = {
+        {"a", 6}, 1, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+    fixture.call(CallKind::Heartbeat, "a", "");
+    fixture.Leader->tick(fixture.Now);
+    CHECK(fixture.Published.targets().begin()->second.State ==
+          TargetState::Ready);
+  }
+}
+
+TEST_CASE("A leave call without a start time is acknowledged for an unknown "
+          "target") {
+  LeaderFixture fixture;
+  CHECK(fixture.call(CallKind::Leave, "nobody", "") == 400);
+  CHECK(fixture.Proposals.empty());
+}
