CONFIG: a change is checked as the configuration that results from it

Only the items of the call were checked.

The check sees the stored items under those of the call and of changes that are proposed and not committed yet: two changes that are valid alone can't both be accepted if their result is not. An item that a stored one has overtaken changes nothing and may name a service that was removed since, as it did when it was acknowledged.

--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -15,6 +15,7 @@
 #include "keyspace/GrantController.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <string>
 #include <vector>
@@ -72,12 +73,12 @@
                        base::MonoTime now);
   void handleLeave(const Call &call, const ReplyHook &reply);
   void handleConfigChange(const Call &call, const ReplyHook &reply);
-  void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
   /// Answers a heartbeat that changes nothing.
   void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
                         const ReplyHook &reply);
   bool isAlive(const keyspace::TargetInstance &instance,
                base::MonoTime now) const;
+  void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
                        base::MonoTime now);
   void commitDeparture(const keyspace::TargetInstance &instance,
                        std::function<void(base::Result<void>)> done);
@@ -103,6 +104,9 @@
   std::map<keyspace::TargetInstance, base::MonoTime> LastHeartbeat;
   std::vector<VmAddress> Cores;
   std::uint64_t LastUpdateNumber = 0;
+  /// Changes of configuration that are proposed and not committed yet, in the
+  /// order of the log.
+  std::list<routing::ConfigItems> PendingChanges;
   /// Changes to be published with the next update.
   ViewUpdate PendingUpdate;
   bool HasPendingUpdate = false;
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -278,7 +278,7 @@
 
 void FleetLeader::handleConfigChange(const Call &call, const ReplyHook &reply) {
   auto read = Format.ReadConfigChange(call.Body);
-  auto checked = read ? State.config().check(read.value())
+  auto checked = read ? State.config().check(read.value(), PendingChanges)
                       : base::Result<void>(base::fail(read.error()));
   if (!checked) {
     base::logWarning("fleet", checked.error().Code,
@@ -286,15 +286,18 @@
                      {{"error", checked.error().Message}});
     return refuse(reply, StatusBadRequest, checked.error());
   }
-  Hooks.Propose(
-      std::move(read.value()),
-      [this, alive = Alive, reply](const base::Result<void> &committed) {
-        if (!*alive)
-          return reply(StatusUnavailable, "");
-        if (!committed)
-          return refuse(reply, StatusUnavailable, committed.error());
-        reply(StatusOk, "{}");
-      });
+  const auto pending =
+      PendingChanges.insert(PendingChanges.end(), read.value());
+  Hooks.Propose(std::move(read.value()),
+                [this, alive = Alive, reply,
+                 pending](const base::Result<void> &committed) {
+                  if (!*alive)
+                    return reply(StatusUnavailable, "");
+                  PendingChanges.erase(pending);
+                  if (!committed)
+                    return refuse(reply, StatusUnavailable, committed.error());
+                  reply(StatusOk, "{}");
+                });
 }
 
 void FleetLeader::replaceInstance(const TargetInstance &instance,
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -114,6 +114,24 @@
   }
 }
 
+TEST_CASE("Two changes at once leave a route without its service") {
+  LeaderFixture fixture;
+  fixture.FakeControl.Items.Routes = {makeRoute(3, "stock")};
+  CHECK(fixture.call(CallKind::ChangeConfig, "", "") == 0);
+  routing::Service removed;
+  removed.Name = "stock";
+  removed.Version = 9;
+  removed.IsRemoved = true;
+  fixture.FakeControl.Items = {{}, {removed}, {}};
+  CHECK(fixture.call(CallKind::ChangeConfig, "", "") == 400);
+
+  SECTION("but the removal is accepted if the first was not committed") {
+    fixture.Proposals.front().Done(
+        base::fail(base::ResultCode::ProposalDropped, ""));
+    CHECK(fixture.call(CallKind::ChangeConfig, "", "") == 0);
+  }
+}
+
 TEST_CASE("One writer's heartbeat ends the holds of another process") {
   LeaderFixture fixture;
   fixture.assignAllStripes();
--- a/packages/routing/ConfigItems.h
+++ b/packages/routing/ConfigItems.h
@@ -92,30 +92,8 @@
   bool empty() const { return Routes.empty() && Services.empty() && !Limits; }
 };
 
-/// Checks each item, and that the services of all routes exist according to
-/// \p IsService. Error: ValueInvalid with the first problem.
-template <typename ServiceTest>
-base::Result<void> checkItems(const ConfigItems &items, ServiceTest IsService);
-
 /// Checks one route, except for the existence of its services.
 /// Error: ValueInvalid.
 base::Result<void> checkRoute(const Route &route);
 
-template <typename ServiceTest>
-base::Result<void> checkItems(const ConfigItems &items, ServiceTest IsService) {
-  for (const Route &route : items.Routes) {
-    if (route.IsRemoved)
-      continue;
-    if (auto checked = checkRoute(route); !checked)
-      return checked;
-    for (const Share &share : route.Shares)
-      if (!IsService(std::string_view(share.Service)))
-        return base::fail(base::ResultCode::ValueInvalid,
-                          "route " + route.Name +
-                              " refers to the unknown service " +
-                              share.Service);
-  }
-  return base::ok();
-}
-
 } // namespace magnoliamill::routing
--- a/packages/routing/ConfigStore.h
+++ b/packages/routing/ConfigStore.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,9 +20,12 @@
   /// items that were stored.
   ConfigItems apply(ConfigItems items);
 
-  /// Checks the items of a call. Routes may refer to stored services and to
-  /// those of the same call. Error: ValueInvalid.
-  base::Result<void> check(const ConfigItems &items) const;
+  /// Checks the configuration that results from a call on top of the stored
+  /// items and of the calls \p pending, which are applied before it. An item
+  /// that a stored one has overtaken may refer to a service that was removed
+  /// since. Error: ValueInvalid with the first problem.
+  base::Result<void> check(const ConfigItems &items,
+                           const std::list<ConfigItems> &pending = {}) const;
 
   /// All items except removed ones.
   ConfigItems listActive() const;
--- a/packages/routing/tests/ConfigStoreTest.cpp
+++ b/packages/routing/tests/ConfigStoreTest.cpp
@@ -104,6 +104,64 @@
   }
 }
 
+TEST_CASE("A change is accepted although the configuration that results is "
+          "invalid") {
+  ConfigStore store;
+  store.apply({{makeRoute("r", 2)}, {makeService("stock")}, {}});
+  const auto remove = [](std::string name, ItemVersion version) {
+    Service service = makeService(std::move(name));
+    service.Version = version;
+    service.IsRemoved = true;
+    return service;
+  };
+  const auto removed = remove("stock", 9);
+  const auto refuses = [&](const ConfigItems &items,
+                           const std::list<ConfigItems> &pending = {}) {
+    auto checked = store.check(items, pending);
+    return !checked && checked.error().Code == base::ResultCode::ValueInvalid;
+  };
+
+  SECTION("the service of a route is removed") {
+    CHECK(refuses({{}, {removed}, {}}));
+
+    SECTION("but not if the route is removed with it") {
+      Route route = makeRoute("r", 9);
+      route.IsRemoved = true;
+      CHECK_FALSE(refuses({{route}, {removed}, {}}));
+    }
+    SECTION("nor if the route moves to another service") {
+      Route route = makeRoute("r", 9);
+      route.Shares = {{"fresh", 1}};
+      CHECK_FALSE(refuses({{route}, {removed, makeService("fresh")}, {}}));
+    }
+    SECTION("nor by a version that changes nothing") {
+      CHECK_FALSE(refuses({{}, {remove("stock", 1)}, {}}));
+    }
+  }
+  SECTION("a route is added for a service that the same call removes") {
+    CHECK(refuses({{makeRoute("other", 9)}, {removed}, {}}));
+  }
+  SECTION("two changes that are valid alone are proposed at once") {
+    Service spare = makeService("spare");
+    store.apply({{}, {spare}, {}});
+    Route route = makeRoute("other", 9);
+    route.Shares = {{"spare", 1}};
+    const ConfigItems add{{route}, {}, {}};
+    const ConfigItems drop{{}, {remove("spare", 9)}, {}};
+    CHECK_FALSE(refuses(add));
+    CHECK_FALSE(refuses(drop));
+    CHECK(refuses(add, {drop}));
+    CHECK(refuses(drop, {add}));
+  }
+  SECTION("but one that was acknowledged and overtaken is not refused") {
+    Route moved = makeRoute("r", 5);
+    moved.Shares = {{"fresh", 1}};
+    store.apply({{moved}, {removed, makeService("fresh")}, {}});
+    CHECK_FALSE(refuses(withRoute(makeRoute("r", 2))));
+    CHECK(refuses(withRoute(makeRoute("r", 6))));
+  }
+}
+
 TEST_CASE("Stores converge regardless of the order of changes") {
   rc::check([] {
     const auto versions = *rc::gen::container<std::vector<ItemVersion>>(
