--- a/packages/base/internal/StrictJson.cpp
+++ b/packages/base/internal/StrictJson.cpp
@@ -1,8 +1,10 @@
-// A first pass looks for duplicate members, a second one builds the value.
+// A first pass looks for duplicate members and reads fractions exactly, which
+// boost::json does not; a second one builds the value.
 #include "base/StrictJson.h"
 
 #include <boost/json/basic_parser_impl.hpp>
 #include <boost/json/parse.hpp>
+#include <charconv>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,8 +13,8 @@
 namespace {
 
 /// Parse handler of the first pass: tracks the member names of the objects that
-/// are currently open and keeps the first duplicate.
-struct DuplicateFinder {
+/// are currently open and keeps the first duplicate and all fractions.
+struct FirstPass {
   // These names are required by boost::json::basic_parser.
   // NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
@@ -27,6 +29,9 @@
   std::vector<std::set<std::string, std::less<>>> OpenObjects;
   std::string PartialKey;
   std::string Duplicate;
+  std::string PartialNumber;
+  /// All fractions, in their order in the text.
+  std::vector<double> Fractions;
 
   // These names are required by boost::json::basic_parser.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -55,10 +60,27 @@
   }
   bool on_string_part(Text, std::size_t, ErrorCode &) { return true; }
   bool on_string(Text, std::size_t, ErrorCode &) { return true; }
-  bool on_number_part(Text, ErrorCode &) { return true; }
-  bool on_int64(std::int64_t, Text, ErrorCode &) { return true; }
-  bool on_uint64(std::uint64_t, Text, ErrorCode &) { return true; }
-  bool on_double(double, Text, ErrorCode &) { return true; }
+  bool on_number_part(Text text, ErrorCode &) {
+    PartialNumber.append(text.data(), text.size());
+    return true;
+  }
+  bool on_int64(std::int64_t, Text, ErrorCode &) {
+    PartialNumber.clear();
+    return true;
+  }
+  bool on_uint64(std::uint64_t, Text, ErrorCode &) {
+    PartialNumber.clear();
+    return true;
+  }
+  bool on_double(double value, Text text, ErrorCode &) {
+    PartialNumber.append(text.data(), text.size());
+    const char *end = PartialNumber.data() + PartialNumber.size();
+    // Out of range, \p value is kept: zero or infinite.
+    std::from_chars(PartialNumber.data(), end, value);
+    Fractions.push_back(value);
+    PartialNumber.clear();
+    return true;
+  }
   bool on_bool(bool, ErrorCode &) { return true; }
   bool on_null(ErrorCode &) { return true; }
   bool on_comment_part(Text, ErrorCode &) { return true; }
@@ -66,6 +88,20 @@
   // NOLINTEND(readability-identifier-naming)
 };
 
+/// Replaces the fractions in \p value, in the order of the text, by those from
+/// \p next on.
+void setFractions(boost::json::value &value,
+                  std::vector<double>::const_iterator &next) {
+  if (value.is_double())
+    value = *next++;
+  else if (auto *array = value.if_array())
+    for (auto &item : *array)
+      setFractions(item, next);
+  else if (auto *object = value.if_object())
+    for (auto &member : *object)
+      setFractions(member.value(), next);
+}
+
 auto describeError(const boost::json::error_code &ec, std::size_t depth) {
   if (ec == boost::json::error::too_deep)
     return fail(ResultCode::JsonMalformed,
@@ -79,19 +115,22 @@
                                            std::size_t depth) {
   boost::json::parse_options options;
   options.max_depth = depth;
-  boost::json::basic_parser<DuplicateFinder> finder(options);
+  boost::json::basic_parser<FirstPass> first(options);
   boost::json::error_code ec;
-  const std::size_t n = finder.write_some(false, text.data(), text.size(), ec);
+  const std::size_t n = first.write_some(false, text.data(), text.size(), ec);
   if (!ec && n < text.size())
     ec = boost::json::error::extra_data;
   if (ec)
     return describeError(ec, depth);
-  if (!finder.handler().Duplicate.empty())
+  if (!first.handler().Duplicate.empty())
     return fail(ResultCode::DuplicateField,
-                "duplicate member '" + finder.handler().Duplicate + "'");
+                "duplicate member '" + first.handler().Duplicate + "'");
   auto value = boost::json::parse(text, ec, {}, options);
   if (ec)
     return describeError(ec, depth);
+  if (auto next = first.handler().Fractions.cbegin();
+      next != first.handler().Fractions.cend())
+    setFractions(value, next);
   return value;
 }
 
