Fault: requests and answers of an entry share a bound of memory

One copy of a body is left: attempts share it, and the message to the target refers to it. Requests and answers share half of the memory that the settings give (memory_mb). A body over 64 KiB gets its room before it is read, in turn; what comes while more waits than there is memory is refused as not run; a caller slower than 64 KiB/s is refused while others wait. Small bodies don't wait. Bodies are still held whole, not passed on as they are read.

--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -20,6 +20,7 @@
 /// Time until the next heartbeat after keys were released or a call failed. It
 /// is short because the next holder waits for the release.
 constexpr auto ReleaseInterval = std::chrono::milliseconds(50);
+constexpr std::size_t MaxBodyBytes = 64u << 20;
 
 void answer(const protocol::AnswerSink &sink, std::uint16_t status,
             std::vector<protocol::HttpHeader> headers, std::string body) {
@@ -50,6 +51,7 @@
   gateway::GatewayConfig http;
   http.Host = Config.Host;
   http.Port = Config.Port;
+  http.Limits.MaxBodyBytes = MaxBodyBytes;
   Server = std::make_shared<gateway::HttpServer>(
       EventLoop, http,
       [this](const HttpCall &call, const protocol::AnswerSink &sink) {
--- a/packages/entry/AnswerBody.h
+++ b/packages/entry/AnswerBody.h
@@ -1,7 +1,7 @@
 // The received part of an answer's body, without what was passed on.
 #pragma once
 
-#include "entry/AnswerMemory.h"
+#include "gateway/MessageMemory.h"
 
 #include <memory>
 #include <string>
@@ -12,7 +12,7 @@
 
 class AnswerBody {
 public:
-  explicit AnswerBody(std::shared_ptr<AnswerMemory> memory)
+  explicit AnswerBody(std::shared_ptr<gateway::MessageMemory> memory)
       : Memory(std::move(memory)) {}
   AnswerBody(const AnswerBody &) = delete;
   AnswerBody &operator=(const AnswerBody &) = delete;
@@ -55,7 +55,7 @@
     Begin = 0;
   }
 
-  std::shared_ptr<AnswerMemory> Memory;
+  std::shared_ptr<gateway::MessageMemory> Memory;
   /// Its size is what this answer holds of Memory.
   std::string Data;
   /// Start of what was not taken, within Data.
--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -198,7 +198,9 @@
       std::chrono::milliseconds(250);
 
   RequestHandler &Handler;
+  /// Its body is in RequestBody.
   gateway::HttpCall Request;
+  std::shared_ptr<const std::string> RequestBody;
   protocol::AnswerSink Sink;
   RequestOrigin Origin;
   base::MonoTime ArrivedAt;
--- a/packages/entry/RequestContent.h
+++ b/packages/entry/RequestContent.h
@@ -7,17 +7,18 @@
 #include "gateway/HttpServer.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace magnoliamill::entry {
 
-/// Hash of the host, method, path and body of \p call. Other headers differ
-/// between attempts.
+/// Hash of the host, method and path of \p call, and of its \p body. Other
+/// headers differ between attempts.
 inline std::uint64_t hashContent(const RequestMetadata &metadata,
-                                 const gateway::HttpCall &call) {
+                                 const gateway::HttpCall &call,
+                                 std::string_view body) {
   auto hash = base::hash64(metadata.Host);
   for (const std::string_view part :
-       {std::string_view(call.Method), std::string_view(call.Target),
-        std::string_view(call.Body)})
+       {std::string_view(call.Method), std::string_view(call.Target), body})
     hash = base::hash64(part, hash);
   return hash;
 }
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -5,7 +5,6 @@
 #include "base/EventLoopThread.h"
 #include "dispatch/RetryBudget.h"
 #include "dispatch/StopAdmission.h"
-#include "entry/AnswerMemory.h"
 #include "entry/EntryFormat.h"
 #include "entry/LinkBudget.h"
 #include "entry/LinkPacer.h"
@@ -18,6 +17,7 @@
 #include "fleet/SpeedReport.h"
 #include "fleet/View.h"
 #include "gateway/HttpServer.h"
+#include "gateway/MessageMemory.h"
 #include "gateway/TargetClient.h"
 #include "node/CrashWatch.h"
 #include "routing/RouteTable.h"
@@ -89,7 +89,8 @@
   base::Duration deliveryTime(const routing::Route &route,
                               base::MonoTime deadline) const;
   /// For the answers that wait for their clients.
-  const std::shared_ptr<AnswerMemory> &answerMemory() { return Memory; }
+  /// Holds the requests that are received and the answers to them.
+  const std::shared_ptr<gateway::MessageMemory> &memory() { return Memory; }
   /// Paces answers from targets.
   LinkPacer &incoming() { return Incoming; }
   /// Paces answers to clients.
@@ -119,7 +120,7 @@
   LinkPacer Incoming;
   LinkPacer Outgoing;
   /// Shared with requests, which may be destroyed later than this object.
-  std::shared_ptr<AnswerMemory> Memory;
+  std::shared_ptr<gateway::MessageMemory> Memory;
   gateway::TargetClient Client;
   PermitClient Permits;
   node::CrashWatch Crashes;
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -70,6 +70,8 @@
         return Handler.handle(std::move(call), std::move(sink),
                               RequestOrigin::Entry);
       });
+  Clients->limitMemory(Handler.memory());
+  Relayed->limitMemory(Handler.memory());
   Readiness = std::make_shared<gateway::HttpServer>(
       EventLoop, makeServerConfig(Settings.ReadinessListen),
       [this](const gateway::HttpCall &call, const protocol::AnswerSink &sink) {
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -63,10 +63,11 @@
 
 EntryRequest::EntryRequest(RequestHandler &handler, gateway::HttpCall call,
                            protocol::AnswerSink sink, RequestOrigin origin)
-    : Handler(handler), Request(std::move(call)), Sink(std::move(sink)),
-      Origin(origin), ArrivedAt(base::readMonotonic()),
+    : Handler(handler), Request(std::move(call)),
+      RequestBody(std::make_shared<std::string>(std::move(Request.Body))),
+      Sink(std::move(sink)), Origin(origin), ArrivedAt(base::readMonotonic()),
       Timer(handler.loop().context()), ReadTimer(handler.loop().context()),
-      DeliveryTimer(handler.loop().context()), Body(handler.answerMemory()) {}
+      DeliveryTimer(handler.loop().context()), Body(handler.memory()) {}
 
 base::Duration EntryRequest::timeLeft() const {
   return Deadline - base::readMonotonic();
@@ -74,7 +75,7 @@
 
 std::uint64_t EntryRequest::content() {
   if (!Content)
-    Content = hashContent(Metadata, Request);
+    Content = hashContent(Metadata, Request, *RequestBody);
   return *Content;
 }
 
@@ -246,7 +247,7 @@
   call.Request.Method = Request.Method;
   call.Request.Target = Request.Target;
   call.Request.Headers = Request.Headers;
-  call.Request.Body = Request.Body;
+  call.SharedBody = RequestBody;
   gateway::stripConnectionHeaders(call.Request.Headers);
   call.Deadline = Deadline;
   call.Idempotent = Route->Kind != routing::RouteKind::AtMostOnce;
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -22,9 +22,9 @@
     std::chrono::milliseconds(500);
 constexpr base::Duration MaxIdle = std::chrono::seconds(8);
 
-/// Memory for the answers that wait for their clients. With the growth of the
-/// buffers it stays below half of a VM with 256 MiB.
-constexpr std::size_t AnswerMemoryBytes = 64u << 20;
+/// Part of the VM's memory that requests and answers may use: half. The rest is
+/// for the program, its buffers and the bytes that were not read yet.
+constexpr std::size_t MessageMemoryDivisor = 2;
 
 gateway::TargetClientConfig makeClientConfig(const EntryFormat &format,
                                              const LinkPacer &pacer) {
@@ -71,7 +71,8 @@
             }),
       Incoming(settings.LinkMbps * BytesPerMegabit),
       Outgoing(settings.LinkMbps * BytesPerMegabit),
-      Memory(std::make_shared<AnswerMemory>(AnswerMemoryBytes)),
+      Memory(std::make_shared<gateway::MessageMemory>(settings.MemoryBytes /
+                                                      MessageMemoryDivisor)),
       Client(loop, makeClientConfig(format, Incoming)),
       Permits(loop, settings.LinkPort, {settings.Host, settings.DataCentre}),
       Crashes(loop, "entry"),
--- a/packages/entry/tests/AnswerBodyTest.cpp
+++ b/packages/entry/tests/AnswerBodyTest.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 TEST_CASE("Answers that grow without end") {
-  auto memory = std::make_shared<AnswerMemory>(Capacity);
+  auto memory =
+      std::make_shared<magnoliamill::gateway::MessageMemory>(Capacity);
   AnswerBody first(memory);
 
   SECTION("one alone gets half of the memory") {
@@ -47,7 +48,8 @@
 }
 
 TEST_CASE("An answer that is passed on while it is received") {
-  auto memory = std::make_shared<AnswerMemory>(Capacity);
+  auto memory =
+      std::make_shared<magnoliamill::gateway::MessageMemory>(Capacity);
   AnswerBody body(memory);
   std::string taken;
   std::string sent;
--- a/packages/entry/tests/CrashWatchTest.cpp
+++ b/packages/entry/tests/CrashWatchTest.cpp
@@ -20,7 +20,7 @@
   gateway::HttpCall call;
   call.Method = method;
   call.Target = path;
-  return hashContent({"r-1", 3s, 7, "shop.test"}, call);
+  return hashContent({"r-1", 3s, 7, "shop.test"}, call, "");
 }
 
 dispatch::CrashReport reportThree(std::uint64_t content) {
--- a/packages/fleet/FleetSettings.h
+++ b/packages/fleet/FleetSettings.h
@@ -65,6 +65,8 @@
   /// "link_mbps": bandwidth of this VM's network link in Mbit/s; 0 for no
   /// limit.
   double LinkMbps = 0;
+  /// "memory_mb": memory that the process may use.
+  std::size_t MemoryBytes = std::size_t{256} << 20;
   /// "log_level"
   base::LogLevel LogLevel = base::LogLevel::Info;
 };
--- a/packages/fleet/internal/FleetSettings.cpp
+++ b/packages/fleet/internal/FleetSettings.cpp
@@ -22,6 +22,9 @@
 constexpr double MinStopGraceS = 0.5;
 constexpr double MaxStopGraceS = 3600;
 constexpr double MaxLinkMbps = 1e6;
+constexpr std::int64_t MinMemoryMb = 16;
+constexpr std::int64_t MaxMemoryMb = 1 << 20;
+constexpr std::size_t BytesPerMegabyte = 1'000'000;
 
 ListenAddress readAddress(ObjectReader &reader, std::string_view field) {
   const auto text = reader.readString(field, Presence::Required);
@@ -130,6 +133,9 @@
           reader.readInteger("retry_percent", Presence::Optional, {0, 100}))
     fleet.RetryPercent = static_cast<std::uint32_t>(*percent);
   fleet.LinkMbps = reader.readNumber("link_mbps", 0, MaxLinkMbps).value_or(0);
+  if (auto megabytes = reader.readInteger("memory_mb", Presence::Optional,
+                                          {MinMemoryMb, MaxMemoryMb}))
+    fleet.MemoryBytes = static_cast<std::size_t>(*megabytes) * BytesPerMegabyte;
   readLogLevel(reader, fleet);
   reader.finish();
   if (checked.Faults.empty())
--- a/packages/gateway/HttpServer.h
+++ b/packages/gateway/HttpServer.h
@@ -5,6 +5,7 @@
 #include "base/EventLoopThread.h"
 #include "base/Result.h"
 #include "gateway/HttpGateway.h"
+#include "gateway/MessageMemory.h"
 #include "protocol/Messages.h"
 
 #include <atomic>
@@ -31,6 +32,8 @@
   std::string Body;
   /// IP address of the caller.
   std::string From;
+  /// Memory reserved for the body; null if the server has no limit for all.
+  MessageMemory::ReservationPtr Memory;
 };
 
 /// Answers \p call through the sink, from any thread. The returned hook (may be
@@ -56,6 +59,10 @@
   void endKeepAlive();
   /// Replaces the limits; they apply to what is received from now on.
   void setLimits(const HttpLimits &limits) { Config.Limits = limits; }
+  /// Bounds the bodies of all requests together. To be called before start().
+  void limitMemory(std::shared_ptr<MessageMemory> memory) {
+    Memory = std::move(memory);
+  }
   /// Closes the listener and aborts all connections.
   void close();
   /// Returns the port listened on; 0 before start().
@@ -65,6 +72,8 @@
   // Used by the connections, on the event loop.
   base::EventLoopThread &eventLoop() { return EventLoop; }
   const HttpLimits &limits() const { return Config.Limits; }
+  /// Null if bodies are bounded one by one only.
+  MessageMemory *memory() const { return Memory.get(); }
   bool isDraining() const { return Draining; }
   bool mayKeepAlive() const { return !Draining && !EndingKeepAlive; }
   protocol::CancelHook handle(HttpCall call, protocol::AnswerSink sink);
@@ -80,6 +89,7 @@
   base::EventLoopThread &EventLoop;
   GatewayConfig Config;
   CallHandler Handler;
+  std::shared_ptr<MessageMemory> Memory;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer SweepTimer;
   boost::asio::steady_timer AcceptTimer;
--- a/packages/gateway/TargetClient.h
+++ b/packages/gateway/TargetClient.h
@@ -38,6 +38,9 @@
   /// The Host header; if empty, the address of the target is sent.
   std::string Host;
   protocol::ForwardRequest Request;
+  /// Sent in place of Request.Body if set; shared by all attempts at a request,
+  /// so that there is one copy of a large body.
+  std::shared_ptr<const std::string> SharedBody;
   /// Sent as Mill-Token; absent for services without keys.
   std::optional<base::Token> Token;
   std::optional<base::SlotNumber> Slot;
--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -21,6 +21,14 @@
 /// Time that the caller has to close the connection after the last answer.
 constexpr auto LingerTime = std::chrono::seconds(1);
 
+/// While others wait for memory, a caller that sends the body of a large
+/// request more slowly is refused.
+constexpr double MinBytesPerSecond = 64 << 10;
+/// Time after which the rate of a caller is judged.
+constexpr auto RateGrace = std::chrono::seconds(1);
+/// Time to return if more is already waiting for memory than there is.
+constexpr std::uint32_t NoMemoryRetryAfterMs = 1000;
+
 /// Fraction of the idle timeout that is advertised to callers. The rest covers
 /// the network latency of a request that is sent at the last moment.
 constexpr double AdvertisedIdleFraction = 0.8;
@@ -55,6 +63,7 @@
   State = Phase::Receiving;
   IsContinueSent = false;
   IsHeaderSeen = false;
+  Memory.reset();
   RequestParser.emplace();
   RequestParser->eager(true);
   RequestParser->header_limit(
@@ -101,7 +110,66 @@
                                [self = shared_from_this()](
                                    boost::system::error_code, std::size_t) {});
   }
-  readMore();
+  if (!IsHeaderSeen || reserveMemory())
+    readMore();
+}
+
+std::size_t HttpConnection::neededBytes() const {
+  if (const auto length = RequestParser->content_length())
+    return static_cast<std::size_t>(*length);
+  const bool IsSmall =
+      RequestParser->get().body().size() <= MessageMemory::SmallBytes;
+  return IsSmall ? MessageMemory::SmallBytes : Server->limits().MaxBodyBytes;
+}
+
+bool HttpConnection::reserveMemory() {
+  auto *memory = Server->memory();
+  const std::size_t bytes = neededBytes();
+  if (!memory || (Memory && Memory->bytes() >= bytes))
+    return true;
+  if (!memory->canHold(bytes)) {
+    refuse({ResultCode::BodyTooLarge, "the body exceeds the memory of this VM",
+            0});
+    return false;
+  }
+  // What was reserved for the first part is included from here on.
+  Memory.reset();
+  if (auto reserved = memory->reserve(bytes)) {
+    Memory = std::move(reserved);
+    MemorySince = base::readMonotonic();
+    return true;
+  }
+  if (!memory->canHold(memory->waitingBytes())) {
+    base::logInfo("gateway", "a request was refused, memory is used up",
+                  {{"caller", From},
+                   {"bytes", bytes},
+                   {"used", memory->used()},
+                   {"waiting", memory->waitingBytes()}});
+    refuse({ResultCode::NotRunQueueFull, "the memory for requests is used up",
+            NoMemoryRetryAfterMs});
+    return false;
+  }
+  IsAwaitingMemory = true;
+  memory->awaitRoom(
+      bytes, [weak = weak_from_this()](MessageMemory::ReservationPtr reserved) {
+        auto self = weak.lock();
+        if (!self || !std::exchange(self->IsAwaitingMemory, false))
+          return;
+        self->Memory = std::move(reserved);
+        self->MemorySince = base::readMonotonic();
+        self->readMore();
+      });
+  return false;
+}
+
+bool HttpConnection::isShuttingOut(base::MonoTime now) const {
+  if (State != Phase::Receiving || !Memory ||
+      Memory->bytes() <= MessageMemory::SmallBytes ||
+      !Server->memory()->hasWaiting())
+    return false;
+  const std::chrono::duration<double> judged = now - MemorySince - RateGrace;
+  return static_cast<double>(RequestParser->get().body().size()) <
+         judged.count() * MinBytesPerSecond;
 }
 
 HttpCall HttpConnection::releaseCall() {
@@ -114,12 +182,16 @@
         {std::string(field.name_string()), std::string(field.value())});
   call.Body = std::move(message.body());
   call.From = From;
+  call.Memory = std::move(Memory);
+  if (!call.Memory && !call.Body.empty() && Server->memory())
+    call.Memory = Server->memory()->reserve(call.Body.size());
   return call;
 }
 
 std::shared_ptr<AnswerInbox>
 HttpConnection::beginAnswer(AnswerOptions options) {
   State = Phase::Answering;
+  IsAwaitingMemory = false;
   TimeLimit = base::MonoTime::max();
   AnswerWriterHooks hooks;
   hooks.OnWriting = [this](bool busy) {
@@ -196,7 +268,7 @@
 }
 
 void HttpConnection::readMore() {
-  if (IsReading || State == Phase::Closed)
+  if (IsReading || IsAwaitingMemory || State == Phase::Closed)
     return;
   if (State == Phase::Answering && Received.size() >= MaxReadAhead)
     return;
@@ -280,6 +352,8 @@
   if (State == Phase::Closed)
     return;
   State = Phase::Closed;
+  IsAwaitingMemory = false;
+  Memory.reset();
   boost::system::error_code ec;
   Socket.close(ec);
   if (Inbox)
--- a/packages/gateway/internal/HttpConnection.h
+++ b/packages/gateway/internal/HttpConnection.h
@@ -29,7 +29,9 @@
   /// Closes the connection with a reset, discarding unsent data.
   void abort();
 
-  bool isOverdue(base::MonoTime now) const { return now >= TimeLimit; }
+  bool isOverdue(base::MonoTime now) const {
+    return now >= TimeLimit || isShuttingOut(now);
+  }
   void onOverdue();
   void onDrain();
   /// Closes the connection after the current answer.
@@ -53,6 +55,12 @@
   void receiveNext();
   void parse();
   void continueReceiving();
+  /// Reserves memory for the body as far as its size is known. Returns false if
+  /// the connection waits for room, unread, or the request was refused.
+  bool reserveMemory();
+  std::size_t neededBytes() const;
+  /// True while a slow caller holds memory for which others wait.
+  bool isShuttingOut(base::MonoTime now) const;
   void dispatch();
   HttpCall releaseCall();
   std::shared_ptr<AnswerInbox> beginAnswer(AnswerOptions options);
@@ -78,6 +86,11 @@
   std::optional<Parser> RequestParser;
   bool IsContinueSent = false;
   bool IsHeaderSeen = false;
+  /// For the body of the request that is being received.
+  MessageMemory::ReservationPtr Memory;
+  /// When Memory was granted.
+  base::MonoTime MemorySince;
+  bool IsAwaitingMemory = false;
 
   std::unique_ptr<AnswerWriter> Writer;
   std::shared_ptr<AnswerInbox> Inbox;
--- a/packages/gateway/internal/TargetMessage.cpp
+++ b/packages/gateway/internal/TargetMessage.cpp
@@ -51,9 +51,10 @@
     message.set("Idempotency-Key", request.IdempotencyKey);
   const auto ms = std::max<std::int64_t>(base::toMs(left), 1);
   message.set(DeadlineHeader, std::to_string(ms));
-  message.body() = request.Body;
-  if (!request.Body.empty() || methodExpectsBody(message.method()))
-    message.content_length(request.Body.size());
+  const std::string &body = call.SharedBody ? *call.SharedBody : request.Body;
+  message.body() = {body.data(), body.size()};
+  if (!body.empty() || methodExpectsBody(message.method()))
+    message.content_length(body.size());
   return message;
 }
 
--- a/packages/gateway/internal/TargetMessage.h
+++ b/packages/gateway/internal/TargetMessage.h
@@ -6,19 +6,19 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 namespace magnoliamill::gateway::internal {
 
 using TargetRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+    boost::beast::http::request<boost::beast::http::span_body<const char>>;
 using TargetResponseParser =
     boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 using TargetResponse =
     boost::beast::http::response<boost::beast::http::buffer_body>;
 
 /// Builds the request sent to the target; \p left is the time left until the
-/// deadline. The body is copied because the request may have to be sent again.
+/// deadline. The message refers to the body of \p call, which must outlive it.
 TargetRequest buildTargetRequest(const TargetCall &call,
                                  const std::string &DeadlineHeader,
                                  base::Duration left);
