OWNER: an earlier process never takes the place of a later one

Callers of a target that was cut off for three heartbeat intervals lost its keys when it came back: a delayed heartbeat of its earlier run had been accepted meanwhile, and the later run was answered as one whose id is in use.

Whether the other process was alive decided alone, so a delayed heartbeat replaced a later run that was silent. The directory of a new leader kept the target whose id sorts last, for the same reason.

Fix: a heartbeat of a process that was started before the one in use is late, whether that one is silent or not. Whether it is alive decides only about later starts.

--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -14,8 +14,8 @@
 /// What becomes of a heartbeat.
 enum class HeartbeatVerdict {
   Accepted,
-  /// Older than the newest known one of its sender, or of a process that has
-  /// ended.
+  /// Older than the newest known one of its sender, or of a process that was
+  /// started before the one in use.
   Late,
   /// A process that still sends heartbeats has the id or the address.
   Occupied,
@@ -40,7 +40,8 @@
 
   /// Records the sender of a heartbeat, if the heartbeat is accepted. What it
   /// says of other processes is taken from one party only, so none is replaced
-  /// while it is alive.
+  /// while it is alive, and none by a process that was started before it:
+  /// heartbeats may be delayed for as long as a partition lasts.
   UpdateResult update(const Target &target, const AliveTest &IsAlive);
   void remove(const keyspace::TargetInstance &instance);
   /// The instance of \p id that is in use; null when there is none.
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -21,12 +21,12 @@
     return {HeartbeatVerdict::Accepted, {}};
   }
   auto rivals = listRivals(target);
+  for (const auto &rival : rivals)
+    if (rival.StartedAtMs > target.Instance.StartedAtMs)
+      return {HeartbeatVerdict::Late, {}};
   for (const auto &rival : rivals)
     if (IsAlive(rival))
-      return {rival.StartedAtMs > target.Instance.StartedAtMs
-                  ? HeartbeatVerdict::Late
-                  : HeartbeatVerdict::Occupied,
-              {}};
+      return {HeartbeatVerdict::Occupied, {}};
   for (const auto &rival : rivals)
     remove(rival);
   put(target);
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -250,3 +250,30 @@
   CHECK(fixture.call(CallKind::Leave, "nobody", "") == 400);
   CHECK(fixture.Proposals.empty());
 }
+
+TEST_CASE("A delayed heartbeat of an earlier process shuts a later one out") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  // The target's heartbeats are lost for longer than it counts as alive.
+  fixture.Now += 3s;
+  SECTION("of its own id") {
+    fixture.FakeControl.Next.Sender = {
+        {"a", 4}, 999, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+  }
+  SECTION("of another id at its address") {
+    fixture.FakeControl.Next.Sender = {
+        {"b", 4}, 999, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+  }
+  SECTION("at a new leader that starts with the view") {
+    fixture.FakeControl.Next.Sender = {
+        {"a", 4}, 999, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+    fixture.startLeader(2);
+    fixture.Now += 3s;
+  }
+  const auto id = fixture.FakeControl.Next.Sender.Instance.Id;
+  CHECK(fixture.call(CallKind::Heartbeat, id, "") == 200);
+  CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+  CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+  REQUIRE(fixture.FakeControl.Answer.Rows);
+  CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
+}
