OWNER: a target that starts again gets its own keys at once

A target that crashed and was back under its own id after half a second was answered without keys for up to three heartbeat intervals, and then its stripes waited for its own former hold: its callers were refused for about 6 s.

Cause: takes a later birth of an id as a claim about another party.

Fix: a later instance of an id is in use at once. Its first heartbeat is answered after a commit that passes the stripes of its earlier instances to it, with a higher token. So no second target can hold a key if the heartbeat was another writer's.

ForeignWritersTest still plays such heartbeats and still checks for two holders after every step; it no longer asks that a target whose restart was announced in its name goes on serving, as for leave calls in its name.

--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -38,6 +38,7 @@
   std::function<void(ViewUpdate)> Publish;
   /// True while this VM holds the leader lease, so that no other VM can lead.
   std::function<bool()> HasLease;
+  std::function<base::MonoTime()> ReadTime = base::readMonotonic;
 };
 
 using ReplyHook = std::function<void(std::uint16_t status, std::string body)>;
@@ -80,12 +81,13 @@
                base::MonoTime now) const;
   void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
                        base::MonoTime now);
+  /// Answers with the stripes that the sender may hold.
+  void grantStripes(const keyspace::KeyReport &report, const ReplyHook &reply,
+                    base::MonoTime now);
   void commitDeparture(const keyspace::TargetInstance &instance,
                        std::function<void(base::Result<void>)> done);
-  /// Sends no more requests to the instance. Its keys stay its own until its
-  /// hold ends: that its process has ended is not known for certain.
-  void replaceInstance(const keyspace::TargetInstance &instance,
-                       const keyspace::TargetInstance &successor);
+  /// Removes an instance that the sender of a heartbeat has taken the place of.
+  void removeFromView(const keyspace::TargetInstance &instance);
   void updateTarget(const Target &target);
   bool isKeyed(const std::string &service) const;
   void plan(base::MonoTime now);
--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -1,13 +1,13 @@
 // Tracks the instance of each target that is in use. Decides which heartbeats
-// are accepted and which instances their senders replace.
+// are accepted, which instances have started again and which are displaced.
 #pragma once
 
 #include "fleet/View.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
-#include <vector>
 
 namespace magnoliamill::fleet {
 
@@ -17,7 +17,7 @@
   /// Older than the newest known one of its sender, or of a process that was
   /// started before the one in use.
   Late,
-  /// A process that still sends heartbeats has the id or the address.
+  /// Another target that still sends heartbeats has the address.
   Occupied,
   /// A process can't change its address or its service.
   Contradicting,
@@ -31,25 +31,30 @@
   struct UpdateResult {
     /// A heartbeat that is not accepted changes nothing.
     HeartbeatVerdict Verdict = HeartbeatVerdict::Late;
-    /// Instances that the sender replaces: they have its id or its address and
-    /// send no heartbeats any more. They may still hold keys.
-    std::vector<keyspace::TargetInstance> Replaced;
+    /// The earlier instance of the sender's id, which has started again.
+    std::optional<keyspace::TargetInstance> Former;
+    /// Another target at the sender's address that sends no heartbeats any
+    /// more. It may still hold keys.
+    std::optional<keyspace::TargetInstance> Displaced;
   };
   /// Whether an instance has sent a heartbeat lately and has not departed.
   using AliveTest = std::function<bool(const keyspace::TargetInstance &)>;
 
-  /// Records the sender of a heartbeat, if the heartbeat is accepted. What it
-  /// says of other processes is taken from one party only, so none is replaced
-  /// while it is alive, and none by a process that was started before it:
-  /// heartbeats may be delayed for as long as a partition lasts.
+  /// Records the sender of a heartbeat, if the heartbeat is accepted. A later
+  /// instance of an id is that target's own statement that it has started again
+  /// and is accepted at once. What a heartbeat implies about a target with
+  /// another id is taken from one party only, so none is displaced while it is
+  /// alive. An earlier process never takes the place of a later one: heartbeats
+  /// may be delayed for as long as a partition lasts.
   UpdateResult update(const Target &target, const AliveTest &IsAlive);
   void remove(const keyspace::TargetInstance &instance);
   /// The instance of \p id that is in use; null when there is none.
   const Target *find(const std::string &id) const;
 
 private:
-  /// The other instances with the id or the address of \p target.
-  std::vector<keyspace::TargetInstance> listRivals(const Target &target) const;
+  /// The target in use at the address of \p target that has another id; null
+  /// when there is none.
+  const Target *findOccupant(const Target &target) const;
   void put(const Target &target);
 
   std::map<std::string, Target> ById;
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -232,6 +232,7 @@
       entry.setOwner(i);
       entry.setExpected(keys.tokenOf(stripe));
       entry.setHandover(asText(keys.handoverOf(stripe)));
+      entry.setIsInherited(keys.isInherited(stripe));
     }
   }
 }
@@ -247,6 +248,8 @@
                "a stripe or owner is out of range");
     keys.assign(stripe.getStripe(), owners[stripe.getOwner()],
                 stripe.getExpected(), toString(stripe.getHandover()));
+    if (stripe.getIsInherited())
+      keys.markInherited(stripe.getStripe());
   }
   return keys;
 }
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -151,8 +151,24 @@
       });
   if (result.Verdict != HeartbeatVerdict::Accepted)
     return answerUnaccepted(heartbeat.Sender, result.Verdict, reply);
-  for (const TargetInstance &replaced : result.Replaced)
-    replaceInstance(replaced, instance);
+  if (result.Former) {
+    base::logInfo("fleet", "a target has started again",
+                  {{"target", instance.Id},
+                   {"born", instance.StartedAtMs},
+                   {"former_born", result.Former->StartedAtMs}});
+    removeFromView(*result.Former);
+  }
+  if (result.Displaced) {
+    base::logInfo("fleet", "a silent target is displaced by another process",
+                  {{"target", result.Displaced->Id},
+                   {"born", result.Displaced->StartedAtMs},
+                   {"successor", instance.Id},
+                   {"successor_born", instance.StartedAtMs}});
+    // Its keys stay its own until its hold ends: that its process has ended is
+    // not certain.
+    Grants.onReplaced(*result.Displaced);
+    removeFromView(*result.Displaced);
+  }
   LastHeartbeat[instance] = now;
   if (State.hasDeparted(instance))
     heartbeat.Sender.State = TargetState::Leaving;
@@ -164,7 +180,7 @@
                              reply](const base::Result<void> &committed) {
     if (!committed || !*alive)
       return reply(StatusUnavailable, "");
-    answerHeartbeat(heartbeat, reply, base::readMonotonic());
+    answerHeartbeat(heartbeat, reply, Hooks.ReadTime());
   });
 }
 
@@ -205,23 +221,50 @@
 void FleetLeader::answerHeartbeat(const Heartbeat &heartbeat,
                                   const ReplyHook &reply, base::MonoTime now) {
   updateTarget(heartbeat.Sender);
-  HeartbeatAnswer answer{Config.ControlAddress, std::nullopt, {}};
-  if (isKeyed(heartbeat.Sender.Service)) {
-    keyspace::KeyReport report;
-    report.Instance = heartbeat.Sender.Instance;
-    report.Service = heartbeat.Sender.Service;
-    report.Slots = heartbeat.Sender.Slots;
-    report.IsLeaving = heartbeat.Sender.State == TargetState::Leaving;
-    report.Holds = heartbeat.Holds;
-    report.Released = heartbeat.Released;
-    // The lease is checked again immediately before stripes are granted.
+  if (!isKeyed(heartbeat.Sender.Service))
+    return reply(StatusOk, Format.WriteHeartbeatAnswer(
+                               {Config.ControlAddress, std::nullopt, {}}));
+  keyspace::KeyReport report;
+  report.Instance = heartbeat.Sender.Instance;
+  report.Service = heartbeat.Sender.Service;
+  report.Slots = heartbeat.Sender.Slots;
+  report.IsLeaving = heartbeat.Sender.State == TargetState::Leaving;
+  report.Holds = heartbeat.Holds;
+  report.Released = heartbeat.Released;
+  // The lease is checked again immediately before stripes are granted.
+  if (!Hooks.HasLease())
+    return refuse(reply, StatusUnavailable,
+                  {ResultCode::NoQuorum, "the leader has no quorum"});
+  grantStripes(report, reply, now);
+}
+
+void FleetLeader::grantStripes(const keyspace::KeyReport &report,
+                               const ReplyHook &reply, base::MonoTime now) {
+  HeartbeatAnswer answer{Config.ControlAddress, Grants.onHeartbeat(report, now),
+                         Grants.config().HoldTime};
+  auto inheritance = Grants.planInheritance(report.Instance, now);
+  if (!inheritance)
+    return reply(StatusOk, Format.WriteHeartbeatAnswer(answer));
+  base::logInfo("fleet", "stripes pass to a target that has started again",
+                {{"target", report.Instance.Id},
+                 {"born", report.Instance.StartedAtMs},
+                 {"stripes", inheritance->Moves.size()}});
+  // Answered after the commit, so that the target serves with this answer
+  // instead of the next one.
+  Hooks.Propose(std::move(*inheritance), [this, alive = Alive, report, reply](
+                                             const base::Result<void> &result) {
+    if (!*alive)
+      return reply(StatusUnavailable, "");
+    if (!result)
+      Grants.onDropped(report.Service);
     if (!Hooks.HasLease())
       return refuse(reply, StatusUnavailable,
                     {ResultCode::NoQuorum, "the leader has no quorum"});
-    answer.Rows = Grants.onHeartbeat(report, now);
-    answer.HoldTime = Grants.config().HoldTime;
-  }
-  reply(StatusOk, Format.WriteHeartbeatAnswer(answer));
+    reply(StatusOk, Format.WriteHeartbeatAnswer(
+                        {Config.ControlAddress,
+                         Grants.onHeartbeat(report, Hooks.ReadTime()),
+                         Grants.config().HoldTime}));
+  });
 }
 
 void FleetLeader::commitDeparture(
@@ -300,14 +343,7 @@
                 });
 }
 
-void FleetLeader::replaceInstance(const TargetInstance &instance,
-                                  const TargetInstance &successor) {
-  base::logInfo("fleet", "a silent target is replaced by another process",
-                {{"target", instance.Id},
-                 {"born", instance.StartedAtMs},
-                 {"successor", successor.Id},
-                 {"successor_born", successor.StartedAtMs}});
-  Grants.onReplaced(instance);
+void FleetLeader::removeFromView(const TargetInstance &instance) {
   Speeds.remove(instance);
   LastHeartbeat.erase(instance);
   if (Targets.erase(instance) == 0)
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -14,37 +14,32 @@
   const Target *same = find(target.Instance.Id);
   if (same && same->Instance == target.Instance) {
     if (target.Sequence <= same->Sequence)
-      return {HeartbeatVerdict::Late, {}};
+      return {};
     if (target.Address != same->Address || target.Service != same->Service)
-      return {HeartbeatVerdict::Contradicting, {}};
+      return {HeartbeatVerdict::Contradicting, {}, {}};
     put(target);
-    return {HeartbeatVerdict::Accepted, {}};
+    return {HeartbeatVerdict::Accepted, {}, {}};
   }
-  auto rivals = listRivals(target);
-  for (const auto &rival : rivals)
-    if (rival.StartedAtMs > target.Instance.StartedAtMs)
-      return {HeartbeatVerdict::Late, {}};
-  for (const auto &rival : rivals)
-    if (IsAlive(rival))
-      return {HeartbeatVerdict::Occupied, {}};
-  for (const auto &rival : rivals)
-    remove(rival);
+  const Target *occupant = findOccupant(target);
+  for (const Target *other : {same, occupant})
+    if (other && other->Instance.StartedAtMs > target.Instance.StartedAtMs)
+      return {};
+  if (occupant && IsAlive(occupant->Instance))
+    return {HeartbeatVerdict::Occupied, {}, {}};
+  UpdateResult result{HeartbeatVerdict::Accepted, {}, {}};
+  if (same)
+    remove(*(result.Former = same->Instance));
+  if (occupant)
+    remove(*(result.Displaced = occupant->Instance));
   put(target);
-  return {HeartbeatVerdict::Accepted, std::move(rivals)};
+  return result;
 }
 
-std::vector<keyspace::TargetInstance>
-TargetDirectory::listRivals(const Target &target) const {
-  std::vector<keyspace::TargetInstance> rivals;
-  if (const Target *same = find(target.Instance.Id);
-      same && same->Instance != target.Instance)
-    rivals.push_back(same->Instance);
+const Target *TargetDirectory::findOccupant(const Target &target) const {
   const auto it = ByAddress.find(target.Address);
-  if (it == ByAddress.end() || it->second == target.Instance.Id)
-    return rivals;
-  if (const Target *other = find(it->second))
-    rivals.push_back(other->Instance);
-  return rivals;
+  return it == ByAddress.end() || it->second == target.Instance.Id
+             ? nullptr
+             : find(it->second);
 }
 
 void TargetDirectory::put(const Target &target) {
--- a/packages/fleet/tests/ForeignWritersTest.cpp
+++ b/packages/fleet/tests/ForeignWritersTest.cpp
@@ -96,8 +96,10 @@
         call.Id < TargetCount ? Targets[call.Id].Description.Instance.Id
                               : "foreign",
         startOf(call.Id) + static_cast<std::uint64_t>(call.StartOffset)};
-    // A writer with everything of a target can't be told from it.
+    // A writer with everything of a target can't be told from it, nor can one
+    // with its id that announces a restart.
     const bool IsIdentity = call.Id < TargetCount && call.StartOffset == 0;
+    const bool IsRestart = call.Id < TargetCount && call.StartOffset > 0;
     if (call.IsLeave) {
       if (IsIdentity)
         Left.insert(call.Id);
@@ -107,6 +109,8 @@
     }
     if (IsIdentity && call.Address == call.Id && call.IsServiceKnown)
       return;
+    if (IsRestart && call.IsServiceKnown)
+      Left.insert(call.Id);
     sender.Sequence = call.Sequence;
     sender.Address = addressOf(call.Address);
     sender.Service = call.IsServiceKnown ? "stock" : "unknown";
@@ -121,7 +125,8 @@
     Fixture.call(CallKind::Heartbeat, sender.Instance.Id, "");
   }
 
-  /// True if all targets that nobody has signed off hold keys.
+  /// True if all targets hold keys, except those that a writer has signed off
+  /// or announced as restarted.
   bool areServing() const {
     for (std::size_t n = 0; n < TargetCount; ++n)
       if (!Left.contains(n) && Targets[n].Held.empty())
@@ -189,7 +194,7 @@
 
   LeaderFixture Fixture;
   std::vector<LeasedTarget> Targets;
-  /// Targets for which a leave call was sent.
+  /// Targets for which a leave call or the heartbeat of a restart was sent.
   std::set<std::size_t> Left;
 };
 
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -79,6 +79,7 @@
       ++CountPublished;
     };
     hooks.HasLease = [this] { return HasLease; };
+    hooks.ReadTime = [this] { return Now; };
     Leader = std::make_unique<FleetLeader>(config, State, Format, Published,
                                            hooks, Now);
     Leader->start();
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -74,19 +74,25 @@
 
   /// Returns all keys that the target may hold for config().HoldTime after it
   /// sent this heartbeat. The heartbeat must be the newest of its target
-  /// instance.
+  /// instance. The first one ends earlier instances of the same id: their
+  /// stripes pass to this one without a wait, to other targets only after their
+  /// hold has ended.
   std::vector<GrantRow> onHeartbeat(const KeyReport &report,
                                     base::MonoTime now);
   /// The target will send no more heartbeats, but may use its stripes until its
   /// hold ends.
   void onDeparture(const TargetInstance &instance);
-  /// Another process has the id or the address of the target, which has fallen
-  /// silent. It may use its stripes until its hold ends, and may return.
+  /// Another process has the address of the target, which has fallen silent.
+  /// It may use its stripes until its hold ends, and may return.
   void onReplaced(const TargetInstance &instance);
-
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
   std::vector<KeyAssignment> plan(base::MonoTime now);
+  /// The assignment that passes the stripes of earlier instances to the target
+  /// \p heir, to be handled like one returned by plan(); none if there are no
+  /// such stripes or another assignment of the service is in progress.
+  std::optional<KeyAssignment> planInheritance(const TargetInstance &heir,
+                                               base::MonoTime now);
   /// An assignment was applied and moved the stripes \p moved.
   void onApplied(const std::string &service,
                  const std::vector<std::uint32_t> &moved);
@@ -108,6 +114,8 @@
     base::MonoTime LastHeartbeat;
     bool HasReported = false;
     bool IsLeaving = false;
+    /// The instance as which the target has started again.
+    std::optional<TargetInstance> Successor;
   };
   struct Stripe {
     /// Omitted from answers to its owner, so that the owner releases it.
@@ -121,6 +129,10 @@
     /// The target that a transfer moves the stripe to.
     std::optional<TargetInstance> Destination;
     std::string Handover;
+    /// End of the hold of earlier instances of the owner, which it has
+    /// inherited the stripe from. Until then the stripe passes to no other
+    /// target: that they have ended is stated by the owner's id alone.
+    base::MonoTime FormerHoldEnd;
   };
   struct Keys {
     std::vector<Stripe> Stripes;
@@ -144,12 +156,25 @@
   std::size_t maxRowsPerAnswer() const;
   Keys &keysOf(const std::string &service);
   base::Duration maxHoldDuration() const;
+  /// Makes \p successor the heir of the earlier instances of its id.
+  void endEarlierInstances(const TargetInstance &successor);
   void recordReleases(const KeyReport &report, const ServiceKeys &owned);
   std::vector<GrantRow> grant(const KeyReport &report,
                               const ServiceKeys &owned);
   void setActive(const std::string &service, std::uint32_t stripe, bool active);
   void revokeAll(const TargetInstance &instance, const InstanceState &state);
   static void revoke(Keys &keys, std::uint32_t stripe);
+  /// The latest instance as which the target has started again, if it has.
+  const TargetInstance *findHeir(const InstanceState &state) const;
+  /// Adds the stripes of \p owner to an assignment that passes them to its
+  /// heir.
+  static void addInheritance(const TargetInstance &owner,
+                             const InstanceState &state,
+                             const ServiceKeys &owned, Keys &keys,
+                             KeyAssignment &assignment);
+  /// Passes stripes to candidates that are heirs of their owners.
+  std::optional<KeyAssignment> planInheritances(const std::string &service,
+                                                base::MonoTime now);
   /// Stripes that no target can still hold, in ascending order.
   std::vector<std::uint32_t> listFreeStripes(const ServiceKeys *owned,
                                              const Keys &keys,
--- a/packages/keyspace/KeyTable.h
+++ b/packages/keyspace/KeyTable.h
@@ -35,6 +35,10 @@
   const std::string &handoverOf(std::uint32_t stripe) const {
     return Stripes[stripe].Handover;
   }
+  /// True if an earlier instance of the owner had the stripe before it.
+  bool isInherited(std::uint32_t stripe) const {
+    return Stripes[stripe].IsInherited;
+  }
   /// Stripes of \p instance in ascending order.
   std::span<const std::uint32_t>
   stripesOf(const TargetInstance &instance) const;
@@ -43,12 +47,17 @@
 
   void assign(std::uint32_t stripe, const TargetInstance &instance,
               FencingToken token, std::string handover);
+  /// Restores the mark that assign() sets, from a snapshot.
+  void markInherited(std::uint32_t stripe) {
+    Stripes[stripe].IsInherited = true;
+  }
 
 private:
   struct Stripe {
     const TargetInstance *Owner = nullptr;
     FencingToken Token = 0;
     std::string Handover;
+    bool IsInherited = false;
   };
   std::vector<Stripe> Stripes;
   /// Stripe::Owner points to a key of this map. No value is empty.
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -81,8 +81,11 @@
       state.HoldEnd = now + maxHoldDuration();
       state.LastHeartbeat = now;
     }
-    for (std::uint32_t i = 0; i < owned.countStripes(); ++i)
+    for (std::uint32_t i = 0; i < owned.countStripes(); ++i) {
       keys.Stripes[i].IsActive = owned.ownerOf(i) != nullptr;
+      if (owned.isInherited(i))
+        keys.Stripes[i].FormerHoldEnd = now + maxHoldDuration();
+    }
   }
 }
 
@@ -111,7 +114,8 @@
 std::vector<GrantRow> GrantController::onHeartbeat(const KeyReport &report,
                                                    base::MonoTime now) {
   InstanceState &state = Instances[report.Instance];
-  state.HasReported = true;
+  if (!std::exchange(state.HasReported, true))
+    endEarlierInstances(report.Instance);
   state.Service = report.Service;
   state.Slots = std::max(report.Slots, 1U);
   state.LastHeartbeat = now;
@@ -226,6 +230,30 @@
     revokeAll(id, it->second);
 }
 
+void GrantController::endEarlierInstances(const TargetInstance &successor) {
+  // Instances are sorted by id, then by start.
+  for (auto it = Instances.lower_bound({successor.Id, 0});
+       it != Instances.end() && it->first < successor; ++it) {
+    if (it->second.Successor)
+      continue;
+    it->second.Successor = successor;
+    it->second.IsLeaving = true;
+    revokeAll(it->first, it->second);
+  }
+}
+
+const TargetInstance *
+GrantController::findHeir(const InstanceState &state) const {
+  const TargetInstance *heir = nullptr;
+  // Each successor has started later, so this ends.
+  for (const auto *it = &state; it && it->Successor;) {
+    heir = &*it->Successor;
+    const auto next = Instances.find(*heir);
+    it = next == Instances.end() ? nullptr : &next->second;
+  }
+  return heir;
+}
+
 std::vector<std::uint32_t>
 GrantController::listFreeStripes(const ServiceKeys *owned, const Keys &keys,
                                  std::uint32_t total,
@@ -248,6 +276,9 @@
   for (std::uint32_t i : keys.Revoked)
     if (keys.Stripes[i].IsReleased)
       free.push_back(i);
+  std::erase_if(free, [&](std::uint32_t i) {
+    return keys.Stripes[i].FormerHoldEnd > now;
+  });
   std::ranges::sort(free);
   free.erase(std::unique(free.begin(), free.end()), free.end());
   return free;
@@ -302,7 +333,10 @@
   for (auto &[service, keys] : Services) {
     if (keys.IsProposed)
       continue;
-    if (auto assignment = planService(service, now)) {
+    auto assignment = planInheritances(service, now);
+    if (!assignment)
+      assignment = planService(service, now);
+    if (assignment) {
       keys.IsProposed = true;
       proposals.push_back(std::move(*assignment));
     }
@@ -310,6 +344,73 @@
   return proposals;
 }
 
+std::optional<KeyAssignment>
+GrantController::planInheritance(const TargetInstance &heir,
+                                 base::MonoTime now) {
+  const auto it = Instances.find(heir);
+  if (it == Instances.end() || !isCandidate(it->second, now))
+    return std::nullopt;
+  const std::string &service = it->second.Service;
+  Keys &keys = keysOf(service);
+  const ServiceKeys *owned = Table.find(service);
+  if (!owned || keys.IsProposed)
+    return std::nullopt;
+  KeyAssignment assignment{service, owned->countStripes(), {heir}, {}};
+  for (auto former = Instances.lower_bound({heir.Id, 0}); former != it;
+       ++former) {
+    const TargetInstance *found = findHeir(former->second);
+    if (found && *found == heir && former->second.Service == service)
+      addInheritance(former->first, former->second, *owned, keys, assignment);
+  }
+  if (assignment.Moves.empty())
+    return std::nullopt;
+  keys.IsProposed = true;
+  return assignment;
+}
+
+void GrantController::addInheritance(const TargetInstance &owner,
+                                     const InstanceState &state,
+                                     const ServiceKeys &owned, Keys &keys,
+                                     KeyAssignment &assignment) {
+  for (std::uint32_t i : owned.stripesOf(owner)) {
+    Stripe &stripe = keys.Stripes[i];
+    // A stripe that was released before the restart is free for any target.
+    if (stripe.IsReleased)
+      continue;
+    stripe.IsProposed = true;
+    stripe.FormerHoldEnd = std::max(stripe.FormerHoldEnd, state.HoldEnd);
+    assignment.Moves.push_back(
+        {i,
+         static_cast<std::uint32_t>(assignment.Owners.size() - 1),
+         owned.tokenOf(i),
+         {}});
+  }
+}
+
+std::optional<KeyAssignment>
+GrantController::planInheritances(const std::string &service,
+                                  base::MonoTime now) {
+  const ServiceKeys *owned = Table.find(service);
+  if (!owned)
+    return std::nullopt;
+  KeyAssignment assignment{service, owned->countStripes(), {}, {}};
+  for (const TargetInstance &owner : owned->listOwners()) {
+    const auto state = Instances.find(owner);
+    const TargetInstance *heir =
+        state == Instances.end() ? nullptr : findHeir(state->second);
+    const auto found = heir ? Instances.find(*heir) : Instances.end();
+    if (found == Instances.end() || found->second.Service != service ||
+        !isCandidate(found->second, now))
+      continue;
+    assignment.Owners.push_back(*heir);
+    addInheritance(owner, state->second, *owned, keysOf(service), assignment);
+  }
+  if (assignment.Moves.empty())
+    return std::nullopt;
+  dropUnusedOwners(assignment);
+  return assignment;
+}
+
 std::optional<KeyAssignment>
 GrantController::planService(const std::string &service, base::MonoTime now) {
   Keys &keys = keysOf(service);
@@ -412,7 +513,9 @@
   keys.IsProposed = false;
   for (std::uint32_t i : moved) {
     setActive(service, i, false);
+    const auto formerHoldEnd = keys.Stripes[i].FormerHoldEnd;
     keys.Stripes[i] = Stripe{};
+    keys.Stripes[i].FormerHoldEnd = formerHoldEnd;
     keys.Revoked.erase(i);
   }
   for (Stripe &stripe : keys.Stripes)
--- a/packages/keyspace/internal/KeyTable.cpp
+++ b/packages/keyspace/internal/KeyTable.cpp
@@ -35,6 +35,8 @@
 void ServiceKeys::assign(std::uint32_t index, const TargetInstance &instance,
                          FencingToken token, std::string handover) {
   Stripe &stripe = Stripes[index];
+  const bool IsInherited = stripe.Owner && *stripe.Owner != instance &&
+                           stripe.Owner->Id == instance.Id;
   if (stripe.Owner) {
     auto old = ByOwner.find(*stripe.Owner);
     auto &held = old->second;
@@ -44,7 +46,7 @@
   }
   auto &[owner, held] = *ByOwner.try_emplace(instance).first;
   held.insert(std::ranges::lower_bound(held, index), index);
-  stripe = {&owner, token, std::move(handover)};
+  stripe = {&owner, token, std::move(handover), IsInherited};
 }
 
 std::vector<std::uint32_t> KeyTable::apply(const KeyAssignment &assignment,
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -55,6 +55,8 @@
   owner @1 :UInt32;
   expected @2 :UInt64;
   handover @3 :Text;
+  # Of a stripe in a snapshot: an earlier life of its owner had it before.
+  isInherited @4 :Bool;
 }
 struct Assignment {
   service @0 :Text;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -153,7 +153,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b20d348b963bc7e, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8b20d348b963bc7e, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1171,6 +1171,8 @@
   inline bool hasHandover() const;
   inline  ::capnp::Text::Reader getHandover() const;
 
+  inline bool getIsInherited() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1215,6 +1217,9 @@
   inline void adoptHandover(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHandover();
 
+  inline bool getIsInherited();
+  inline void setIsInherited(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4335,6 +4340,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool StripeMove::Reader::getIsInherited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool StripeMove::Builder::getIsInherited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void StripeMove::Builder::setIsInherited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Assignment::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
