OWNER: the process at an address is identified by its own answer

Cause: left only time as evidence that the process at an address has ended.

Fix: when a heartbeat announces an address that another target has, the leader requests the health of that address, at most once in a heartbeat interval and 64 at a time. The answer names the process (ControlFormat::ReadHealthId); only if it is the sender has the other one ended. Its stripes pass to the sender by a commit before the answer, or are free if the sender has another service. A heartbeat can't forge this: a foreign writer at the address of a running target is contradicted by that target's answer, and it waits as before. Stripes of a restart that was only announced stay with that id until the former hold ends.

Tests: "A target that answers at its address waits for the hold of the one before it", "A stripe of a restart that another writer announced passes on with an address". Logs: "the process at an address was identified", with what was answered.

--- a/apps/magnoliamilld/FleetProcess.cpp
+++ b/apps/magnoliamilld/FleetProcess.cpp
@@ -10,6 +10,7 @@
 #include "entry/EntryNode.h"
 #include "fleet/CoreNode.h"
 #include "fleet/FleetSettings.h"
+#include "gateway/HealthCheck.h"
 #include "gateway/HttpServer.h"
 #include "platform/ControlApi.h"
 #include "platform/ControlFormat.h"
@@ -66,6 +67,9 @@
 constexpr base::Duration SweepInterval = std::chrono::milliseconds(500);
 /// Allows for an operator's first call, which may contain thousands of routes.
 constexpr std::size_t MaxControlBytes = 32u << 20;
+/// A heartbeat that waits for the health check of an address is answered well
+/// within the second after which its sender gives up.
+constexpr base::Duration IdentifyTime = std::chrono::milliseconds(400);
 
 gateway::GatewayConfig makeServerConfig(const settings::ListenAddress &listen) {
   gateway::GatewayConfig config;
@@ -76,6 +80,26 @@
   return config;
 }
 
+fleet::IdentifyProcessHook makeIdentifyHook(
+    base::EventLoopThread &loop,
+    std::function<std::string(const std::vector<protocol::HttpHeader> &)>
+        readId) {
+  return [&loop, readId = std::move(readId)](
+             const std::string &address, const std::string &healthPath,
+             std::function<void(std::optional<std::string>)> done) {
+    const auto parsed = base::parseHostPort(address);
+    if (!parsed)
+      return done(std::nullopt);
+    gateway::requestHealth(
+        loop.context(), *parsed, healthPath, IdentifyTime,
+        [readId, done = std::move(done)](
+            const std::optional<protocol::AnswerHead> &head) {
+          std::string id = head ? readId(head->Headers) : std::string();
+          done(id.empty() ? std::nullopt : std::optional(std::move(id)));
+        });
+  };
+}
+
 base::Result<void> FleetProcess::start() {
   if (auto started = startMetrics(); !started)
     return started;
@@ -90,8 +114,10 @@
   const auto format = Settings.Body == fleet::ControlBodyFormat::Cbor
                           ? platform::BodyFormat::Cbor
                           : platform::BodyFormat::Json;
-  Core = std::make_unique<fleet::CoreNode>(EventLoop, Settings,
-                                           platform::makeControlFormat(format));
+  auto control = platform::makeControlFormat(format);
+  auto identify = makeIdentifyHook(EventLoop, control.ReadHealthId);
+  Core = std::make_unique<fleet::CoreNode>(
+      EventLoop, Settings, std::move(control), std::move(identify));
   if (auto started = Core->start(); !started)
     return started;
   Control = std::make_shared<gateway::HttpServer>(
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -29,7 +29,7 @@
 class CoreNode {
 public:
   CoreNode(base::EventLoopThread &loop, FleetSettings settings,
-           ControlFormat format);
+           ControlFormat format, IdentifyProcessHook identify = {});
   ~CoreNode();
 
   /// Opens the storage and the link listener. Errors: ListenFailed, or 5xxx
@@ -88,6 +88,7 @@
   base::EventLoopThread &EventLoop;
   FleetSettings Settings;
   ControlFormat Format;
+  IdentifyProcessHook IdentifyProcess;
   FleetState State;
   View LocalView;
   /// When the leader last confirmed LocalView.
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,13 @@
   base::Duration SilentTargetTime = std::chrono::seconds(30);
 };
 
+/// Requests the id of the process at \p address (HOST:PORT) from that process
+/// itself, by its health check. \p done gets none if there is no answer in
+/// time.
+using IdentifyProcessHook = std::function<void(
+    const std::string &address, const std::string &healthPath,
+    std::function<void(std::optional<std::string> id)> done)>;
+
 struct FleetLeaderHooks {
   /// Proposes a command to the group. The callback is called when the command
   /// has been applied on this VM, or with the error.
@@ -39,6 +47,9 @@
   /// True while this VM holds the leader lease, so that no other VM can lead.
   std::function<bool()> HasLease;
   std::function<base::MonoTime()> ReadTime = base::readMonotonic;
+  /// Not called if empty; an address then counts as in use until its target is
+  /// silent.
+  IdentifyProcessHook IdentifyProcess;
 };
 
 using ReplyHook = std::function<void(std::uint16_t status, std::string body)>;
@@ -77,6 +88,12 @@
   /// Answers a heartbeat that changes nothing.
   void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
                         const ReplyHook &reply);
+  /// Checks which process is at an address that \p occupant has, and handles
+  /// the heartbeat again after \p occupant is shown to have ended. Returns
+  /// false if no check is started.
+  bool checkAddress(const Call &call, const Target &sender,
+                    const keyspace::TargetInstance &occupant,
+                    const ReplyHook &reply, base::MonoTime now);
   bool isAlive(const keyspace::TargetInstance &instance,
                base::MonoTime now) const;
   void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
@@ -104,6 +121,9 @@
   keyspace::GrantController Grants;
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<keyspace::TargetInstance, base::MonoTime> LastHeartbeat;
+  /// Earliest time of the next check of an address.
+  std::map<std::string, base::MonoTime> NextAddressChecks;
+  std::size_t CountAddressChecks = 0;
   std::vector<VmAddress> Cores;
   std::uint64_t LastUpdateNumber = 0;
   /// Changes of configuration that are proposed and not committed yet, in the
--- a/packages/fleet/Heartbeat.h
+++ b/packages/fleet/Heartbeat.h
@@ -5,6 +5,7 @@
 #include "base/Result.h"
 #include "fleet/View.h"
 #include "keyspace/GrantController.h"
+#include "protocol/Messages.h"
 #include "routing/ConfigItems.h"
 
 #include <functional>
@@ -50,6 +51,10 @@
   /// it.
   std::function<std::optional<std::uint64_t>(std::string_view body)>
       ReadLeaveStartTime;
+  /// Id of the target that wrote the answer to a health check; empty if it
+  /// names none.
+  std::function<std::string(const std::vector<protocol::HttpHeader> &headers)>
+      ReadHealthId;
   std::function<base::Result<routing::ConfigItems>(std::string_view body)>
       ReadConfigChange;
   std::function<std::string(const routing::ConfigItems &)> WriteConfig;
--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -33,9 +33,10 @@
     HeartbeatVerdict Verdict = HeartbeatVerdict::Late;
     /// The earlier instance of the sender's id, which has started again.
     std::optional<keyspace::TargetInstance> Former;
-    /// Another target at the sender's address that sends no heartbeats any
-    /// more. It may still hold keys.
-    std::optional<keyspace::TargetInstance> Displaced;
+    /// Another target at the sender's address: displaced, but possibly still
+    /// holding keys, if the heartbeat is accepted, alive if the address is
+    /// occupied.
+    std::optional<keyspace::TargetInstance> Occupant;
   };
   /// Whether an instance has sent a heartbeat lately and has not departed.
   using AliveTest = std::function<bool(const keyspace::TargetInstance &)>;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -45,8 +45,9 @@
 } // namespace
 
 CoreNode::CoreNode(base::EventLoopThread &loop, FleetSettings settings,
-                   ControlFormat format)
+                   ControlFormat format, IdentifyProcessHook identify)
     : EventLoop(loop), Settings(std::move(settings)), Format(std::move(format)),
+      IdentifyProcess(std::move(identify)),
       Links(loop, Settings.Host, Settings.LinkPort,
             {[this](const auto &link, const auto &host, Frame frame) {
                onFrame(link, host, std::move(frame));
@@ -204,6 +205,7 @@
   hooks.HasLease = [this] {
     return Runner->core().hasLeaderLease(base::readMonotonic());
   };
+  hooks.IdentifyProcess = IdentifyProcess;
   Leader = std::make_unique<FleetLeader>(std::move(config), State, Format,
                                          LocalView, std::move(hooks), now);
   Leader->setCores(listCores());
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -20,6 +20,8 @@
 /// A target that has missed more heartbeats than this may be replaced by
 /// another process with its id or address.
 constexpr int MissedHeartbeats = 2;
+/// Bounds the connections of checks that are in progress.
+constexpr std::size_t MaxAddressChecks = 64;
 
 /// Adds \p change to the holders of its service in \p update.
 void addHolderChange(ViewUpdate &update, const keyspace::KeyTable &keys,
@@ -149,6 +151,9 @@
       Directory.update(heartbeat.Sender, [&](const TargetInstance &it) {
         return isAlive(it, now);
       });
+  if (result.Verdict == HeartbeatVerdict::Occupied &&
+      checkAddress(call, heartbeat.Sender, *result.Occupant, reply, now))
+    return;
   if (result.Verdict != HeartbeatVerdict::Accepted)
     return answerUnaccepted(heartbeat.Sender, result.Verdict, reply);
   if (result.Former) {
@@ -158,16 +163,16 @@
                    {"former_born", result.Former->StartedAtMs}});
     removeFromView(*result.Former);
   }
-  if (result.Displaced) {
+  if (result.Occupant) {
     base::logInfo("fleet", "a silent target is displaced by another process",
-                  {{"target", result.Displaced->Id},
-                   {"born", result.Displaced->StartedAtMs},
+                  {{"target", result.Occupant->Id},
+                   {"born", result.Occupant->StartedAtMs},
                    {"successor", instance.Id},
                    {"successor_born", instance.StartedAtMs}});
     // Its keys stay its own until its hold ends: that its process has ended is
     // not certain.
-    Grants.onReplaced(*result.Displaced);
-    removeFromView(*result.Displaced);
+    Grants.onReplaced(*result.Occupant);
+    removeFromView(*result.Occupant);
   }
   LastHeartbeat[instance] = now;
   if (State.hasDeparted(instance))
@@ -184,6 +189,39 @@
   });
 }
 
+bool FleetLeader::checkAddress(const Call &call, const Target &sender,
+                               const TargetInstance &occupant,
+                               const ReplyHook &reply, base::MonoTime now) {
+  const auto *service = State.config().findService(sender.Service);
+  auto &next = NextAddressChecks[sender.Address];
+  if (!Hooks.IdentifyProcess || !service || now < next ||
+      CountAddressChecks >= MaxAddressChecks)
+    return false;
+  next = now + Config.Grants.HeartbeatInterval;
+  ++CountAddressChecks;
+  Hooks.IdentifyProcess(
+      sender.Address, service->HealthPath,
+      [this, alive = Alive, call, sender, occupant,
+       reply](const std::optional<std::string> &id) {
+        if (!*alive)
+          return reply(StatusUnavailable, "");
+        --CountAddressChecks;
+        base::logInfo("fleet", "the process at an address was identified",
+                      {{"address", sender.Address},
+                       {"answered", id.value_or("")},
+                       {"sender", sender.Instance.Id},
+                       {"occupant", occupant.Id}});
+        if (id != sender.Instance.Id)
+          return answerUnaccepted(sender, HeartbeatVerdict::Occupied, reply);
+        const auto end = Hooks.ReadTime();
+        Grants.onEnded(occupant, sender.Instance, end);
+        Directory.remove(occupant);
+        removeFromView(occupant);
+        handleHeartbeat(call, reply, end);
+      });
+  return true;
+}
+
 void FleetLeader::answerUnaccepted(const Target &sender,
                                    HeartbeatVerdict verdict,
                                    const ReplyHook &reply) {
@@ -414,6 +452,8 @@
 }
 
 void FleetLeader::dropSilentTargets(base::MonoTime now) {
+  std::erase_if(NextAddressChecks,
+                [&](const auto &check) { return check.second < now; });
   std::vector<TargetInstance> silent;
   for (const auto &[instance, heard] : LastHeartbeat)
     if (now - heard > Config.SilentTargetTime)
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -25,12 +25,12 @@
     if (other && other->Instance.StartedAtMs > target.Instance.StartedAtMs)
       return {};
   if (occupant && IsAlive(occupant->Instance))
-    return {HeartbeatVerdict::Occupied, {}, {}};
+    return {HeartbeatVerdict::Occupied, {}, occupant->Instance};
   UpdateResult result{HeartbeatVerdict::Accepted, {}, {}};
   if (same)
     remove(*(result.Former = same->Instance));
   if (occupant)
-    remove(*(result.Displaced = occupant->Instance));
+    remove(*(result.Occupant = occupant->Instance));
   put(target);
   return result;
 }
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -350,3 +350,89 @@
   REQUIRE(fixture.FakeControl.Answer.Rows);
   CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
 }
+
+// A target that came back under a new id at its old address was answered
+// without keys for three heartbeat intervals, and its keys waited for the hold
+// of a process that had ended.
+TEST_CASE("A target that answers at its address waits for the hold of the one "
+          "before it") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  fixture.Now += 500ms;
+  auto &sender = fixture.FakeControl.Next.Sender;
+  sender = {{"b", 9}, 1, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+
+  SECTION("and is served at once if its address names it") {
+    fixture.Answering["a:80"] = "b";
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 0);
+    fixture.commit();
+    CHECK(fixture.Status == 200);
+    REQUIRE(fixture.FakeControl.Answer.Rows);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
+    fixture.Leader->tick(fixture.Now);
+    CHECK(fixture.Published.targets().size() == 1);
+    CHECK(fixture.Published.holderOf("stock", 0)->Id == "b");
+    // A delayed heartbeat of the ended one changes nothing.
+    CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+  }
+  SECTION("and frees the keys if it has another service") {
+    routing::Service other;
+    other.Name = "other";
+    other.Version = 1;
+    fixture.State.apply(routing::ConfigItems{{}, {other}, {}}, 2);
+    fixture.sendHeartbeat("c", TargetState::Ready);
+    sender = {{"b", 9}, 1, "a:80", "other", "dc-a", 3, TargetState::Ready};
+    fixture.Answering["a:80"] = "b";
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 200);
+    fixture.Leader->tick(fixture.Now);
+    fixture.commit();
+    CHECK(fixture.State.keys().find("stock")->ownerOf(0)->Id == "c");
+  }
+  SECTION("but not if another process answers there, or none") {
+    if (GENERATE(true, false))
+      fixture.Answering["a:80"] = GENERATE("a", "x");
+    CHECK(fixture.call(CallKind::Heartbeat, "b", "") == 200);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+    CHECK(fixture.CountChecks == 1);
+    // An address is checked once in a heartbeat interval.
+    ++sender.Sequence;
+    fixture.call(CallKind::Heartbeat, "b", "");
+    CHECK(fixture.CountChecks == 1);
+    CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+    REQUIRE(fixture.FakeControl.Answer.Rows);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
+  }
+}
+
+TEST_CASE("A stripe of a restart that another writer announced passes on with "
+          "an address") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  const auto lastGrant = fixture.Now;
+  auto &sender = fixture.FakeControl.Next.Sender;
+  // The restart of "a" is announced in its name, at another address.
+  sender = {{"a", 9}, 1, "x:80", "stock", "dc-a", 3, TargetState::Ready};
+  fixture.call(CallKind::Heartbeat, "a", "");
+  fixture.commit();
+  sender = {{"b", 12}, 1, "x:80", "stock", "dc-a", 3, TargetState::Ready};
+  fixture.Answering["x:80"] = "b";
+  fixture.call(CallKind::Heartbeat, "b", "");
+  const auto owner = [&] {
+    return fixture.State.keys().find("stock")->ownerOf(0)->Id;
+  };
+  while (fixture.Now < lastGrant + 3900ms) {
+    fixture.Leader->tick(fixture.Now);
+    fixture.commit();
+    CHECK(owner() == "a");
+    fixture.Now += 100ms;
+    ++sender.Sequence;
+    fixture.call(CallKind::Heartbeat, "b", "");
+  }
+  fixture.Now += 1s;
+  ++sender.Sequence;
+  fixture.call(CallKind::Heartbeat, "b", "");
+  fixture.Leader->tick(fixture.Now);
+  fixture.commit();
+  CHECK(owner() == "b");
+}
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -5,7 +5,9 @@
 #include "fleet/FleetLeader.h"
 
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -80,6 +82,13 @@
     };
     hooks.HasLease = [this] { return HasLease; };
     hooks.ReadTime = [this] { return Now; };
+    if (ChecksAddresses)
+      hooks.IdentifyProcess = [this](const std::string &address,
+                                     const std::string &, auto done) {
+        ++CountChecks;
+        const auto it = Answering.find(address);
+        done(it == Answering.end() ? std::nullopt : std::optional(it->second));
+      };
     Leader = std::make_unique<FleetLeader>(config, State, Format, Published,
                                            hooks, Now);
     Leader->start();
@@ -132,6 +141,10 @@
   consensus::LogIndex Index = 10;
   std::uint64_t Sequence = 0;
   bool HasLease = true;
+  bool ChecksAddresses = true;
+  /// Id of the process that answers health checks, by address.
+  std::map<std::string, std::string> Answering;
+  std::size_t CountChecks = 0;
   std::uint16_t Status = 0;
   std::string Text;
 };
--- a/packages/fleet/tests/TargetDirectoryTest.cpp
+++ b/packages/fleet/tests/TargetDirectoryTest.cpp
@@ -46,7 +46,7 @@
     const auto result = directory.update(makeTarget({"a", 11}, 1), anyAlive);
     CHECK(result.Verdict == HeartbeatVerdict::Accepted);
     CHECK(result.Former == TargetInstance{"a", 10});
-    CHECK_FALSE(result.Displaced);
+    CHECK_FALSE(result.Occupant);
     CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
           HeartbeatVerdict::Late);
   }
@@ -60,7 +60,7 @@
   }
   SECTION("another target at the address displaces a silent one") {
     const auto result = directory.update(makeTarget({"b", 12}, 1), noneAlive);
-    CHECK(result.Displaced == TargetInstance{"a", 10});
+    CHECK(result.Occupant == TargetInstance{"a", 10});
     CHECK_FALSE(result.Former);
     SECTION("a delayed heartbeat of the displaced target is refused") {
       CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
@@ -82,7 +82,7 @@
   SECTION("a target at another address displaces no other") {
     CHECK_FALSE(
         directory.update(makeTarget({"b", 12}, 1, "10.0.0.2:80"), noneAlive)
-            .Displaced);
+            .Occupant);
     CHECK(directory.find("a") != nullptr);
   }
 }
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -82,15 +82,21 @@
   /// The target will send no more heartbeats, but may use its stripes until its
   /// hold ends.
   void onDeparture(const TargetInstance &instance);
+  /// The process of the target has ended for certain: \p successor answers at
+  /// its address. Its stripes pass to the successor if that has the same
+  /// service, else they are free.
+  void onEnded(const TargetInstance &instance, const TargetInstance &successor,
+               base::MonoTime now);
   /// Another process has the address of the target, which has fallen silent.
   /// It may use its stripes until its hold ends, and may return.
   void onReplaced(const TargetInstance &instance);
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
   std::vector<KeyAssignment> plan(base::MonoTime now);
-  /// The assignment that passes the stripes of earlier instances to the target
-  /// \p heir, to be handled like one returned by plan(); none if there are no
-  /// such stripes or another assignment of the service is in progress.
+  /// The assignment that passes the stripes of ended instances to their
+  /// successor \p heir, to be handled like one returned by plan(); none if
+  /// there are no such stripes or another assignment of the service is in
+  /// progress.
   std::optional<KeyAssignment> planInheritance(const TargetInstance &heir,
                                                base::MonoTime now);
   /// An assignment was applied and moved the stripes \p moved.
@@ -114,8 +120,11 @@
     base::MonoTime LastHeartbeat;
     bool HasReported = false;
     bool IsLeaving = false;
-    /// The instance as which the target has started again.
+    /// The instance as which the target has started again, or that has taken
+    /// its address.
     std::optional<TargetInstance> Successor;
+    /// Instances that this one, directly or not, is the successor of.
+    std::vector<TargetInstance> Predecessors;
   };
   struct Stripe {
     /// Omitted from answers to its owner, so that the owner releases it.
@@ -156,6 +165,9 @@
   std::size_t maxRowsPerAnswer() const;
   Keys &keysOf(const std::string &service);
   base::Duration maxHoldDuration() const;
+  /// Makes \p successor the heir of the stripes of \p former.
+  void setSuccessor(const TargetInstance &former, InstanceState &state,
+                    const TargetInstance &successor);
   /// Makes \p successor the heir of the earlier instances of its id.
   void endEarlierInstances(const TargetInstance &successor);
   void recordReleases(const KeyReport &report, const ServiceKeys &owned);
@@ -164,14 +176,12 @@
   void setActive(const std::string &service, std::uint32_t stripe, bool active);
   void revokeAll(const TargetInstance &instance, const InstanceState &state);
   static void revoke(Keys &keys, std::uint32_t stripe);
-  /// The latest instance as which the target has started again, if it has.
+  /// The last in the row of its successors; null if there is none.
   const TargetInstance *findHeir(const InstanceState &state) const;
   /// Adds the stripes of \p owner to an assignment that passes them to its
-  /// heir.
-  static void addInheritance(const TargetInstance &owner,
-                             const InstanceState &state,
-                             const ServiceKeys &owned, Keys &keys,
-                             KeyAssignment &assignment);
+  /// heir, the last one of the assignment's owners.
+  void addInheritance(const TargetInstance &owner, const ServiceKeys &owned,
+                      KeyAssignment &assignment, base::MonoTime now);
   /// Passes stripes to candidates that are heirs of their owners.
   std::optional<KeyAssignment> planInheritances(const std::string &service,
                                                 base::MonoTime now);
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -234,18 +234,44 @@
   // Instances are sorted by id, then by start.
   for (auto it = Instances.lower_bound({successor.Id, 0});
        it != Instances.end() && it->first < successor; ++it) {
-    if (it->second.Successor)
-      continue;
-    it->second.Successor = successor;
-    it->second.IsLeaving = true;
-    revokeAll(it->first, it->second);
+    if (!it->second.Successor)
+      setSuccessor(it->first, it->second, successor);
   }
 }
 
+void GrantController::setSuccessor(const TargetInstance &former,
+                                   InstanceState &state,
+                                   const TargetInstance &successor) {
+  state.Successor = successor;
+  state.IsLeaving = true;
+  revokeAll(former, state);
+  auto &predecessors = Instances[successor].Predecessors;
+  const ServiceKeys *owned = Table.find(state.Service);
+  const auto add = [&](const TargetInstance &instance) {
+    if (owned && !owned->stripesOf(instance).empty())
+      predecessors.push_back(instance);
+  };
+  add(former);
+  std::ranges::for_each(state.Predecessors, add);
+}
+
+void GrantController::onEnded(const TargetInstance &instance,
+                              const TargetInstance &successor,
+                              base::MonoTime now) {
+  const auto it = Instances.find(instance);
+  if (it == Instances.end())
+    return;
+  it->second.HoldEnd = std::min(it->second.HoldEnd, now);
+  // Successors have started later, so that no row of them is a cycle.
+  if (instance.StartedAtMs < successor.StartedAtMs)
+    return setSuccessor(instance, it->second, successor);
+  it->second.IsLeaving = true;
+  revokeAll(instance, it->second);
+}
+
 const TargetInstance *
 GrantController::findHeir(const InstanceState &state) const {
   const TargetInstance *heir = nullptr;
-  // Each successor has started later, so this ends.
   for (const auto *it = &state; it && it->Successor;) {
     heir = &*it->Successor;
     const auto next = Instances.find(*heir);
@@ -356,12 +382,8 @@
   if (!owned || keys.IsProposed)
     return std::nullopt;
   KeyAssignment assignment{service, owned->countStripes(), {heir}, {}};
-  for (auto former = Instances.lower_bound({heir.Id, 0}); former != it;
-       ++former) {
-    const TargetInstance *found = findHeir(former->second);
-    if (found && *found == heir && former->second.Service == service)
-      addInheritance(former->first, former->second, *owned, keys, assignment);
-  }
+  for (const TargetInstance &former : it->second.Predecessors)
+    addInheritance(former, *owned, assignment, now);
   if (assignment.Moves.empty())
     return std::nullopt;
   keys.IsProposed = true;
@@ -369,13 +391,16 @@
 }
 
 void GrantController::addInheritance(const TargetInstance &owner,
-                                     const InstanceState &state,
-                                     const ServiceKeys &owned, Keys &keys,
-                                     KeyAssignment &assignment) {
+                                     const ServiceKeys &owned,
+                                     KeyAssignment &assignment,
+                                     base::MonoTime now) {
+  const InstanceState &state = Instances.at(owner);
+  const bool IsSameId = assignment.Owners.back().Id == owner.Id;
+  Keys &keys = keysOf(assignment.Service);
   for (std::uint32_t i : owned.stripesOf(owner)) {
     Stripe &stripe = keys.Stripes[i];
-    // A stripe that was released before the restart is free for any target.
-    if (stripe.IsReleased)
+    // A stripe that was released before is free for any target.
+    if (stripe.IsReleased || (!IsSameId && stripe.FormerHoldEnd > now))
       continue;
     stripe.IsProposed = true;
     stripe.FormerHoldEnd = std::max(stripe.FormerHoldEnd, state.HoldEnd);
@@ -403,7 +428,7 @@
         !isCandidate(found->second, now))
       continue;
     assignment.Owners.push_back(*heir);
-    addInheritance(owner, state->second, *owned, keysOf(service), assignment);
+    addInheritance(owner, *owned, assignment, now);
   }
   if (assignment.Moves.empty())
     return std::nullopt;
