OWNER: a leader without a view takes committed keys before a first claim

Cause: a new leader without a view knows no addresses, and treated the first caller at each as its owner, although the committed key table names the lives that hold keys.

Fix: a life to which stripes are committed, which may still hold them and has not reported to this leader, displaces whoever announced its address before. A life of which the key table has a later one is late. A displaced target gets no stripes before its next heartbeat. A target that contradicts its address is taken at its word if that address answers with its id.

--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -88,11 +88,11 @@
   /// Answers a heartbeat that changes nothing.
   void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
                         const ReplyHook &reply);
-  /// Checks which process is at an address that \p occupant has, and handles
-  /// the heartbeat again after \p occupant is shown to have ended. Returns
-  /// false if no check is started.
+  /// Checks which process is at the sender's address if the directory has
+  /// another there, or the sender elsewhere, and handles the heartbeat again if
+  /// it is the sender. Returns false if no check is started.
   bool checkAddress(const Call &call, const Target &sender,
-                    const keyspace::TargetInstance &occupant,
+                    const TargetDirectory::UpdateResult &result,
                     const ReplyHook &reply, base::MonoTime now);
   bool isAlive(const keyspace::TargetInstance &instance,
                base::MonoTime now) const;
--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -35,19 +35,27 @@
     std::optional<keyspace::TargetInstance> Former;
     /// Another target at the sender's address: displaced, but possibly still
     /// holding keys, if the heartbeat is accepted, alive if the address is
-    /// occupied.
+    /// occupied. The sender itself if it contradicts its address.
     std::optional<keyspace::TargetInstance> Occupant;
   };
-  /// Whether an instance has sent a heartbeat lately and has not departed.
-  using AliveTest = std::function<bool(const keyspace::TargetInstance &)>;
+  using InstanceTest = std::function<bool(const keyspace::TargetInstance &)>;
+  /// What else is known of the instances that a heartbeat concerns.
+  struct Evidence {
+    /// Whether an instance has sent a heartbeat lately and has not departed.
+    InstanceTest IsAlive;
+    /// Whether the group has committed keys to an instance that has sent no
+    /// heartbeat to this leader yet. The directory may then lack its address.
+    InstanceTest IsUnreportedHolder;
+  };
 
   /// Records the sender of a heartbeat, if the heartbeat is accepted. A later
   /// instance of an id is that target's own statement that it has started again
   /// and is accepted at once. What a heartbeat implies about a target with
   /// another id is taken from one party only, so none is displaced while it is
-  /// alive. An earlier process never takes the place of a later one: heartbeats
-  /// may be delayed for as long as a partition lasts.
-  UpdateResult update(const Target &target, const AliveTest &IsAlive);
+  /// alive, except by a holder whose address the directory lacked when it
+  /// accepted the other. An earlier process never takes the place of a later
+  /// one: heartbeats may be delayed for as long as a partition lasts.
+  UpdateResult update(const Target &target, const Evidence &evidence);
   void remove(const keyspace::TargetInstance &instance);
   /// The instance of \p id that is in use; null when there is none.
   const Target *find(const std::string &id) const;
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -148,11 +148,15 @@
                                          heartbeat.Sender.Service + "'"});
   }
   const auto result =
-      Directory.update(heartbeat.Sender, [&](const TargetInstance &it) {
-        return isAlive(it, now);
-      });
-  if (result.Verdict == HeartbeatVerdict::Occupied &&
-      checkAddress(call, heartbeat.Sender, *result.Occupant, reply, now))
+      Grants.hasLaterInstance(instance)
+          ? TargetDirectory::UpdateResult{}
+          : Directory.update(heartbeat.Sender,
+                             {[&](const auto &it) { return isAlive(it, now); },
+                              [&](const auto &it) {
+                                return Grants.isUnreportedHolder(it, now);
+                              }});
+  if (result.Occupant && result.Verdict != HeartbeatVerdict::Accepted &&
+      checkAddress(call, heartbeat.Sender, result, reply, now))
     return;
   if (result.Verdict != HeartbeatVerdict::Accepted)
     return answerUnaccepted(heartbeat.Sender, result.Verdict, reply);
@@ -164,7 +168,7 @@
     removeFromView(*result.Former);
   }
   if (result.Occupant) {
-    base::logInfo("fleet", "a silent target is displaced by another process",
+    base::logInfo("fleet", "a target is displaced by another process",
                   {{"target", result.Occupant->Id},
                    {"born", result.Occupant->StartedAtMs},
                    {"successor", instance.Id},
@@ -190,7 +194,7 @@
 }
 
 bool FleetLeader::checkAddress(const Call &call, const Target &sender,
-                               const TargetInstance &occupant,
+                               const TargetDirectory::UpdateResult &result,
                                const ReplyHook &reply, base::MonoTime now) {
   const auto *service = State.config().findService(sender.Service);
   auto &next = NextAddressChecks[sender.Address];
@@ -201,8 +205,8 @@
   ++CountAddressChecks;
   Hooks.IdentifyProcess(
       sender.Address, service->HealthPath,
-      [this, alive = Alive, call, sender, occupant,
-       reply](const std::optional<std::string> &id) {
+      [this, alive = Alive, call, sender, occupant = *result.Occupant,
+       verdict = result.Verdict, reply](const std::optional<std::string> &id) {
         if (!*alive)
           return reply(StatusUnavailable, "");
         --CountAddressChecks;
@@ -212,11 +216,13 @@
                        {"sender", sender.Instance.Id},
                        {"occupant", occupant.Id}});
         if (id != sender.Instance.Id)
-          return answerUnaccepted(sender, HeartbeatVerdict::Occupied, reply);
+          return answerUnaccepted(sender, verdict, reply);
         const auto end = Hooks.ReadTime();
-        Grants.onEnded(occupant, sender.Instance, end);
         Directory.remove(occupant);
-        removeFromView(occupant);
+        if (occupant != sender.Instance) {
+          Grants.onEnded(occupant, sender.Instance, end);
+          removeFromView(occupant);
+        }
         handleHeartbeat(call, reply, end);
       });
   return true;
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -3,29 +3,43 @@
 
 namespace magnoliamill::fleet {
 
+namespace {
+
+bool never(const keyspace::TargetInstance &) { return false; }
+
+} // namespace
+
 TargetDirectory::TargetDirectory(
     const std::map<keyspace::TargetInstance, Target> &known) {
   for (const auto &[instance, target] : known)
-    update(target, [](const auto &) { return false; });
+    update(target, {never, never});
 }
 
 TargetDirectory::UpdateResult
-TargetDirectory::update(const Target &target, const AliveTest &IsAlive) {
+TargetDirectory::update(const Target &target, const Evidence &evidence) {
   const Target *same = find(target.Instance.Id);
   if (same && same->Instance == target.Instance) {
     if (target.Sequence <= same->Sequence)
       return {};
-    if (target.Address != same->Address || target.Service != same->Service)
+    if (target.Service != same->Service)
       return {HeartbeatVerdict::Contradicting, {}, {}};
+    if (target.Address != same->Address)
+      return {HeartbeatVerdict::Contradicting, {}, same->Instance};
     put(target);
     return {HeartbeatVerdict::Accepted, {}, {}};
   }
   const Target *occupant = findOccupant(target);
-  for (const Target *other : {same, occupant})
-    if (other && other->Instance.StartedAtMs > target.Instance.StartedAtMs)
+  const auto isLater = [&](const Target *other) {
+    return other && other->Instance.StartedAtMs > target.Instance.StartedAtMs;
+  };
+  if (isLater(same))
+    return {};
+  if (occupant && !evidence.IsUnreportedHolder(target.Instance)) {
+    if (isLater(occupant))
       return {};
-  if (occupant && IsAlive(occupant->Instance))
-    return {HeartbeatVerdict::Occupied, {}, occupant->Instance};
+    if (evidence.IsAlive(occupant->Instance))
+      return {HeartbeatVerdict::Occupied, {}, occupant->Instance};
+  }
   UpdateResult result{HeartbeatVerdict::Accepted, {}, {}};
   if (same)
     remove(*(result.Former = same->Instance));
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -436,3 +436,36 @@
   fixture.commit();
   CHECK(owner() == "b");
 }
+
+// After all cores were killed, one foreign heartbeat won the address of a
+// target that held keys.
+TEST_CASE("A new leader without a view takes the first caller's claim before "
+          "the committed keys") {
+  LeaderFixture fixture;
+  fixture.ChecksAddresses = false;
+  fixture.assignAllStripes();
+  fixture.loseView();
+  auto &sender = fixture.FakeControl.Next.Sender;
+
+  SECTION("at the address of a holder") {
+    for (std::uint64_t sequence = 1; sequence < 9; ++sequence) {
+      sender = {{"f", 9}, sequence,          "a:80", "stock", "dc-a",
+                3,        TargetState::Ready};
+      CHECK(fixture.call(CallKind::Heartbeat, "f", "") == 200);
+      CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 200);
+      REQUIRE(fixture.FakeControl.Answer.Rows);
+      CHECK_FALSE(fixture.FakeControl.Answer.Rows->empty());
+      fixture.Now += 500ms;
+      fixture.Leader->tick(fixture.Now);
+      fixture.commit();
+    }
+    CHECK(fixture.Published.targets().size() == 1);
+    CHECK(fixture.Published.holderOf("stock", 0)->Id == "a");
+  }
+  SECTION("of an earlier instance of a holder") {
+    sender = {{"a", 4}, 999, "a:80", "stock", "dc-a", 3, TargetState::Ready};
+    CHECK(fixture.call(CallKind::Heartbeat, "a", "") == 200);
+    CHECK_FALSE(fixture.FakeControl.Answer.Rows);
+    CHECK(fixture.Published.targets().empty());
+  }
+}
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -93,6 +93,14 @@
                                            hooks, Now);
     Leader->start();
   }
+  /// Ends the leader between two calls. The next one starts without a view, as
+  /// after a restart of all cores.
+  void loseView() {
+    Published = View();
+    startLeader(++Term);
+    for (auto &proposal : std::exchange(Proposals, {}))
+      proposal.Done(base::fail(base::ResultCode::ChangeOutcomeUnknown, ""));
+  }
   /// Applies the proposed commands and reports them as committed.
   void commit() {
     for (auto &proposal : std::exchange(Proposals, {})) {
@@ -139,6 +147,7 @@
   std::unique_ptr<FleetLeader> Leader;
   base::MonoTime Now{1h};
   consensus::LogIndex Index = 10;
+  std::uint64_t Term = 1;
   std::uint64_t Sequence = 0;
   bool HasLease = true;
   bool ChecksAddresses = true;
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -88,7 +88,7 @@
   void onEnded(const TargetInstance &instance, const TargetInstance &successor,
                base::MonoTime now);
   /// Another process has the address of the target, which has fallen silent.
-  /// It may use its stripes until its hold ends, and may return.
+  /// The target may use its stripes until its hold ends, and may return.
   void onReplaced(const TargetInstance &instance);
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
@@ -110,6 +110,12 @@
   /// The holder that receives the stripe's requests; null if there is none.
   const TargetInstance *holderOf(const std::string &service,
                                  std::uint32_t stripe) const;
+  /// True if a stripe is committed to the target, which may still hold it, and
+  /// the target has not sent a heartbeat since this controller was created.
+  bool isUnreportedHolder(const TargetInstance &instance,
+                          base::MonoTime now) const;
+  /// True if a later instance of the same id owns or has owned stripes.
+  bool hasLaterInstance(const TargetInstance &instance) const;
   const GrantConfig &config() const { return Config; }
 
 private:
@@ -120,6 +126,9 @@
     base::MonoTime LastHeartbeat;
     bool HasReported = false;
     bool IsLeaving = false;
+    /// Another process has its address; it gets no stripes before its next
+    /// heartbeat.
+    bool IsDisplaced = false;
     /// The instance as which the target has started again, or that has taken
     /// its address.
     std::optional<TargetInstance> Successor;
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -119,6 +119,7 @@
   state.Service = report.Service;
   state.Slots = std::max(report.Slots, 1U);
   state.LastHeartbeat = now;
+  state.IsDisplaced = false;
   state.HoldEnd = now + maxHoldDuration();
   Keys &keys = keysOf(report.Service);
   if (!keys.FirstHeartbeat)
@@ -226,8 +227,11 @@
 }
 
 void GrantController::onReplaced(const TargetInstance &id) {
-  if (auto it = Instances.find(id); it != Instances.end())
-    revokeAll(id, it->second);
+  auto it = Instances.find(id);
+  if (it == Instances.end())
+    return;
+  it->second.IsDisplaced = true;
+  revokeAll(id, it->second);
 }
 
 void GrantController::endEarlierInstances(const TargetInstance &successor) {
@@ -312,7 +316,7 @@
 
 bool GrantController::isCandidate(const InstanceState &state,
                                   base::MonoTime now) const {
-  return state.HasReported && !state.IsLeaving &&
+  return state.HasReported && !state.IsLeaving && !state.IsDisplaced &&
          now - state.LastHeartbeat <=
              Config.HeartbeatInterval * (MissedHeartbeats + 1);
 }
@@ -554,6 +558,21 @@
     stripe.IsProposed = false;
 }
 
+bool GrantController::isUnreportedHolder(const TargetInstance &instance,
+                                         base::MonoTime now) const {
+  const auto it = Instances.find(instance);
+  if (it == Instances.end() || it->second.HasReported ||
+      it->second.HoldEnd <= now)
+    return false;
+  const ServiceKeys *owned = Table.find(it->second.Service);
+  return owned && !owned->stripesOf(instance).empty();
+}
+
+bool GrantController::hasLaterInstance(const TargetInstance &instance) const {
+  const auto it = Instances.upper_bound(instance);
+  return it != Instances.end() && it->first.Id == instance.Id;
+}
+
 std::vector<StripeChange> GrantController::takeChanges() {
   return std::exchange(Changes, {});
 }
