DRAIN: what others send does not push out an acknowledged departure

Cause: the replicated state kept the 4,096 newest departures, whoever sent them, and since any id and birth in a leave call is one. The size of the memory of a promise was controlled by another party.

Fix: none is dropped to make room. A departure is kept until 120 s after the last call of its target; the next one names those that have expired, in its log entry (new field expired), so that all cores forget the same ones. When 4,096 are kept, leave calls for ids of which neither view nor keys give evidence are refused with 503 and a numbered error; from known targets up to 32,768 are taken. Ids of more than 256 bytes are refused.

Log: "a departure was refused, too many are kept".

The same class elsewhere, by reading: pauses and limits of targets belong to targets in the view; tombstones of the configuration are not bounded, and only operators add them; crash reports are bounded by time and number (not tested).

--- a/packages/fleet/Commands.h
+++ b/packages/fleet/Commands.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "base/Result.h"
+#include "consensus/Types.h"
 #include "keyspace/Types.h"
 #include "routing/ConfigItems.h"
 
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace magnoliamill::fleet {
 
@@ -16,6 +18,8 @@
 /// new work.
 struct TargetDeparture {
   keyspace::TargetInstance Instance;
+  /// Log indices of earlier departures, which are forgotten with this command.
+  std::vector<consensus::LogIndex> Expired = {};
 };
 
 using Command = std::variant<routing::ConfigItems, keyspace::KeyAssignment,
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -30,6 +30,15 @@
   keyspace::GrantConfig Grants;
   /// A target that sends no heartbeat for longer is removed from the view.
   base::Duration SilentTargetTime = std::chrono::seconds(30);
+  /// How long a departure is kept after the departed target's last call. Its
+  /// heartbeats may be held up by a partition for some seconds.
+  base::Duration DepartureTime = std::chrono::seconds(120);
+  /// Departures are kept up to this number. When it is reached, further ones
+  /// are refused until earlier ones have expired.
+  std::size_t MaxDepartures = 32768;
+  /// Below this number, departures are also accepted of targets of which
+  /// neither the view nor the keys give evidence.
+  std::size_t MaxUnknownDepartures = 4096;
 };
 
 /// Requests the id of the process at \p address (HOST:PORT) from that process
@@ -101,6 +110,12 @@
   /// Answers with the stripes that the sender may hold.
   void grantStripes(const keyspace::KeyReport &report, const ReplyHook &reply,
                     base::MonoTime now);
+  /// True if there is room for one more departure.
+  bool mayDepart(const keyspace::TargetInstance &instance) const;
+  void refuseDeparture(const keyspace::TargetInstance &instance,
+                       const ReplyHook &reply);
+  /// Log indices of departures that no longer bind, a limited number.
+  std::vector<consensus::LogIndex> listExpiredDepartures() const;
   void commitDeparture(const keyspace::TargetInstance &instance,
                        std::function<void(base::Result<void>)> done);
   /// Removes an instance that the sender of a heartbeat has taken the place of.
@@ -124,6 +139,11 @@
   /// Earliest time of the next check of an address.
   std::map<std::string, base::MonoTime> NextAddressChecks;
   std::size_t CountAddressChecks = 0;
+  /// Time of the last call of each departed target that this leader has
+  /// received; the start of the leader for earlier ones.
+  std::map<keyspace::TargetInstance, base::MonoTime> DepartedCalls;
+  /// Departures that are proposed and not committed yet.
+  std::size_t CountPendingDepartures = 0;
   std::vector<VmAddress> Cores;
   std::uint64_t LastUpdateNumber = 0;
   /// Changes of configuration that are proposed and not committed yet, in the
--- a/packages/fleet/FleetState.h
+++ b/packages/fleet/FleetState.h
@@ -36,13 +36,17 @@
   bool hasDeparted(const keyspace::TargetInstance &instance) const {
     return Parts.Departures.contains(instance);
   }
+  /// Index of the log entry of each departure that is kept. None is dropped
+  /// before a later departure names it as expired.
+  const std::map<keyspace::TargetInstance, consensus::LogIndex> &
+  departures() const {
+    return Parts.Departures;
+  }
 
 private:
-  void rememberDeparture(const keyspace::TargetInstance &instance,
-                         consensus::LogIndex index);
+  void recordDeparture(const TargetDeparture &departure,
+                       consensus::LogIndex index);
 
-  /// Departures maps each instance to the index of its log entry; only the
-  /// newest are kept.
   internal::SnapshotParts Parts;
 };
 
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -667,6 +667,17 @@
 
 } // namespace
 
+namespace {
+
+TargetDeparture decodeDeparture(wire::Command::Reader from) {
+  TargetDeparture departure{decode(from.getDeparture()), {}};
+  for (const auto index : from.getExpired())
+    departure.Expired.push_back(index);
+  return departure;
+}
+
+} // namespace
+
 std::string encodeCommand(const Command &command) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::Command>();
@@ -674,8 +685,13 @@
     encode(*items, root.initItems());
   else if (const auto *moves = std::get_if<keyspace::KeyAssignment>(&command))
     encode(*moves, root.initAssignment());
-  else
-    encode(std::get<TargetDeparture>(command).Instance, root.initDeparture());
+  else {
+    const auto &departure = std::get<TargetDeparture>(command);
+    encode(departure.Instance, root.initDeparture());
+    auto expired = root.initExpired(sizeOf(departure.Expired));
+    for (capnp::uint i = 0; i < expired.size(); ++i)
+      expired.set(i, departure.Expired[i]);
+  }
   return serialize(message);
 }
 
@@ -688,7 +704,7 @@
         case wire::Command::ASSIGNMENT:
           return decode(from.getAssignment());
         case wire::Command::DEPARTURE:
-          return TargetDeparture{decode(from.getDeparture())};
+          return decodeDeparture(from);
         }
         // The macro ends with an empty statement.
         // NOLINTNEXTLINE(bugprone-suspicious-semicolon)
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -22,6 +22,10 @@
 constexpr int MissedHeartbeats = 2;
 /// Bounds the connections of checks that are in progress.
 constexpr std::size_t MaxAddressChecks = 64;
+/// Longer ids are refused: ids of departed targets are kept.
+constexpr std::size_t MaxIdBytes = 256;
+/// Bounds the size of the command of a departure.
+constexpr std::size_t MaxExpiredPerCommand = 16;
 
 /// Adds \p change to the holders of its service in \p update.
 void addHolderChange(ViewUpdate &update, const keyspace::KeyTable &keys,
@@ -59,6 +63,8 @@
       Hooks(std::move(hooks)), Directory(known.targets()),
       Grants(state.keys(), makeGrantConfig(), now), Targets(known.targets()),
       Cores(known.cores()), NextSilenceCheck(now + SilenceCheckInterval) {
+  for (const auto &[instance, index] : State.departures())
+    DepartedCalls[instance] = now;
   for (auto &[instance, target] : Targets) {
     LastHeartbeat[instance] = now;
     if (State.hasDeparted(instance))
@@ -101,6 +107,10 @@
   if (!Hooks.HasLease())
     return refuse(reply, StatusUnavailable,
                   {ResultCode::NoQuorum, "the leader has no quorum"});
+  if (call.Name.size() > MaxIdBytes)
+    return refuse(
+        reply, StatusBadRequest,
+        {ResultCode::AnnouncementInvalid, "the target's id is too long"});
   switch (call.Kind) {
   case CallKind::Heartbeat:
     return handleHeartbeat(call, reply, now);
@@ -179,10 +189,15 @@
     removeFromView(*result.Occupant);
   }
   LastHeartbeat[instance] = now;
-  if (State.hasDeparted(instance))
+  const bool HasDeparted = State.hasDeparted(instance);
+  if (HasDeparted) {
     heartbeat.Sender.State = TargetState::Leaving;
-  const bool IsNewlyLeaving = heartbeat.Sender.State == TargetState::Leaving &&
-                              !State.hasDeparted(instance);
+    DepartedCalls[instance] = now;
+  }
+  const bool IsNewlyLeaving =
+      heartbeat.Sender.State == TargetState::Leaving && !HasDeparted;
+  if (IsNewlyLeaving && !mayDepart(instance))
+    return refuseDeparture(instance, reply);
   if (!IsNewlyLeaving)
     return answerHeartbeat(heartbeat, reply, now);
   commitDeparture(instance, [this, alive = Alive, heartbeat,
@@ -311,13 +326,55 @@
   });
 }
 
+bool FleetLeader::mayDepart(const TargetInstance &instance) const {
+  const std::size_t count = State.departures().size() + CountPendingDepartures;
+  const bool IsKnown = Targets.contains(instance) || Grants.isOwner(instance);
+  return count <
+             (IsKnown ? Config.MaxDepartures : Config.MaxUnknownDepartures) ||
+         !listExpiredDepartures().empty();
+}
+
+void FleetLeader::refuseDeparture(const TargetInstance &instance,
+                                  const ReplyHook &reply) {
+  base::logWarning("fleet", ResultCode::RateLimited,
+                   "a departure was refused, too many are kept",
+                   {{"target", instance.Id},
+                    {"born", instance.StartedAtMs},
+                    {"kept", State.departures().size()}});
+  refuse(reply, StatusUnavailable,
+         {ResultCode::RateLimited,
+          "too many targets have left; send the call again"});
+}
+
+std::vector<consensus::LogIndex> FleetLeader::listExpiredDepartures() const {
+  const auto now = Hooks.ReadTime();
+  std::vector<consensus::LogIndex> expired;
+  for (const auto &[instance, called] : DepartedCalls) {
+    if (now - called <= Config.DepartureTime)
+      continue;
+    if (const auto it = State.departures().find(instance);
+        it != State.departures().end())
+      expired.push_back(it->second);
+    if (expired.size() >= MaxExpiredPerCommand)
+      break;
+  }
+  return expired;
+}
+
 void FleetLeader::commitDeparture(
     const TargetInstance &instance,
     std::function<void(base::Result<void>)> done) {
-  Hooks.Propose(TargetDeparture{instance},
+  ++CountPendingDepartures;
+  Hooks.Propose(TargetDeparture{instance, listExpiredDepartures()},
                 [this, alive = Alive, instance,
                  done = std::move(done)](const base::Result<void> &committed) {
+                  if (*alive)
+                    --CountPendingDepartures;
                   if (committed && *alive) {
+                    DepartedCalls[instance] = Hooks.ReadTime();
+                    std::erase_if(DepartedCalls, [this](const auto &call) {
+                      return !State.hasDeparted(call.first);
+                    });
                     base::logInfo("fleet", "a target leaves",
                                   {{"target", instance.Id},
                                    {"born", instance.StartedAtMs}});
@@ -353,6 +410,8 @@
   };
   if (State.hasDeparted(instance))
     return Acknowledge();
+  if (!mayDepart(instance))
+    return refuseDeparture(instance, reply);
   // Also if it is not known: a new leader may not have received its heartbeat
   // yet, and one may still be on its way.
   commitDeparture(instance, [alive = Alive, Acknowledge,
--- a/packages/fleet/internal/FleetState.cpp
+++ b/packages/fleet/internal/FleetState.cpp
@@ -4,14 +4,6 @@
 #include <algorithm>
 
 namespace magnoliamill::fleet {
-namespace {
-
-/// Number of departures kept. A departed target exits within seconds, so this
-/// is many times the number that can be in progress at once.
-constexpr std::size_t MaxDepartures = 4096;
-
-} // namespace
-
 StateChange FleetState::apply(const Command &command,
                               consensus::LogIndex index) {
   StateChange change;
@@ -22,19 +14,18 @@
     change.Service = moves->Service;
     change.MovedStripes = Parts.Keys.apply(*moves, index);
   } else {
-    rememberDeparture(std::get<TargetDeparture>(command).Instance, index);
+    recordDeparture(std::get<TargetDeparture>(command), index);
   }
   return change;
 }
 
-void FleetState::rememberDeparture(const keyspace::TargetInstance &instance,
-                                   consensus::LogIndex index) {
-  auto &departures = Parts.Departures;
-  departures.emplace(instance, index);
-  if (departures.size() <= MaxDepartures)
-    return;
-  departures.erase(std::ranges::min_element(
-      departures, {}, [](const auto &entry) { return entry.second; }));
+void FleetState::recordDeparture(const TargetDeparture &departure,
+                                 consensus::LogIndex index) {
+  std::erase_if(Parts.Departures, [&](const auto &entry) {
+    return std::ranges::find(departure.Expired, entry.second) !=
+           departure.Expired.end();
+  });
+  Parts.Departures.emplace(departure.Instance, index);
 }
 
 std::string FleetState::encodeSnapshot() const {
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -469,3 +469,64 @@
     CHECK(fixture.Published.targets().empty());
   }
 }
+
+// Leave calls for 5,000 ids that no target has pushed out an acknowledged
+// departure, and a late heartbeat brought its target back.
+TEST_CASE("A flood of leave calls pushes out an acknowledged departure") {
+  LeaderFixture fixture;
+  fixture.assignAllStripes();
+  fixture.FakeControl.LeaveStart = 5;
+  fixture.call(CallKind::Leave, "a", "");
+  fixture.commit();
+  REQUIRE(fixture.Status == 200);
+  std::size_t acknowledged = 0;
+  const auto flood = [&](std::string_view prefix, std::size_t count) {
+    for (std::size_t n = 0; n < count; ++n) {
+      fixture.call(CallKind::Leave, std::string(prefix) + std::to_string(n),
+                   "");
+      fixture.commit();
+      CHECK((fixture.Status == 200 || fixture.Status == 503));
+      acknowledged += fixture.Status == 200 ? 1 : 0;
+    }
+  };
+  flood("x", 5000);
+  CHECK(acknowledged == fixture.Config.MaxUnknownDepartures - 1);
+  CHECK(fixture.State.hasDeparted({"a", 5}));
+  CHECK(fixture.State.hasDeparted({"x0", 5}));
+
+  SECTION("and a late heartbeat brings the target back") {
+    fixture.sendHeartbeat("a", TargetState::Ready);
+    fixture.Leader->tick(fixture.Now);
+    CHECK(fixture.Published.targets().begin()->second.State ==
+          TargetState::Leaving);
+  }
+  SECTION("or keeps a target that is known from leaving") {
+    fixture.sendHeartbeat("b", TargetState::Ready);
+    CHECK(fixture.sendHeartbeat("b", TargetState::Leaving) == 0);
+    fixture.commit();
+    CHECK(fixture.Status == 200);
+  }
+  SECTION("or keeps others from leaving for good") {
+    fixture.Now += fixture.Config.DepartureTime + 1s;
+    acknowledged = 0;
+    flood("y", 100);
+    CHECK(acknowledged == 100);
+    CHECK(fixture.State.departures().size() <=
+          fixture.Config.MaxUnknownDepartures);
+  }
+  SECTION("while the target still calls") {
+    for (int n = 0; n < 10; ++n) {
+      fixture.Now += fixture.Config.DepartureTime / 5;
+      fixture.sendHeartbeat("a", TargetState::Ready);
+      flood("z" + std::to_string(n) + "-", 300);
+    }
+    CHECK(fixture.State.hasDeparted({"a", 5}));
+  }
+}
+
+TEST_CASE("An id of any length is kept") {
+  LeaderFixture fixture;
+  fixture.FakeControl.LeaveStart = 5;
+  CHECK(fixture.call(CallKind::Leave, std::string(257, 'x'), "") == 400);
+  CHECK(fixture.Proposals.empty());
+}
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -69,7 +69,7 @@
     startLeader(1);
   }
   void startLeader(std::uint64_t term) {
-    FleetLeaderConfig config;
+    FleetLeaderConfig config = Config;
     config.Term = term;
     config.ControlAddress = "10.0.0.9:90";
     FleetLeaderHooks hooks;
@@ -138,6 +138,7 @@
     Leader->tick(Now);
   }
 
+  FleetLeaderConfig Config;
   FakeFormat FakeControl;
   ControlFormat Format = FakeControl.makeFormat();
   FleetState State;
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -114,6 +114,7 @@
   /// the target has not sent a heartbeat since this controller was created.
   bool isUnreportedHolder(const TargetInstance &instance,
                           base::MonoTime now) const;
+  bool isOwner(const TargetInstance &instance) const;
   /// True if a later instance of the same id owns or has owned stripes.
   bool hasLaterInstance(const TargetInstance &instance) const;
   const GrantConfig &config() const { return Config; }
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -564,6 +564,13 @@
   if (it == Instances.end() || it->second.HasReported ||
       it->second.HoldEnd <= now)
     return false;
+  return isOwner(instance);
+}
+
+bool GrantController::isOwner(const TargetInstance &instance) const {
+  const auto it = Instances.find(instance);
+  if (it == Instances.end())
+    return false;
   const ServiceKeys *owned = Table.find(it->second.Service);
   return owned && !owned->stripesOf(instance).empty();
 }
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -71,6 +71,8 @@
     # The target receives no new work from now on.
     departure @2 :TargetLife;
   }
+  # Of a departure: log indices of earlier ones that no longer bind.
+  expired @3 :List(UInt64);
 }
 struct ServiceKeys {
   service @0 :Text;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -188,7 +188,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9a73d0f78a670bc9, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9a73d0f78a670bc9, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1382,6 +1382,9 @@
   inline bool hasDeparture() const;
   inline  ::magnoliamill::fleet::wire::TargetLife::Reader getDeparture() const;
 
+  inline bool hasExpired() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getExpired() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1435,6 +1438,14 @@
   inline void adoptDeparture(::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife>&& value);
   inline ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife> disownDeparture();
 
+  inline bool hasExpired();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getExpired();
+  inline void setExpired( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setExpired(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initExpired(unsigned int size);
+  inline void adoptExpired(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownExpired();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4641,6 +4652,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::hasExpired() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasExpired() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Command::Reader::getExpired() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Command::Builder::getExpired() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setExpired( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Command::Builder::setExpired(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Command::Builder::initExpired(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Command::Builder::adoptExpired(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Command::Builder::disownExpired() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceKeys::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
