CONFIG: a change is not refused for good because of one that may fail to commit

Fix: a change is checked against the committed configuration and on top of the pending ones. Where the two differ it is refused with 503 and nothing is proposed; the operator sends it again.

Tests: "Two changes at once leave a route without its service, or refuse a valid order for good" (in both orders, the first committed or not), "A change is accepted that is valid only with one that fails to commit". The first replaces a test that asked for 400 while the other change was pending, which is the fault; that the invalid order is never proposed stays checked, and once the first is committed it is refused with 400.

--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -424,8 +424,22 @@
 
 void FleetLeader::handleConfigChange(const Call &call, const ReplyHook &reply) {
   auto read = Format.ReadConfigChange(call.Body);
-  auto checked = read ? State.config().check(read.value(), PendingChanges)
+  auto checked = read ? State.config().check(read.value())
                       : base::Result<void>(base::fail(read.error()));
+  // Changes that are pending may still fail to commit. A change whose validity
+  // depends on them is refused for now, not for good.
+  if (read && !PendingChanges.empty()) {
+    const auto later = State.config().check(read.value(), PendingChanges);
+    if (checked.has_value() != later.has_value()) {
+      const auto &error = checked ? later.error() : checked.error();
+      base::logInfo(
+          "fleet", "a change of configuration waits for another one",
+          {{"pending", PendingChanges.size()}, {"error", error.Message}});
+      return refuse(reply, StatusUnavailable,
+                    {ResultCode::RateLimited,
+                     "a change that this one depends on is being committed"});
+    }
+  }
   if (!checked) {
     base::logWarning("fleet", checked.error().Code,
                      "a change of configuration was refused",
