--- a/apps/magnoliamilld/FleetProcess.cpp
+++ b/apps/magnoliamilld/FleetProcess.cpp
@@ -83,18 +83,18 @@
 fleet::IdentifyProcessHook makeIdentifyHook(
     base::EventLoopThread &loop,
     std::function<std::string(const std::vector<protocol::HttpHeader> &)>
-        readId) {
-  return [&loop, readId = std::move(readId)](
-             const std::string &address, const std::string &healthPath,
+        ReadId) {
+  return [&loop, ReadId = std::move(ReadId)](
+             const std::string &address, const std::string &path,
              std::function<void(std::optional<std::string>)> done) {
     const auto parsed = base::parseHostPort(address);
     if (!parsed)
       return done(std::nullopt);
     gateway::requestHealth(
-        loop.context(), *parsed, healthPath, IdentifyTime,
-        [readId, done = std::move(done)](
+        loop.context(), *parsed, path, IdentifyTime,
+        [ReadId, done = std::move(done)](
             const std::optional<protocol::AnswerHead> &head) {
-          std::string id = head ? readId(head->Headers) : std::string();
+          std::string id = head ? ReadId(head->Headers) : std::string();
           done(id.empty() ? std::nullopt : std::optional(std::move(id)));
         });
   };
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -45,7 +45,7 @@
 /// itself, by its health check. \p done gets none if there is no answer in
 /// time.
 using IdentifyProcessHook = std::function<void(
-    const std::string &address, const std::string &healthPath,
+    const std::string &address, const std::string &path,
     std::function<void(std::optional<std::string> id)> done)>;
 
 struct FleetLeaderHooks {
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -301,17 +301,17 @@
                                const ReplyHook &reply, base::MonoTime now) {
   HeartbeatAnswer answer{Config.ControlAddress, Grants.onHeartbeat(report, now),
                          Grants.config().HoldTime};
-  auto inheritance = Grants.planInheritance(report.Instance, now);
-  if (!inheritance)
+  auto passed = Grants.planInheritance(report.Instance, now);
+  if (!passed)
     return reply(StatusOk, Format.WriteHeartbeatAnswer(answer));
   base::logInfo("fleet", "stripes pass to a target that has started again",
                 {{"target", report.Instance.Id},
                  {"born", report.Instance.StartedAtMs},
-                 {"stripes", inheritance->Moves.size()}});
+                 {"stripes", passed->Moves.size()}});
   // Answered after the commit, so that the target serves with this answer
   // instead of the next one.
-  Hooks.Propose(std::move(*inheritance), [this, alive = Alive, report, reply](
-                                             const base::Result<void> &result) {
+  Hooks.Propose(std::move(*passed), [this, alive = Alive, report,
+                                     reply](const base::Result<void> &result) {
     if (!*alive)
       return reply(StatusUnavailable, "");
     if (!result)
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -29,13 +29,13 @@
     return {HeartbeatVerdict::Accepted, {}, {}};
   }
   const Target *occupant = findOccupant(target);
-  const auto isLater = [&](const Target *other) {
+  const auto IsLater = [&](const Target *other) {
     return other && other->Instance.StartedAtMs > target.Instance.StartedAtMs;
   };
-  if (isLater(same))
+  if (IsLater(same))
     return {};
   if (occupant && !evidence.IsUnreportedHolder(target.Instance)) {
-    if (isLater(occupant))
+    if (IsLater(occupant))
       return {};
     if (evidence.IsAlive(occupant->Instance))
       return {HeartbeatVerdict::Occupied, {}, occupant->Instance};
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -331,7 +331,7 @@
     return fixture.State.keys().find("stock")->ownerOf(0)->Id;
   };
   // Plays a second target until \p end. The first one sends nothing.
-  const auto runOther = [&](base::MonoTime end) {
+  const auto RunOther = [&](base::MonoTime end) {
     while (fixture.Now < end) {
       fixture.sendHeartbeat("b", TargetState::Ready);
       fixture.Now += 100ms;
@@ -340,7 +340,7 @@
     }
   };
   SECTION("but a release passes them to others after the former hold only") {
-    runOther(fixture.Now + 100ms);
+    RunOther(fixture.Now + 100ms);
     sender = {{"a", 9}, 2, "a:80", "stock", "dc-a", 3, TargetState::Leaving};
     CHECK(fixture.call(CallKind::Heartbeat, "a", "") == 0);
     fixture.commit();
@@ -351,9 +351,9 @@
       sender.Instance.Id = "a";
       fixture.call(CallKind::Heartbeat, "a", "");
     }
-    runOther(former + 3900ms);
+    RunOther(former + 3900ms);
     CHECK(owner() == "a");
-    runOther(former + 6s);
+    RunOther(former + 6s);
     CHECK(owner() == "b");
   }
   SECTION("and an answer that was lost is repeated by the next one") {
@@ -442,7 +442,7 @@
           "an address") {
   LeaderFixture fixture;
   fixture.assignAllStripes();
-  const auto lastGrant = fixture.Now;
+  const auto LastGrant = fixture.Now;
   auto &sender = fixture.FakeControl.Next.Sender;
   // The restart of "a" is announced in its name, at another address.
   sender = {{"a", 9}, 1, "x:80", "stock", "dc-a", 3, TargetState::Ready};
@@ -454,7 +454,7 @@
   const auto owner = [&] {
     return fixture.State.keys().find("stock")->ownerOf(0)->Id;
   };
-  while (fixture.Now < lastGrant + 3900ms) {
+  while (fixture.Now < LastGrant + 3900ms) {
     fixture.Leader->tick(fixture.Now);
     fixture.commit();
     CHECK(owner() == "a");
@@ -512,18 +512,18 @@
   fixture.call(CallKind::Leave, "a", "");
   fixture.commit();
   REQUIRE(fixture.Status == 200);
-  std::size_t acknowledged = 0;
+  std::size_t accepted = 0;
   const auto flood = [&](std::string_view prefix, std::size_t count) {
     for (std::size_t n = 0; n < count; ++n) {
       fixture.call(CallKind::Leave, std::string(prefix) + std::to_string(n),
                    "");
       fixture.commit();
       CHECK((fixture.Status == 200 || fixture.Status == 503));
-      acknowledged += fixture.Status == 200 ? 1 : 0;
+      accepted += fixture.Status == 200 ? 1 : 0;
     }
   };
   flood("x", 5000);
-  CHECK(acknowledged == fixture.Config.MaxUnknownDepartures - 1);
+  CHECK(accepted == fixture.Config.MaxUnknownDepartures - 1);
   CHECK(fixture.State.hasDeparted({"a", 5}));
   CHECK(fixture.State.hasDeparted({"x0", 5}));
 
@@ -541,9 +541,9 @@
   }
   SECTION("or keeps others from leaving for good") {
     fixture.Now += fixture.Config.DepartureTime + 1s;
-    acknowledged = 0;
+    accepted = 0;
     flood("y", 100);
-    CHECK(acknowledged == 100);
+    CHECK(accepted == 100);
     CHECK(fixture.State.departures().size() <=
           fixture.Config.MaxUnknownDepartures);
   }
--- a/packages/fleet/tests/ForeignWritersTest.cpp
+++ b/packages/fleet/tests/ForeignWritersTest.cpp
@@ -57,7 +57,7 @@
              << (call.Releases ? " releases" : "") << " pause " << call.Pause;
 }
 
-rc::Gen<ForeignCall> genForeignCall(bool losesLeaders) {
+rc::Gen<ForeignCall> genForeignCall(bool LosesLeaders) {
   const auto whose = rc::gen::inRange<std::size_t>(0, TargetCount + 2);
   return rc::gen::build<ForeignCall>(
       rc::gen::set(&ForeignCall::IsLeave,
@@ -72,7 +72,7 @@
                    rc::gen::inRange<std::uint64_t>(1, 1000)),
       rc::gen::set(&ForeignCall::FollowsLoss,
                    rc::gen::weightedElement<bool>(
-                       {{5, false}, {losesLeaders ? 1 : 0, true}})),
+                       {{5, false}, {LosesLeaders ? 1 : 0, true}})),
       rc::gen::set(&ForeignCall::Releases),
       rc::gen::set(&ForeignCall::Pause, rc::gen::inRange<std::size_t>(0, 60)));
 }
@@ -222,13 +222,13 @@
 
 /// Plays any calls of foreign writers. Returns whether all targets were served
 /// and no key had two holders.
-bool checkForeignCalls(bool losesLeaders) {
-  return rc::check("any heartbeats and leave calls", [losesLeaders] {
+bool checkForeignCalls(bool LosesLeaders) {
+  return rc::check("any heartbeats and leave calls", [LosesLeaders] {
     Play play;
     play.run(SettleTime);
     RC_ASSERT(play.areServing());
     const auto calls = *rc::gen::container<std::vector<ForeignCall>>(
-        genForeignCall(losesLeaders));
+        genForeignCall(LosesLeaders));
     for (const auto &call : calls) {
       play.send(call);
       play.run(Step * static_cast<int>(call.Pause + 1));
--- a/packages/fleet/tests/TargetDirectoryTest.cpp
+++ b/packages/fleet/tests/TargetDirectoryTest.cpp
@@ -16,8 +16,8 @@
 
 bool all(const TargetInstance &) { return true; }
 bool none(const TargetInstance &) { return false; }
-const TargetDirectory::Evidence anyAlive{all, none};
-const TargetDirectory::Evidence noneAlive{none, none};
+const TargetDirectory::Evidence AnyAlive{all, none};
+const TargetDirectory::Evidence NoneAlive{none, none};
 
 } // namespace
 
@@ -26,64 +26,64 @@
   const auto verdict = [&](const Target &target, const auto &alive) {
     return directory.update(target, alive).Verdict;
   };
-  REQUIRE(verdict(makeTarget({"a", 10}, 4), anyAlive) ==
+  REQUIRE(verdict(makeTarget({"a", 10}, 4), AnyAlive) ==
           HeartbeatVerdict::Accepted);
 
   SECTION("a repeated or earlier heartbeat is refused") {
-    CHECK(verdict(makeTarget({"a", 10}, 4), anyAlive) ==
+    CHECK(verdict(makeTarget({"a", 10}, 4), AnyAlive) ==
           HeartbeatVerdict::Late);
-    CHECK(verdict(makeTarget({"a", 10}, 3), anyAlive) ==
+    CHECK(verdict(makeTarget({"a", 10}, 3), AnyAlive) ==
           HeartbeatVerdict::Late);
-    CHECK(verdict(makeTarget({"a", 10}, 5), anyAlive) ==
+    CHECK(verdict(makeTarget({"a", 10}, 5), AnyAlive) ==
           HeartbeatVerdict::Accepted);
   }
   SECTION("one that names another address or service is refused") {
     auto target = makeTarget({"a", 10}, 5);
     SECTION("address") { target.Address = "10.0.0.2:80"; }
     SECTION("service") { target.Service = "other"; }
-    CHECK(verdict(target, noneAlive) == HeartbeatVerdict::Contradicting);
+    CHECK(verdict(target, NoneAlive) == HeartbeatVerdict::Contradicting);
     CHECK(directory.find("a")->Service == "stock");
   }
   SECTION("a later instance starts a new sequence, also after a short pause") {
-    const auto result = directory.update(makeTarget({"a", 11}, 1), anyAlive);
+    const auto result = directory.update(makeTarget({"a", 11}, 1), AnyAlive);
     CHECK(result.Verdict == HeartbeatVerdict::Accepted);
     CHECK(result.Former == TargetInstance{"a", 10});
     CHECK_FALSE(result.Occupant);
-    CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
+    CHECK(verdict(makeTarget({"a", 10}, 9), AnyAlive) ==
           HeartbeatVerdict::Late);
   }
   SECTION("a later instance moves to an address that is not in use") {
-    directory.update(makeTarget({"c", 1}, 1, "10.0.0.3:80"), anyAlive);
-    CHECK(verdict(makeTarget({"a", 11}, 1, "10.0.0.3:80"), anyAlive) ==
+    directory.update(makeTarget({"c", 1}, 1, "10.0.0.3:80"), AnyAlive);
+    CHECK(verdict(makeTarget({"a", 11}, 1, "10.0.0.3:80"), AnyAlive) ==
           HeartbeatVerdict::Occupied);
-    CHECK(verdict(makeTarget({"a", 11}, 1, "10.0.0.2:80"), anyAlive) ==
+    CHECK(verdict(makeTarget({"a", 11}, 1, "10.0.0.2:80"), AnyAlive) ==
           HeartbeatVerdict::Accepted);
     CHECK(directory.find("c") != nullptr);
   }
   SECTION("another target at the address displaces a silent one") {
-    const auto result = directory.update(makeTarget({"b", 12}, 1), noneAlive);
+    const auto result = directory.update(makeTarget({"b", 12}, 1), NoneAlive);
     CHECK(result.Occupant == TargetInstance{"a", 10});
     CHECK_FALSE(result.Former);
     SECTION("a delayed heartbeat of the displaced target is refused") {
-      CHECK(verdict(makeTarget({"a", 10}, 9), anyAlive) ==
+      CHECK(verdict(makeTarget({"a", 10}, 9), AnyAlive) ==
             HeartbeatVerdict::Late);
       CHECK(directory.find("a") == nullptr);
     }
     SECTION("one that was silent for long is refused too") {
-      CHECK(verdict(makeTarget({"a", 10}, 9), noneAlive) ==
+      CHECK(verdict(makeTarget({"a", 10}, 9), NoneAlive) ==
             HeartbeatVerdict::Late);
       CHECK(directory.find("b") != nullptr);
     }
   }
   SECTION("a target that is alive is not displaced") {
-    CHECK(verdict(makeTarget({"b", 12}, 1), anyAlive) ==
+    CHECK(verdict(makeTarget({"b", 12}, 1), AnyAlive) ==
           HeartbeatVerdict::Occupied);
     CHECK(directory.find("a")->Instance.StartedAtMs == 10);
     CHECK(directory.find("b") == nullptr);
   }
   SECTION("a target at another address displaces no other") {
     CHECK_FALSE(
-        directory.update(makeTarget({"b", 12}, 1, "10.0.0.2:80"), noneAlive)
+        directory.update(makeTarget({"b", 12}, 1, "10.0.0.2:80"), NoneAlive)
             .Occupant);
     CHECK(directory.find("a") != nullptr);
   }
@@ -96,21 +96,21 @@
   const auto earlier = makeTarget({"a", 1000}, 7);
   const auto later = makeTarget({IsSameId ? "a" : "b", 2000}, 1);
   const auto next = makeTarget(later.Instance, 2);
-  const auto anyTest = GENERATE(anyAlive, noneAlive);
+  const auto AnyTest = GENERATE(AnyAlive, NoneAlive);
 
   SECTION("the later one first") {
     TargetDirectory directory({});
-    directory.update(later, anyTest);
-    CHECK(directory.update(earlier, anyTest).Verdict == HeartbeatVerdict::Late);
-    CHECK(directory.update(next, anyTest).Verdict ==
+    directory.update(later, AnyTest);
+    CHECK(directory.update(earlier, AnyTest).Verdict == HeartbeatVerdict::Late);
+    CHECK(directory.update(next, AnyTest).Verdict ==
           HeartbeatVerdict::Accepted);
   }
   SECTION("the earlier one first") {
     TargetDirectory directory({});
-    directory.update(earlier, anyTest);
-    directory.update(later, noneAlive);
-    CHECK(directory.update(earlier, anyTest).Verdict == HeartbeatVerdict::Late);
-    CHECK(directory.update(next, anyTest).Verdict ==
+    directory.update(earlier, AnyTest);
+    directory.update(later, NoneAlive);
+    CHECK(directory.update(earlier, AnyTest).Verdict == HeartbeatVerdict::Late);
+    CHECK(directory.update(next, AnyTest).Verdict ==
           HeartbeatVerdict::Accepted);
   }
   SECTION("both in the view that a new leader starts with") {
@@ -118,17 +118,17 @@
         {{earlier.Instance, earlier}, {later.Instance, later}});
     REQUIRE(directory.find(later.Instance.Id));
     CHECK(directory.find(later.Instance.Id)->Instance == later.Instance);
-    CHECK(directory.update(makeTarget({"a", 1000}, 8), anyTest).Verdict ==
+    CHECK(directory.update(makeTarget({"a", 1000}, 8), AnyTest).Verdict ==
           HeartbeatVerdict::Late);
-    CHECK(directory.update(next, anyTest).Verdict ==
+    CHECK(directory.update(next, AnyTest).Verdict ==
           HeartbeatVerdict::Accepted);
   }
   SECTION("both in that view, the later one with the lower id") {
-    const auto highId = makeTarget({"z", 1000}, 7);
+    const auto HighId = makeTarget({"z", 1000}, 7);
     TargetDirectory directory(
-        {{later.Instance, later}, {highId.Instance, highId}});
+        {{later.Instance, later}, {HighId.Instance, HighId}});
     CHECK(directory.find("z") == nullptr);
-    CHECK(directory.update(next, anyTest).Verdict ==
+    CHECK(directory.update(next, AnyTest).Verdict ==
           HeartbeatVerdict::Accepted);
   }
 }
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -249,11 +249,11 @@
   state.Successor = successor;
   state.IsLeaving = true;
   revokeAll(former, state);
-  auto &predecessors = Instances[successor].Predecessors;
+  auto &list = Instances[successor].Predecessors;
   const ServiceKeys *owned = Table.find(state.Service);
   const auto add = [&](const TargetInstance &instance) {
     if (owned && !owned->stripesOf(instance).empty())
-      predecessors.push_back(instance);
+      list.push_back(instance);
   };
   add(former);
   std::ranges::for_each(state.Predecessors, add);
@@ -542,9 +542,9 @@
   keys.IsProposed = false;
   for (std::uint32_t i : moved) {
     setActive(service, i, false);
-    const auto formerHoldEnd = keys.Stripes[i].FormerHoldEnd;
+    const auto FormerHoldEnd = keys.Stripes[i].FormerHoldEnd;
     keys.Stripes[i] = Stripe{};
-    keys.Stripes[i].FormerHoldEnd = formerHoldEnd;
+    keys.Stripes[i].FormerHoldEnd = FormerHoldEnd;
     keys.Revoked.erase(i);
   }
   for (Stripe &stripe : keys.Stripes)
