--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -49,12 +49,9 @@
   };
 
   /// Records the sender of a heartbeat, if the heartbeat is accepted. A later
-  /// instance of an id is that target's own statement that it has started again
-  /// and is accepted at once. What a heartbeat implies about a target with
-  /// another id is taken from one party only, so none is displaced while it is
-  /// alive, except by a holder whose address the directory lacked when it
-  /// accepted the other. An earlier process never takes the place of a later
-  /// one: heartbeats may be delayed for as long as a partition lasts.
+  /// instance of an id is accepted at once. A target with another id is
+  /// displaced only while it sends nothing, or by a holder whose address was
+  /// not in the directory. An earlier process never displaces a later one.
   UpdateResult update(const Target &target, const Evidence &evidence);
   void remove(const keyspace::TargetInstance &instance);
   /// The instance of \p id that is in use; null when there is none.
--- a/packages/fleet/tests/ForeignWritersTest.cpp
+++ b/packages/fleet/tests/ForeignWritersTest.cpp
@@ -125,11 +125,7 @@
       Fixture.call(CallKind::Leave, sender.Instance.Id, "");
       return;
     }
-    // A leader without a view has the id and the start of a holder only.
-    const bool IsAddressKnown =
-        Fixture.Published.targets().contains(sender.Instance);
-    if (IsIdentity && call.IsServiceKnown &&
-        (call.Address == call.Id || !IsAddressKnown))
+    if (IsIdentity && call.Address == call.Id && call.IsServiceKnown)
       return;
     if (IsRestart && call.IsServiceKnown)
       Left.insert(call.Id);
