--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -36,6 +36,8 @@
   std::optional<keyspace::TargetInstance> Holder;
   std::string DataCentre;
   bool IsUrgent = false;
+  /// Priority of the route; 0 is the highest.
+  std::uint32_t Priority = 0;
   /// If false, the request is refused rather than queued.
   bool MayWait = true;
   /// Time until the answer is late.
--- a/packages/entry/EntryFormat.h
+++ b/packages/entry/EntryFormat.h
@@ -4,6 +4,7 @@
 
 #include "base/Result.h"
 #include "base/Time.h"
+#include "dispatch/TargetLoad.h"
 #include "protocol/Messages.h"
 
 #include <cstdint>
@@ -46,6 +47,8 @@
   /// Requests per second that the target takes from all VMs together, if it
   /// limits them.
   std::optional<double> RateLimit;
+  /// The load that the target reports, if it does.
+  std::optional<dispatch::TargetLoad> Load;
 };
 
 /// Callbacks and names provided by the platform adapter.
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -304,7 +304,7 @@
   // Another target at the address speaks only for itself.
   if (!metadata.IsWrongTarget) {
     Handler.readNotices(Tried.back(), metadata, Metadata.Id);
-    Notice = fleet::TargetNotice{metadata.RateLimit};
+    Notice = fleet::TargetNotice{metadata.RateLimit, metadata.Load};
   }
   RefusalMetadata = metadata;
   if (metadata.IsNotRun)
--- a/packages/fleet/Commands.h
+++ b/packages/fleet/Commands.h
@@ -22,8 +22,14 @@
   std::vector<consensus::LogIndex> Expired = {};
 };
 
+/// The targets of a data centre get no requests, or may get them again.
+struct Evacuation {
+  std::string DataCentre;
+  bool IsActive = true;
+};
+
 using Command = std::variant<routing::ConfigItems, keyspace::KeyAssignment,
-                             TargetDeparture>;
+                             TargetDeparture, Evacuation>;
 
 std::string encodeCommand(const Command &command);
 /// Error: LogDamaged when \p bytes are malformed.
--- a/packages/fleet/FleetSettings.h
+++ b/packages/fleet/FleetSettings.h
@@ -48,6 +48,11 @@
   /// seeds then create the group.
   bool IsFirstStart = false;
 
+  /// "data_centres" of the deployment; empty if they are not stated.
+  std::vector<std::string> DataCentres;
+  /// "balance_by_load": whether stripes are placed by measured load.
+  bool BalancesByLoad = false;
+
   /// "loss_tolerance": cores whose disks may be lost at once without losing
   /// acknowledged changes.
   std::uint32_t LossTolerance = 1;
@@ -60,6 +65,11 @@
   base::Duration TargetDrainTime = std::chrono::seconds(2);
   /// "stop_grace_s": time from SIGTERM to the forced exit.
   base::Duration StopGrace = std::chrono::seconds(6);
+  /// "warm_up_overrun" and "warm_up_slack": the requests that a target may get
+  /// in any second of its warm-up are the rate of its service, times the first,
+  /// plus the second.
+  double WarmUpOverrun = 1;
+  double WarmUpSlack = 0;
   /// "retry_percent": retries allowed per 100 requests of a service.
   std::uint32_t RetryPercent = 10;
   /// "link_mbps": bandwidth of this VM's network link in Mbit/s; 0 for no
--- a/packages/fleet/FleetState.h
+++ b/packages/fleet/FleetState.h
@@ -21,6 +21,8 @@
   /// The service of an assignment and the stripes that it moved.
   std::string Service;
   std::vector<std::uint32_t> MovedStripes;
+  /// The evacuated data centres have changed.
+  bool HasEvacuations = false;
 };
 
 class FleetState {
@@ -43,6 +45,9 @@
     return Parts.Departures;
   }
 
+  /// Data centres whose targets get no requests.
+  const std::set<std::string> &evacuations() const { return Parts.Evacuations; }
+
 private:
   void recordDeparture(const TargetDeparture &departure,
                        consensus::LogIndex index);
--- a/packages/fleet/Frame.h
+++ b/packages/fleet/Frame.h
@@ -6,7 +6,9 @@
 #include "base/Result.h"
 #include "consensus/Types.h"
 #include "dispatch/CrashReport.h"
+#include "dispatch/TargetLoad.h"
 #include "fleet/SpeedReport.h"
+#include "fleet/StripeLoad.h"
 #include "fleet/View.h"
 
 #include <cstdint>
@@ -21,11 +23,13 @@
 /// Version of the protocol between the VMs of a fleet. It rises with each new
 /// kind of frame; a frame is sent only to a VM that has stated its version.
 /// docs/PROTOCOL.md has the rules.
-constexpr std::uint16_t ProtocolVersion = 2;
+constexpr std::uint16_t ProtocolVersion = 3;
 /// Version of VMs that state none.
 constexpr std::uint16_t FirstProtocolVersion = 1;
 /// The first version with EntriesAsk and EntryList.
 constexpr std::uint16_t EntriesProtocolVersion = 2;
+/// The first version with StripeLoadReport.
+constexpr std::uint16_t StripeLoadProtocolVersion = 3;
 
 /// The first frame of a link, from the side that opened it, and the answer of a
 /// core to an entry's.
@@ -54,7 +58,10 @@
   Heartbeat,
   Leave,
   ChangeConfig,
-  ReadConfig
+  ReadConfig,
+  /// Evacuates the data centre Name.
+  StartEvacuation,
+  EndEvacuation
 };
 
 /// A call of a target or operator that a core passes to the leader. Name is the
@@ -103,6 +110,8 @@
 struct TargetNotice {
   /// Requests per second that it takes from all entries, if it limits them.
   std::optional<double> RateLimit;
+  /// The load that it reported; not set if it reports none.
+  std::optional<dispatch::TargetLoad> Load{};
 };
 
 /// Ends a permit, or the wait for one.
@@ -131,10 +140,11 @@
   std::uint16_t Kind = 0;
 };
 
-using Frame = std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
-                           ViewCurrent, Ping, Pong, SpeedReport, PermitAsk,
-                           PermitReply, PermitEnd, dispatch::CrashReport,
-                           EntriesAsk, EntryList, UnknownFrame>;
+using Frame =
+    std::variant<Hello, ConsensusBatch, ViewUpdate, Call, CallReply,
+                 ViewCurrent, Ping, Pong, SpeedReport, PermitAsk, PermitReply,
+                 PermitEnd, dispatch::CrashReport, EntriesAsk, EntryList,
+                 StripeLoadReport, UnknownFrame>;
 
 std::string encodeFrame(const Frame &frame);
 /// Error: PeerProtocol when \p bytes are malformed.
--- a/packages/fleet/View.h
+++ b/packages/fleet/View.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/Time.h"
 #include "keyspace/Types.h"
 #include "routing/ConfigStore.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -30,6 +32,9 @@
   std::string DataCentre;
   std::uint32_t Slots = 1;
   TargetState State = TargetState::Ready;
+  /// Until when the target is slow after its start. Sent as the time that is
+  /// left.
+  base::MonoTime WarmUntil{};
   bool operator==(const Target &) const = default;
 };
 
@@ -72,6 +77,8 @@
   std::vector<ServiceHolders> Holders;
   /// Empty when unchanged.
   std::vector<VmAddress> Cores;
+  /// The evacuated data centres, sorted; not set when unchanged.
+  std::optional<std::vector<std::string>> Evacuated;
 };
 
 class View {
@@ -98,6 +105,11 @@
   }
   const Target *findTarget(const keyspace::TargetInstance &instance) const;
   const std::vector<VmAddress> &cores() const { return Cores; }
+  /// The targets of an evacuated data centre get no requests.
+  bool isEvacuated(std::string_view centre) const {
+    return std::ranges::binary_search(Evacuated, centre);
+  }
+  const std::vector<std::string> &evacuated() const { return Evacuated; }
 
   /// The target to which requests of \p key go; null when there is none.
   const keyspace::TargetInstance *holderOf(std::string_view service,
@@ -108,6 +120,7 @@
     routing::ConfigItems Items;
     /// Instances that were added, changed or removed.
     std::vector<keyspace::TargetInstance> Targets;
+    bool HasEvacuations = false;
     /// All targets and holders may have changed.
     bool IsWhole = false;
   };
@@ -130,6 +143,8 @@
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<std::string, Holders, std::less<>> ByService;
   std::vector<VmAddress> Cores;
+  /// Sorted.
+  std::vector<std::string> Evacuated;
 };
 
 } // namespace magnoliamill::fleet
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -96,6 +96,8 @@
   to.setIsKeyed(service.IsKeyed);
   to.setWarmMs(toMs(service.WarmUpTime));
   to.setDocument(asText(service.Document));
+  to.setTargetWarmUpMs(toMs(service.TargetWarmUpTime));
+  to.setWarmUpPerSecond(service.WarmUpPerSecond);
 }
 
 routing::Service decode(wire::Service::Reader from) {
@@ -108,6 +110,9 @@
   service.IsKeyed = from.getIsKeyed();
   service.WarmUpTime = fromMs(from.getWarmMs());
   service.Document = toString(from.getDocument());
+  service.TargetWarmUpTime = fromMs(from.getTargetWarmUpMs());
+  service.WarmUpPerSecond = from.getWarmUpPerSecond();
+  KJ_REQUIRE(service.WarmUpPerSecond >= 0, "negative rate of a warm-up");
   return service;
 }
 
@@ -254,6 +259,21 @@
   return keys;
 }
 
+void encodeTexts(const auto &texts, capnp::List<capnp::Text>::Builder to) {
+  capnp::uint n = 0;
+  for (const auto &text : texts)
+    to.set(n++, asText(text));
+}
+
+/// Sorted.
+std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader from) {
+  std::vector<std::string> texts;
+  for (auto text : from)
+    texts.push_back(toString(text));
+  std::ranges::sort(texts);
+  return texts;
+}
+
 // ---- the view ----
 
 void encode(const Target &target, wire::Target::Builder to) {
@@ -264,6 +284,9 @@
   to.setDataCentre(asText(target.DataCentre));
   to.setSlots(target.Slots);
   to.setState(static_cast<std::uint8_t>(target.State));
+  const auto now = base::readMonotonic();
+  if (target.WarmUntil > now)
+    to.setWarmUpLeftMs(toMs(target.WarmUntil - now));
 }
 
 Target decode(wire::Target::Reader from) {
@@ -277,6 +300,8 @@
   KJ_REQUIRE(from.getState() <= static_cast<std::uint8_t>(TargetState::Leaving),
              "unknown target state");
   target.State = static_cast<TargetState>(from.getState());
+  if (from.getWarmUpLeftMs() > 0)
+    target.WarmUntil = base::readMonotonic() + fromMs(from.getWarmUpLeftMs());
   return target;
 }
 
@@ -363,6 +388,10 @@
   auto cores = to.initCores(sizeOf(update.Cores));
   for (capnp::uint i = 0; i < cores.size(); ++i)
     encode(update.Cores[i], cores[i]);
+  to.setHasEvacuations(update.Evacuated.has_value());
+  if (update.Evacuated)
+    encodeTexts(*update.Evacuated,
+                to.initEvacuations(sizeOf(*update.Evacuated)));
 }
 
 ViewUpdate decode(wire::ViewUpdate::Reader from) {
@@ -377,6 +406,8 @@
     update.Holders.push_back(decode(holders));
   for (auto core : from.getCores())
     update.Cores.push_back(decode(core));
+  if (from.getHasEvacuations())
+    update.Evacuated = decodeTexts(from.getEvacuations());
   return update;
 }
 
@@ -396,6 +427,49 @@
       std::clamp<std::int64_t>(base::toMs(time), 0, UINT32_MAX));
 }
 
+void encode(const dispatch::TargetLoad &load, wire::TargetLoad::Builder to) {
+  to.setRunning(load.Running);
+  to.setWaiting(load.Waiting);
+  to.setSlots(load.Slots);
+  to.setSlownessPercent(load.SlownessPercent);
+}
+
+dispatch::TargetLoad decode(wire::TargetLoad::Reader from) {
+  return {from.getRunning(), from.getWaiting(), from.getSlots(),
+          from.getSlownessPercent()};
+}
+
+void encode(const StripeLoad &load, wire::StripeLoad::Builder to) {
+  to.setService(asText(load.Service));
+  to.setStripeCount(load.StripeCount);
+  to.setIntervalMs(toWireMs(load.Interval));
+  to.setRequests(load.Requests);
+  auto stripes = to.initStripes(sizeOf(load.Busiest));
+  auto counts = to.initCounts(sizeOf(load.Busiest));
+  for (capnp::uint i = 0; i < stripes.size(); ++i) {
+    stripes.set(i, load.Busiest[i].Stripe);
+    counts.set(i, load.Busiest[i].Requests);
+  }
+}
+
+StripeLoad decode(wire::StripeLoad::Reader from) {
+  StripeLoad load{toString(from.getService()),
+                  from.getStripeCount(),
+                  std::chrono::milliseconds(from.getIntervalMs()),
+                  from.getRequests(),
+                  {}};
+  const auto stripes = from.getStripes();
+  const auto counts = from.getCounts();
+  KJ_REQUIRE(load.StripeCount <= keyspace::KeyCount &&
+                 stripes.size() == counts.size(),
+             "the counts of requests do not fit the stripes");
+  for (capnp::uint i = 0; i < stripes.size(); ++i) {
+    KJ_REQUIRE(stripes[i] < load.StripeCount, "a stripe is out of range");
+    load.Busiest.push_back({stripes[i], counts[i]});
+  }
+  return load;
+}
+
 struct FrameEncoder {
   wire::Frame::Builder To;
 
@@ -455,6 +529,11 @@
       to[i].setMeanLogRatio(static_cast<float>(report[i].MeanLogRatio));
     }
   }
+  void operator()(const StripeLoadReport &report) {
+    auto to = To.initStripeLoads(sizeOf(report));
+    for (capnp::uint i = 0; i < to.size(); ++i)
+      encode(report[i], to[i]);
+  }
   void operator()(const dispatch::CrashReport &report) {
     auto to = To.initCrashes();
     auto crashes = to.initCrashes(sizeOf(report.Crashes));
@@ -479,6 +558,7 @@
     to.setObjectiveMs(toWireMs(ask.Request.LatencyObjective));
     to.setTimeoutMs(toWireMs(ask.Request.Timeout));
     to.setContent(ask.Request.Content);
+    to.setPriority(ask.Request.Priority);
   }
   void operator()(const PermitReply &reply) {
     auto to = To.initPermitReply();
@@ -497,6 +577,8 @@
     if (end.ReturnedBy)
       encodeVersion(*end.ReturnedBy, to.initReturnedBy());
     to.setHasNotice(end.Notice.has_value());
+    if (end.Notice && end.Notice->Load)
+      encode(*end.Notice->Load, to.initLoad());
     if (!end.Notice || !end.Notice->RateLimit)
       return;
     to.setHasRateLimit(true);
@@ -527,6 +609,7 @@
       std::chrono::milliseconds(from.getObjectiveMs());
   ask.Request.Timeout = std::chrono::milliseconds(from.getTimeoutMs());
   ask.Request.Content = from.getContent();
+  ask.Request.Priority = from.getPriority();
   return ask;
 }
 
@@ -557,6 +640,8 @@
   if (!from.getHasNotice())
     return end;
   end.Notice.emplace();
+  if (from.hasLoad())
+    end.Notice->Load = decode(from.getLoad());
   if (!from.getHasRateLimit())
     return end;
   KJ_REQUIRE(from.getRateLimit() >= 0, "negative rate limit");
@@ -576,7 +661,8 @@
 }
 
 Call decode(wire::Call::Reader from) {
-  KJ_REQUIRE(from.getKind() <= static_cast<std::uint8_t>(CallKind::ReadConfig),
+  KJ_REQUIRE(from.getKind() <=
+                 static_cast<std::uint8_t>(CallKind::EndEvacuation),
              "unknown kind of call");
   return {from.getId(), static_cast<CallKind>(from.getKind()),
           toString(from.getName()), toString(from.getBody())};
@@ -626,6 +712,12 @@
       list.Entries.push_back(decode(entry));
     return list;
   }
+  case wire::Frame::STRIPE_LOADS: {
+    StripeLoadReport report;
+    for (auto load : from.getStripeLoads())
+      report.push_back(decode(load));
+    return report;
+  }
   case wire::Frame::CRASHES:
     return decode(from.getCrashes());
   case wire::Frame::PERMIT_ASK:
@@ -685,12 +777,16 @@
     encode(*items, root.initItems());
   else if (const auto *moves = std::get_if<keyspace::KeyAssignment>(&command))
     encode(*moves, root.initAssignment());
-  else {
-    const auto &departure = std::get<TargetDeparture>(command);
-    encode(departure.Instance, root.initDeparture());
-    auto expired = root.initExpired(sizeOf(departure.Expired));
+  else if (const auto *departure = std::get_if<TargetDeparture>(&command)) {
+    encode(departure->Instance, root.initDeparture());
+    auto expired = root.initExpired(sizeOf(departure->Expired));
     for (capnp::uint i = 0; i < expired.size(); ++i)
-      expired.set(i, departure.Expired[i]);
+      expired.set(i, departure->Expired[i]);
+  } else {
+    const auto &evacuation = std::get<Evacuation>(command);
+    auto to = root.initEvacuation();
+    to.setDataCentre(asText(evacuation.DataCentre));
+    to.setIsActive(evacuation.IsActive);
   }
   return serialize(message);
 }
@@ -705,6 +801,9 @@
           return decode(from.getAssignment());
         case wire::Command::DEPARTURE:
           return decodeDeparture(from);
+        case wire::Command::EVACUATION:
+          return Evacuation{toString(from.getEvacuation().getDataCentre()),
+                            from.getEvacuation().getIsActive()};
         }
         // The macro ends with an empty statement.
         // NOLINTNEXTLINE(bugprone-suspicious-semicolon)
@@ -740,6 +839,8 @@
     encode(instance, departures[n].initLife());
     departures[n++].setIndex(index);
   }
+  encodeTexts(parts.Evacuations,
+              root.initEvacuations(sizeOf(parts.Evacuations)));
   return serialize(message);
 }
 
@@ -753,6 +854,8 @@
         for (auto departure : from.getDepartures())
           parts.Departures.emplace(decode(departure.getLife()),
                                    departure.getIndex());
+        for (auto &centre : decodeTexts(from.getEvacuations()))
+          parts.Evacuations.insert(std::move(centre));
         return parts;
       });
 }
--- a/packages/fleet/internal/FleetCodec.h
+++ b/packages/fleet/internal/FleetCodec.h
@@ -7,6 +7,7 @@
 #include "routing/ConfigStore.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,8 @@
   routing::ConfigStore Config;
   keyspace::KeyTable Keys;
   std::map<keyspace::TargetInstance, consensus::LogIndex> Departures;
+  /// Data centres that are evacuated.
+  std::set<std::string> Evacuations;
 };
 
 std::string encodeSnapshot(const SnapshotParts &parts);
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -120,6 +120,10 @@
     return handleConfigChange(call, reply);
   case CallKind::ReadConfig:
     return reply(StatusOk, Format.WriteConfig(State.config().listActive()));
+  case CallKind::StartEvacuation:
+  case CallKind::EndEvacuation:
+    return refuse(reply, StatusUnavailable,
+                  {ResultCode::NotRunNotReady, "not supported yet"});
   }
 }
 
--- a/packages/fleet/internal/FleetSettings.cpp
+++ b/packages/fleet/internal/FleetSettings.cpp
@@ -17,11 +17,14 @@
 
 constexpr std::size_t MaxFileDepth = 8;
 constexpr std::size_t MaxSeeds = 64;
+constexpr std::size_t MaxDataCentres = 1024;
 constexpr std::int64_t MaxDurationMs = 3'600'000;
 constexpr std::int64_t MaxLossTolerance = 8;
 constexpr double MinStopGraceS = 0.5;
 constexpr double MaxStopGraceS = 3600;
 constexpr double MaxLinkMbps = 1e6;
+constexpr double MaxWarmUpOverrun = 100;
+constexpr double MaxWarmUpSlack = 1e6;
 constexpr std::int64_t MinMemoryMb = 16;
 constexpr std::int64_t MaxMemoryMb = 1 << 20;
 constexpr std::size_t BytesPerMegabyte = 1'000'000;
@@ -66,6 +69,10 @@
   if (auto n = reader.readInteger("loss_tolerance", Presence::Optional,
                                   {0, MaxLossTolerance}))
     fleet.LossTolerance = static_cast<std::uint32_t>(*n);
+  fleet.DataCentres =
+      reader.readStrings("data_centres", Presence::Optional, MaxDataCentres);
+  fleet.BalancesByLoad =
+      reader.readBool("balance_by_load", Presence::Optional).value_or(false);
   fleet.IsFirstStart =
       reader.readBool("found", Presence::Optional).value_or(false);
 }
@@ -129,6 +136,10 @@
           reader.readNumber("stop_grace_s", MinStopGraceS, MaxStopGraceS))
     fleet.StopGrace = std::chrono::duration_cast<base::Duration>(
         std::chrono::duration<double>(*seconds));
+  fleet.WarmUpOverrun =
+      reader.readNumber("warm_up_overrun", 1, MaxWarmUpOverrun).value_or(1);
+  fleet.WarmUpSlack =
+      reader.readNumber("warm_up_slack", 0, MaxWarmUpSlack).value_or(0);
   if (auto percent =
           reader.readInteger("retry_percent", Presence::Optional, {0, 100}))
     fleet.RetryPercent = static_cast<std::uint32_t>(*percent);
--- a/packages/fleet/internal/FleetState.cpp
+++ b/packages/fleet/internal/FleetState.cpp
@@ -13,8 +13,14 @@
                  std::get_if<keyspace::KeyAssignment>(&command)) {
     change.Service = moves->Service;
     change.MovedStripes = Parts.Keys.apply(*moves, index);
+  } else if (const auto *departure = std::get_if<TargetDeparture>(&command)) {
+    recordDeparture(*departure, index);
   } else {
-    recordDeparture(std::get<TargetDeparture>(command), index);
+    const auto &evacuation = std::get<Evacuation>(command);
+    change.HasEvacuations =
+        evacuation.IsActive
+            ? Parts.Evacuations.insert(evacuation.DataCentre).second
+            : Parts.Evacuations.erase(evacuation.DataCentre) > 0;
   }
   return change;
 }
--- a/packages/fleet/internal/View.cpp
+++ b/packages/fleet/internal/View.cpp
@@ -6,7 +6,7 @@
 namespace magnoliamill::fleet {
 
 View::Outcome View::apply(const ViewUpdate &update) {
-  Last = {Config.apply(update.Items), {}, false};
+  Last = {Config.apply(update.Items), {}, false, false};
   if (update.Version <= Version)
     return Outcome::Stale;
   const bool IsNext = update.Version.Term == Version.Term &&
@@ -30,6 +30,11 @@
     applyHolders(holders);
   if (!update.Cores.empty())
     Cores = update.Cores;
+  if (update.IsWhole || update.Evacuated) {
+    auto evacuated = update.Evacuated.value_or(std::vector<std::string>());
+    Last.HasEvacuations = evacuated != Evacuated;
+    Evacuated = std::move(evacuated);
+  }
   Version = update.Version;
   return Outcome::Applied;
 }
@@ -92,6 +97,7 @@
     update.Holders.push_back(std::move(all));
   }
   update.Cores = Cores;
+  update.Evacuated = Evacuated;
   return update;
 }
 
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -32,6 +32,10 @@
   isKeyed @5 :Bool;
   warmMs @6 :UInt32;
   document @7 :Text;
+  # How long a target is slow after its start, and how many requests a second it
+  # takes in that time; 0 for no limit.
+  targetWarmUpMs @8 :UInt32;
+  warmUpPerSecond @9 :Float64;
 }
 struct Limits {
   version @0 :UInt64;
@@ -70,10 +74,13 @@
     assignment @1 :Assignment;
     # The target receives no new work from now on.
     departure @2 :TargetLife;
+    evacuation @4 :Evacuation;
   }
   # Of a departure: log indices of earlier ones that no longer bind.
   expired @3 :List(UInt64);
 }
+# The targets of a data centre get no requests, or may get them again.
+struct Evacuation { dataCentre @0 :Text; isActive @1 :Bool; }
 struct ServiceKeys {
   service @0 :Text;
   stripeCount @1 :UInt32;
@@ -86,6 +93,8 @@
   items @0 :Items;
   keys @1 :List(ServiceKeys);
   departures @2 :List(Departure);
+  # Data centres that are evacuated.
+  evacuations @3 :List(Text);
 }
 
 # ---- view of the entries ----
@@ -97,6 +106,8 @@
   dataCentre @4 :Text;
   slots @5 :UInt32;
   state @6 :UInt8;
+  # How much longer the target is slow after its start.
+  warmUpLeftMs @7 :UInt32;
 }
 # Stripes whose holder has changed. Elements of holderOf are indices into the
 # field holders, plus one; 0 means no holder.
@@ -121,6 +132,9 @@
   goneTargets @5 :List(TargetLife);
   holders @6 :List(Holders);
   cores @7 :List(VmAddress);
+  # The evacuated data centres replace the known ones.
+  hasEvacuations @8 :Bool;
+  evacuations @9 :List(Text);
 }
 
 # ---- frames ----
@@ -167,6 +181,7 @@
     # An entry asks for other entries.
     entriesAsk @13 :Void;
     entries @14 :List(VmAddress);
+    stripeLoads @15 :List(StripeLoad);
   }
 }
 # An entry asks for a permit to send a request to a target.
@@ -182,6 +197,8 @@
   timeoutMs @7 :UInt32;
   # Hash of what the request contains; 0 when absent.
   content @8 :UInt64;
+  # Priority of the route; 0 is the highest.
+  priority @9 :UInt32;
 }
 struct PermitReply {
   number @0 :UInt64;
@@ -205,6 +222,15 @@
   # The view by which the entry did not send the request: it does not list the
   # target as ready. Absent otherwise.
   returnedBy @6 :ViewMark;
+  # The load that the target reported with its answer. Absent without a report.
+  load @7 :TargetLoad;
+}
+struct TargetLoad {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  slots @2 :UInt32;
+  # How long work takes on the target's machine; 100 is usual.
+  slownessPercent @3 :UInt32;
 }
 # Requests under which targets have ended.
 struct CrashReport {
@@ -225,6 +251,17 @@
   answers @1 :UInt32;
   meanLogRatio @2 :Float32;
 }
+# Requests of one service that an entry received in one interval.
+struct StripeLoad {
+  service @0 :Text;
+  # The number of stripes by which the requests were counted.
+  stripeCount @1 :UInt32;
+  intervalMs @2 :UInt32;
+  requests @3 :UInt32;
+  # The busiest stripes, and the requests of each.
+  stripes @4 :List(UInt32);
+  counts @5 :List(UInt32);
+}
 struct ViewMark {
   term @0 :UInt64;
   number @1 :UInt64;
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(8b20d348b963bc7e);
 CAPNP_DECLARE_SCHEMA(86402fe38f3c51e1);
 CAPNP_DECLARE_SCHEMA(9a73d0f78a670bc9);
+CAPNP_DECLARE_SCHEMA(e8782f4fdc03b55f);
 CAPNP_DECLARE_SCHEMA(cd9f44466b89717d);
 CAPNP_DECLARE_SCHEMA(dff397c3526da4f2);
 CAPNP_DECLARE_SCHEMA(da34a1324b671f67);
@@ -43,9 +44,11 @@
 CAPNP_DECLARE_SCHEMA(fefa125c182d4b2a);
 CAPNP_DECLARE_SCHEMA(eef64b4edf02fd08);
 CAPNP_DECLARE_SCHEMA(e6467e27525ec6cb);
+CAPNP_DECLARE_SCHEMA(ddaee87a4d29fafe);
 CAPNP_DECLARE_SCHEMA(c3d2a8057adfe80c);
 CAPNP_DECLARE_SCHEMA(fcb793f188fdb441);
 CAPNP_DECLARE_SCHEMA(f0269d1e00882825);
+CAPNP_DECLARE_SCHEMA(b0656f05080f5141);
 CAPNP_DECLARE_SCHEMA(f5ffad27199e8b20);
 
 }  // namespace schemas
@@ -93,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a85f171c7a041195, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a85f171c7a041195, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -185,6 +188,7 @@
     ITEMS,
     ASSIGNMENT,
     DEPARTURE,
+    EVACUATION,
   };
 
   struct _capnpPrivate {
@@ -195,6 +199,21 @@
   };
 };
 
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8782f4fdc03b55f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServiceKeys {
   ServiceKeys() = delete;
 
@@ -233,7 +252,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da34a1324b671f67, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(da34a1324b671f67, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +267,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0ed50f07c221c9a, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c0ed50f07c221c9a, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -293,7 +312,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d4336278aefcc65b, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d4336278aefcc65b, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -367,6 +386,7 @@
     CRASHES,
     ENTRIES_ASK,
     ENTRIES,
+    STRIPE_LOADS,
   };
 
   struct _capnpPrivate {
@@ -415,7 +435,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e6467e27525ec6cb, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetLoad {
+  TargetLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ddaee87a4d29fafe, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -467,6 +502,21 @@
   };
 };
 
+struct StripeLoad {
+  StripeLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0656f05080f5141, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ViewMark {
   ViewMark() = delete;
 
@@ -762,6 +812,10 @@
   inline bool hasDocument() const;
   inline  ::capnp::Text::Reader getDocument() const;
 
+  inline  ::uint32_t getTargetWarmUpMs() const;
+
+  inline double getWarmUpPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -826,6 +880,12 @@
   inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDocument();
 
+  inline  ::uint32_t getTargetWarmUpMs();
+  inline void setTargetWarmUpMs( ::uint32_t value);
+
+  inline double getWarmUpPerSecond();
+  inline void setWarmUpPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1385,6 +1445,10 @@
   inline bool hasExpired() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getExpired() const;
 
+  inline bool isEvacuation() const;
+  inline bool hasEvacuation() const;
+  inline  ::magnoliamill::fleet::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1446,6 +1510,14 @@
   inline void adoptExpired(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownExpired();
 
+  inline bool isEvacuation();
+  inline bool hasEvacuation();
+  inline  ::magnoliamill::fleet::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::magnoliamill::fleet::wire::Evacuation::Reader value);
+  inline  ::magnoliamill::fleet::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1472,6 +1544,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool getIsActive() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool getIsActive();
+  inline void setIsActive(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceKeys::Reader {
 public:
   typedef ServiceKeys Reads;
@@ -1691,6 +1849,9 @@
   inline bool hasDepartures() const;
   inline  ::capnp::List< ::magnoliamill::fleet::wire::Departure,  ::capnp::Kind::STRUCT>::Reader getDepartures() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1740,6 +1901,14 @@
   inline void adoptDepartures(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Departure,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::Departure,  ::capnp::Kind::STRUCT>> disownDepartures();
 
+  inline bool hasEvacuations();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuations();
+  inline void setEvacuations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuations(unsigned int size);
+  inline void adoptEvacuations(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1802,6 +1971,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline  ::uint32_t getWarmUpLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1867,6 +2038,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline  ::uint32_t getWarmUpLeftMs();
+  inline void setWarmUpLeftMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2152,6 +2326,11 @@
   inline bool hasCores() const;
   inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader getCores() const;
 
+  inline bool getHasEvacuations() const;
+
+  inline bool hasEvacuations() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2224,6 +2403,17 @@
   inline void adoptCores(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> disownCores();
 
+  inline bool getHasEvacuations();
+  inline void setHasEvacuations(bool value);
+
+  inline bool hasEvacuations();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuations();
+  inline void setEvacuations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuations(unsigned int size);
+  inline void adoptEvacuations(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2650,6 +2840,10 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline bool isStripeLoads() const;
+  inline bool hasStripeLoads() const;
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Reader getStripeLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2787,6 +2981,14 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::VmAddress,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline bool isStripeLoads();
+  inline bool hasStripeLoads();
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Builder getStripeLoads();
+  inline void setStripeLoads( ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Builder initStripeLoads(unsigned int size);
+  inline void adoptStripeLoads(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>> disownStripeLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2851,6 +3053,8 @@
 
   inline  ::uint64_t getContent() const;
 
+  inline  ::uint32_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2918,6 +3122,9 @@
   inline  ::uint64_t getContent();
   inline void setContent( ::uint64_t value);
 
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3090,6 +3297,9 @@
   inline bool hasReturnedBy() const;
   inline  ::magnoliamill::fleet::wire::ViewMark::Reader getReturnedBy() const;
 
+  inline bool hasLoad() const;
+  inline  ::magnoliamill::fleet::wire::TargetLoad::Reader getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3143,6 +3353,13 @@
   inline void adoptReturnedBy(::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark>&& value);
   inline ::capnp::Orphan< ::magnoliamill::fleet::wire::ViewMark> disownReturnedBy();
 
+  inline bool hasLoad();
+  inline  ::magnoliamill::fleet::wire::TargetLoad::Builder getLoad();
+  inline void setLoad( ::magnoliamill::fleet::wire::TargetLoad::Reader value);
+  inline  ::magnoliamill::fleet::wire::TargetLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLoad>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLoad> disownLoad();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3162,6 +3379,98 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::magnoliamill::fleet::wire::ViewMark::Pipeline getReturnedBy();
+  inline  ::magnoliamill::fleet::wire::TargetLoad::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetLoad::Reader {
+public:
+  typedef TargetLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRunning() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::uint32_t getSlownessPercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLoad::Builder {
+public:
+  typedef TargetLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint32_t getSlownessPercent();
+  inline void setSlownessPercent( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLoad::Pipeline {
+public:
+  typedef TargetLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3445,9 +3754,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ViewMark::Reader {
+class StripeLoad::Reader {
 public:
-  typedef ViewMark Reads;
+  typedef StripeLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3462,11 +3771,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTerm() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline  ::uint32_t getStripeCount() const;
 
-  inline  ::uint32_t getAgeMs() const;
+  inline  ::uint32_t getIntervalMs() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline bool hasStripes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStripes() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCounts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3480,9 +3798,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ViewMark::Builder {
+class StripeLoad::Builder {
 public:
-  typedef ViewMark Builds;
+  typedef StripeLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3496,14 +3814,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline  ::uint32_t getStripeCount();
+  inline void setStripeCount( ::uint32_t value);
 
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
+  inline  ::uint32_t getIntervalMs();
+  inline void setIntervalMs( ::uint32_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline bool hasStripes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStripes();
+  inline void setStripes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStripes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initStripes(unsigned int size);
+  inline void adoptStripes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStripes();
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCounts(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCounts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3515,9 +3856,9 @@
 };
 
 #if !CAPNP_LITE
-class ViewMark::Pipeline {
+class StripeLoad::Pipeline {
 public:
-  typedef ViewMark Pipelines;
+  typedef StripeLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3531,9 +3872,95 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline bool Share::Reader::hasService() const {
+class ViewMark::Reader {
+public:
+  typedef ViewMark Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ViewMark::Builder {
+public:
+  typedef ViewMark Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ViewMark::Pipeline {
+public:
+  typedef ViewMark Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Share::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -4021,6 +4448,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Service::Reader::getTargetWarmUpMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Service::Builder::getTargetWarmUpMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Service::Builder::setTargetWarmUpMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Service::Reader::getWarmUpPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Service::Builder::getWarmUpPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Service::Builder::setWarmUpPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Limits::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4690,6 +5145,108 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isEvacuation() const {
+  return which() == Command::EVACUATION;
+}
+inline bool Command::Builder::isEvacuation() {
+  return which() == Command::EVACUATION;
+}
+inline bool Command::Reader::hasEvacuation() const {
+  if (which() != Command::EVACUATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasEvacuation() {
+  if (which() != Command::EVACUATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::Evacuation::Reader Command::Reader::getEvacuation() const {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::Evacuation::Builder Command::Builder::getEvacuation() {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setEvacuation( ::magnoliamill::fleet::wire::Evacuation::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::Evacuation::Builder Command::Builder::initEvacuation() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation> Command::Builder::disownEvacuation() {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Evacuation::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Evacuation::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Evacuation::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Evacuation::Reader::getIsActive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evacuation::Builder::getIsActive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setIsActive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceKeys::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4966,6 +5523,44 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool State::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool State::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader State::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder State::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void State::Builder::setEvacuations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void State::Builder::setEvacuations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder State::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void State::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> State::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Target::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5149,6 +5744,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Target::Reader::getWarmUpLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Target::Builder::getWarmUpLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setWarmUpLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Holders::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5630,6 +6239,58 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool ViewUpdate::Reader::getHasEvacuations() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool ViewUpdate::Builder::getHasEvacuations() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void ViewUpdate::Builder::setHasEvacuations(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ViewUpdate::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ViewUpdate::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ViewUpdate::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ViewUpdate::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ViewUpdate::Builder::setEvacuations( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void ViewUpdate::Builder::setEvacuations(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ViewUpdate::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ViewUpdate::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ViewUpdate::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6720,6 +7381,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isStripeLoads() const {
+  return which() == Frame::STRIPE_LOADS;
+}
+inline bool Frame::Builder::isStripeLoads() {
+  return which() == Frame::STRIPE_LOADS;
+}
+inline bool Frame::Reader::hasStripeLoads() const {
+  if (which() != Frame::STRIPE_LOADS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasStripeLoads() {
+  if (which() != Frame::STRIPE_LOADS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Reader Frame::Reader::getStripeLoads() const {
+  KJ_IREQUIRE((which() == Frame::STRIPE_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Builder Frame::Builder::getStripeLoads() {
+  KJ_IREQUIRE((which() == Frame::STRIPE_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setStripeLoads( ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::STRIPE_LOADS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>::Builder Frame::Builder::initStripeLoads(unsigned int size) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::STRIPE_LOADS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Frame::Builder::adoptStripeLoads(
+    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::STRIPE_LOADS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>> Frame::Builder::disownStripeLoads() {
+  KJ_IREQUIRE((which() == Frame::STRIPE_LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::StripeLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PermitAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6911,6 +7626,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PermitAsk::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitAsk::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PermitReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7168,6 +7897,101 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PermitEnd::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitEnd::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::TargetLoad::Reader PermitEnd::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::TargetLoad::Builder PermitEnd::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::magnoliamill::fleet::wire::TargetLoad::Pipeline PermitEnd::Pipeline::getLoad() {
+  return  ::magnoliamill::fleet::wire::TargetLoad::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PermitEnd::Builder::setLoad( ::magnoliamill::fleet::wire::TargetLoad::Reader value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::TargetLoad::Builder PermitEnd::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitEnd::Builder::adoptLoad(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLoad>&& value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLoad> PermitEnd::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLoad>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TargetLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLoad::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLoad::Reader::getSlownessPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLoad::Builder::getSlownessPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetLoad::Builder::setSlownessPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReport::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7369,6 +8193,158 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StripeLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StripeLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StripeLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StripeLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StripeLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StripeLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StripeLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StripeLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t StripeLoad::Reader::getStripeCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StripeLoad::Builder::getStripeCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StripeLoad::Builder::setStripeCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StripeLoad::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StripeLoad::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StripeLoad::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StripeLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StripeLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StripeLoad::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StripeLoad::Reader::hasStripes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StripeLoad::Builder::hasStripes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StripeLoad::Reader::getStripes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StripeLoad::Builder::getStripes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StripeLoad::Builder::setStripes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StripeLoad::Builder::setStripes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StripeLoad::Builder::initStripes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StripeLoad::Builder::adoptStripes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StripeLoad::Builder::disownStripes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StripeLoad::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StripeLoad::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StripeLoad::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StripeLoad::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StripeLoad::Builder::setCounts( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void StripeLoad::Builder::setCounts(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StripeLoad::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StripeLoad::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StripeLoad::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ViewMark::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/routing/ConfigItems.h
+++ b/packages/routing/ConfigItems.h
@@ -68,6 +68,10 @@
   bool IsKeyed = false;
   /// How long a target serves keys slowly that it got without handover data.
   base::Duration WarmUpTime{};
+  /// How long a target is slow after its start.
+  base::Duration TargetWarmUpTime{};
+  /// Requests a second that a target takes in that time; 0 for no limit.
+  double WarmUpPerSecond = 0;
   std::string Document;
   bool operator==(const Service &) const = default;
 };
