OWNER: a report of release counts only from an identified holder

Cause: a heartbeat with the id and start time of a holder whose address the directory lacks (displaced, or after the loss of all views) was taken as that holder. What it did not list counted as released while the holder still used its lease; its leaving state was committed as a departure; its sequence number made the holder's own heartbeats late; and a claim of one holder to the address of another was accepted without a check.

Now such a release counts only after the lease that the holder may have, such an instance keeps its stripes when another takes the address, a departure needs a health check that names the sender, a contradicting address is judged before sequence numbers, and between two holders the process at the address decides.

--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -90,13 +90,29 @@
 
 private:
   keyspace::GrantConfig makeGrantConfig() const;
+  /// What says that a heartbeat's sender is the process of its id.
+  enum class SenderProof {
+    None,
+    /// The process at its address has named itself.
+    HealthCheck,
+  };
   void handleHeartbeat(const Call &call, const ReplyHook &reply,
-                       base::MonoTime now);
+                       base::MonoTime now,
+                       SenderProof proof = SenderProof::None);
   void handleLeave(const Call &call, const ReplyHook &reply);
   void handleConfigChange(const Call &call, const ReplyHook &reply);
   /// Answers a heartbeat that changes nothing.
   void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
                         const ReplyHook &reply);
+  /// Requests the id of the process at the sender's address. Returns false if
+  /// no request may be sent now.
+  bool identify(const Target &sender,
+                std::function<void(const std::optional<std::string> &id)> done,
+                const ReplyHook &reply, base::MonoTime now);
+  /// Handles the heartbeat of a leaving sender once the process at its address
+  /// has named itself, and ignores it otherwise.
+  void checkDeparture(const Call &call, const Target &sender,
+                      const ReplyHook &reply, base::MonoTime now);
   /// Checks which process is at the sender's address if the directory has
   /// another there, or the sender elsewhere, and handles the heartbeat again if
   /// it is the sender. Returns false if no check is started.
--- a/packages/fleet/Heartbeat.h
+++ b/packages/fleet/Heartbeat.h
@@ -25,6 +25,8 @@
   /// without keys.
   std::vector<keyspace::HeldRange> Holds;
   std::vector<keyspace::ReleasedRange> Released;
+  /// The leader already had the sender, at the same address.
+  bool IsIdentified = true;
 };
 
 struct HeartbeatAnswer {
--- a/packages/fleet/TargetDirectory.h
+++ b/packages/fleet/TargetDirectory.h
@@ -46,6 +46,9 @@
     /// Whether the group has committed keys to an instance that has sent no
     /// heartbeat to this leader yet. The directory may then lack its address.
     InstanceTest IsUnreportedHolder;
+    /// Whether the group has committed keys to an instance that has sent a
+    /// heartbeat to this leader.
+    InstanceTest IsReportedHolder = [](const auto &) { return false; };
   };
 
   /// Records the sender of a heartbeat, if the heartbeat is accepted. A later
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -138,7 +138,7 @@
 }
 
 void FleetLeader::handleHeartbeat(const Call &call, const ReplyHook &reply,
-                                  base::MonoTime now) {
+                                  base::MonoTime now, SenderProof proof) {
   auto read = Format.ReadHeartbeat(call.Name, call.Body);
   if (!read) {
     base::logWarning("fleet", read.error().Code,
@@ -161,6 +161,14 @@
         {ResultCode::UnknownService, "the configuration has no service '" +
                                          heartbeat.Sender.Service + "'"});
   }
+  const Target *known = Directory.find(instance.Id);
+  heartbeat.IsIdentified = proof == SenderProof::HealthCheck ||
+                           (known && known->Instance == instance);
+  // A departure is kept for good, so it needs more than an id and a start time.
+  if (heartbeat.Sender.State == TargetState::Leaving &&
+      !heartbeat.IsIdentified && !State.hasDeparted(instance) &&
+      Hooks.IdentifyProcess && Grants.isUnreportedHolder(instance, now))
+    return checkDeparture(call, heartbeat.Sender, reply, now);
   const auto result =
       Grants.hasLaterInstance(instance)
           ? TargetDirectory::UpdateResult{}
@@ -168,6 +176,10 @@
                              {[&](const auto &it) { return isAlive(it, now); },
                               [&](const auto &it) {
                                 return Grants.isUnreportedHolder(it, now);
+                              },
+                              [&](const auto &it) {
+                                return Grants.isOwner(it) &&
+                                       !Grants.isUnreportedHolder(it, now);
                               }});
   if (result.Occupant && result.Verdict != HeartbeatVerdict::Accepted &&
       checkAddress(call, heartbeat.Sender, result, reply, now))
@@ -189,7 +201,7 @@
                    {"successor_born", instance.StartedAtMs}});
     // Its keys stay its own until its hold ends: that its process has ended is
     // not certain.
-    Grants.onReplaced(*result.Occupant);
+    Grants.onReplaced(*result.Occupant, now);
     removeFromView(*result.Occupant);
   }
   LastHeartbeat[instance] = now;
@@ -212,9 +224,10 @@
   });
 }
 
-bool FleetLeader::checkAddress(const Call &call, const Target &sender,
-                               const TargetDirectory::UpdateResult &result,
-                               const ReplyHook &reply, base::MonoTime now) {
+bool FleetLeader::identify(
+    const Target &sender,
+    std::function<void(const std::optional<std::string> &id)> done,
+    const ReplyHook &reply, base::MonoTime now) {
   const auto *service = State.config().findService(sender.Service);
   auto &next = NextAddressChecks[sender.Address];
   if (!Hooks.IdentifyProcess || !service || now < next ||
@@ -224,16 +237,27 @@
   ++CountAddressChecks;
   Hooks.IdentifyProcess(
       sender.Address, service->HealthPath,
-      [this, alive = Alive, call, sender, occupant = *result.Occupant,
-       verdict = result.Verdict, reply](const std::optional<std::string> &id) {
+      [this, alive = Alive, sender, done = std::move(done),
+       reply](const std::optional<std::string> &id) {
         if (!*alive)
           return reply(StatusUnavailable, "");
         --CountAddressChecks;
         base::logInfo("fleet", "the process at an address was identified",
                       {{"address", sender.Address},
                        {"answered", id.value_or("")},
-                       {"sender", sender.Instance.Id},
-                       {"occupant", occupant.Id}});
+                       {"sender", sender.Instance.Id}});
+        done(id);
+      });
+  return true;
+}
+
+bool FleetLeader::checkAddress(const Call &call, const Target &sender,
+                               const TargetDirectory::UpdateResult &result,
+                               const ReplyHook &reply, base::MonoTime now) {
+  return identify(
+      sender,
+      [this, call, sender, occupant = *result.Occupant,
+       verdict = result.Verdict, reply](const std::optional<std::string> &id) {
         if (id != sender.Instance.Id)
           return answerUnaccepted(sender, verdict, reply);
         const auto end = Hooks.ReadTime();
@@ -242,9 +266,28 @@
           Grants.onEnded(occupant, sender.Instance, end);
           removeFromView(occupant);
         }
-        handleHeartbeat(call, reply, end);
-      });
-  return true;
+        handleHeartbeat(call, reply, end, SenderProof::HealthCheck);
+      },
+      reply, now);
+}
+
+void FleetLeader::checkDeparture(const Call &call, const Target &sender,
+                                 const ReplyHook &reply, base::MonoTime now) {
+  const auto ignore = [this, sender, reply] {
+    answerUnaccepted(sender, HeartbeatVerdict::Occupied, reply);
+  };
+  const bool IsStarted = identify(
+      sender,
+      [this, call, sender, reply,
+       ignore](const std::optional<std::string> &id) {
+        if (id != sender.Instance.Id)
+          return ignore();
+        handleHeartbeat(call, reply, Hooks.ReadTime(),
+                        SenderProof::HealthCheck);
+      },
+      reply, now);
+  if (!IsStarted)
+    ignore();
 }
 
 void FleetLeader::answerUnaccepted(const Target &sender,
@@ -292,6 +335,7 @@
   report.Service = heartbeat.Sender.Service;
   report.Slots = heartbeat.Sender.Slots;
   report.IsLeaving = heartbeat.Sender.State == TargetState::Leaving;
+  report.IsIdentified = heartbeat.IsIdentified;
   report.Holds = heartbeat.Holds;
   report.Released = heartbeat.Released;
   // The lease is checked again immediately before stripes are granted.
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -12,19 +12,20 @@
 TargetDirectory::TargetDirectory(
     const std::map<keyspace::TargetInstance, Target> &known) {
   for (const auto &[instance, target] : known)
-    update(target, {never, never});
+    update(target, {never, never, never});
 }
 
 TargetDirectory::UpdateResult
 TargetDirectory::update(const Target &target, const Evidence &evidence) {
   const Target *same = find(target.Instance.Id);
   if (same && same->Instance == target.Instance) {
+    // Before the sequence numbers: those of another process say nothing.
+    if (target.Address != same->Address)
+      return {HeartbeatVerdict::Contradicting, {}, same->Instance};
     if (target.Sequence <= same->Sequence)
       return {};
     if (target.Service != same->Service)
       return {HeartbeatVerdict::Contradicting, {}, {}};
-    if (target.Address != same->Address)
-      return {HeartbeatVerdict::Contradicting, {}, same->Instance};
     put(target);
     return {HeartbeatVerdict::Accepted, {}, {}};
   }
@@ -34,10 +35,14 @@
   };
   if (IsLater(same))
     return {};
-  if (occupant && !evidence.IsUnreportedHolder(target.Instance)) {
-    if (IsLater(occupant))
+  const bool IsHolder = evidence.IsUnreportedHolder(target.Instance);
+  // Between two holders of keys the process at the address decides.
+  const bool IsOnlyHolder =
+      occupant && IsHolder && !evidence.IsReportedHolder(occupant->Instance);
+  if (occupant && !IsOnlyHolder) {
+    if (IsLater(occupant) && !IsHolder)
       return {};
-    if (evidence.IsAlive(occupant->Instance))
+    if (IsLater(occupant) || evidence.IsAlive(occupant->Instance))
       return {HeartbeatVerdict::Occupied, {}, occupant->Instance};
   }
   UpdateResult result{HeartbeatVerdict::Accepted, {}, {}};
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -57,6 +57,9 @@
   bool IsLeaving = false;
   std::vector<HeldRange> Holds;
   std::vector<ReleasedRange> Released;
+  /// False if nothing but its id and start time says that the sender is the
+  /// process that holds the stripes of this instance.
+  bool IsIdentified = true;
 };
 
 /// A change of the target that receives a stripe's requests; no holder if they
@@ -88,8 +91,9 @@
   void onEnded(const TargetInstance &instance, const TargetInstance &successor,
                base::MonoTime now);
   /// Another process has the address of the target, which has fallen silent.
-  /// The target may use its stripes until its hold ends, and may return.
-  void onReplaced(const TargetInstance &instance);
+  /// The target may use its stripes until its hold ends, and may return. One
+  /// that was never identified keeps its stripes: it may be at another address.
+  void onReplaced(const TargetInstance &instance, base::MonoTime now);
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
   std::vector<KeyAssignment> plan(base::MonoTime now);
@@ -130,6 +134,10 @@
     /// Another process has its address; it gets no stripes before its next
     /// heartbeat.
     bool IsDisplaced = false;
+    /// What the target reports as released counts from then on: before, another
+    /// process with its id may have sent the report while the target holds its
+    /// stripes.
+    base::MonoTime ReleasesFrom{};
     /// The instance as which the target has started again, or that has taken
     /// its address.
     std::optional<TargetInstance> Successor;
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -114,6 +114,8 @@
 std::vector<GrantRow> GrantController::onHeartbeat(const KeyReport &report,
                                                    base::MonoTime now) {
   InstanceState &state = Instances[report.Instance];
+  if (!report.IsIdentified && !state.HasReported)
+    state.ReleasesFrom = state.HoldEnd;
   if (!std::exchange(state.HasReported, true))
     endEarlierInstances(report.Instance);
   state.Service = report.Service;
@@ -131,7 +133,8 @@
     return {};
   if (state.IsLeaving)
     revokeAll(report.Instance, state);
-  recordReleases(report, *owned);
+  if (state.ReleasesFrom <= now)
+    recordReleases(report, *owned);
   return grant(report, *owned);
 }
 
@@ -226,12 +229,15 @@
   revokeAll(id, it->second);
 }
 
-void GrantController::onReplaced(const TargetInstance &id) {
+void GrantController::onReplaced(const TargetInstance &id, base::MonoTime now) {
   auto it = Instances.find(id);
   if (it == Instances.end())
     return;
   it->second.IsDisplaced = true;
-  revokeAll(id, it->second);
+  const bool WasIdentified = it->second.ReleasesFrom <= now;
+  it->second.ReleasesFrom = it->second.HoldEnd;
+  if (WasIdentified)
+    revokeAll(id, it->second);
 }
 
 void GrantController::endEarlierInstances(const TargetInstance &successor) {
@@ -265,6 +271,9 @@
   const auto it = Instances.find(instance);
   if (it == Instances.end())
     return;
+  // It may be at another address than the one that has a successor.
+  if (it->second.ReleasesFrom > now)
+    return onReplaced(instance, now);
   it->second.HoldEnd = std::min(it->second.HoldEnd, now);
   // Successors have started later, so that no row of them is a cycle.
   if (instance.StartedAtMs < successor.StartedAtMs)
--- a/packages/keyspace/tests/GrantControllerTest.cpp
+++ b/packages/keyspace/tests/GrantControllerTest.cpp
@@ -137,7 +137,7 @@
   fixture.assignAllStripes();
   const auto hold = fixture.Controller.config().HoldTime;
   const auto answered = fixture.Now;
-  fixture.Controller.onReplaced(A);
+  fixture.Controller.onReplaced(A, fixture.Now);
   CHECK(fixture.Controller.holderOf("stock", 0) !=
         fixture.Table.find("stock")->ownerOf(0));
   while (fixture.Now < answered + hold) {
