Permits and choice of targets use the load that targets report

What is known of a target's load is stale, and permits counted only what one core had issued: slow targets got as many requests as quick ones.

dispatch/LoadEstimate estimates for one target when a new request would be answered, from the sender's requests in flight, the last report with its age, and the measured mean time. PermitIssuer uses it to choose targets, to estimate waits, for refusals and for the expiry of waiting requests, and leaves out targets that are ejected or closed by their rate. TargetPool chooses the better of two targets that are drawn by their measured speeds, so that entries with the same reports don't all choose the same one. Targets without reports are handled as before.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 #include "dispatch/FairQueue.h"
+#include "dispatch/LoadEstimate.h"
 #include "dispatch/RateLimiter.h"
 #include "dispatch/TargetHealth.h"
 #include "keyspace/Types.h"
@@ -64,6 +65,9 @@
   keyspace::TargetInstance Target;
   /// When refused: time until there is room again.
   base::Duration RetryAfter{};
+  /// When granted: age of the load report by which the target was chosen, if
+  /// there was one.
+  std::optional<base::Duration> ReportAge{};
 };
 
 enum class PermitUse : std::uint8_t {
@@ -104,6 +108,12 @@
   std::optional<keyspace::TargetInstance> limitRate(const PermitId &id,
                                                     std::optional<double> limit,
                                                     base::MonoTime now);
+  /// The target reported \p load with its answer under permit \p id. Must be
+  /// called before release(). Returns the target if it has more requests of
+  /// other senders than slots, at most once in CrowdedInterval.
+  std::optional<keyspace::TargetInstance>
+  reportLoad(const PermitId &id, const dispatch::TargetLoad &load,
+             base::MonoTime now);
   Answers request(const PermitId &id, const PermitRequest &request,
                   base::MonoTime now);
   /// Ends a permit or the wait for one. \p latency is the time the target took
@@ -119,6 +129,10 @@
   /// released in time.
   Answers tick(base::MonoTime now);
 
+  /// Interval in which reportLoad() returns the same target once, which bounds
+  /// the log lines of a crowded target.
+  static constexpr base::Duration CrowdedInterval = std::chrono::seconds(10);
+
   std::size_t countGranted() const { return Granted.size(); }
   std::size_t countWaiting() const { return Waiting.size(); }
 
@@ -127,7 +141,10 @@
     PermitTarget Description;
     dispatch::TargetHealth Health;
     dispatch::RateLimiter Rate;
+    dispatch::LoadEstimate Load;
     std::uint32_t InUse = 0;
+    /// When reportLoad() returned the target last.
+    std::optional<base::MonoTime> CrowdedAt;
   };
   /// Targets that serve the same requests: the holder of keys, or all targets
   /// of a service in a data centre.
@@ -142,6 +159,21 @@
     std::string PoolName;
     base::MonoTime Expiry;
   };
+  /// What the targets of a pool that may be used have room for, by their
+  /// reports.
+  struct Capacity {
+    /// Requests that they complete at their usual speeds.
+    double PerMicrosecond = 0;
+    /// Requests that wait at the targets.
+    double Excess = 0;
+    /// Their speed relative to the usual one.
+    double Speed = 1;
+    /// Mean time of a request at the usual speed.
+    base::Duration MeanTime{};
+
+    /// Time until \p count requests have ended.
+    base::Duration timeFor(double count) const;
+  };
   struct Waiter {
     std::string PoolName;
     PermitId Id;
@@ -156,11 +188,22 @@
   Pool *findPool(const PermitRequest &request, std::string &name);
   Target *chooseTarget(const Pool &pool, base::MonoTime now);
   static std::uint32_t limitOf(const Pool &pool, const Target &target);
+  /// Whether a permit for \p target may be granted now.
+  static bool hasRoom(const Pool &pool, const Target &target,
+                      base::MonoTime now);
+  base::Duration expectedAnswer(const Target &target, base::MonoTime now) const;
+  /// Not set if no target of the pool reports its load.
+  std::optional<Capacity> findCapacity(const Pool &pool,
+                                       base::MonoTime now) const;
   base::Duration meanServiceTime(const Target &target) const;
   base::Duration meanServiceTime(const Pool &pool) const;
   /// Time until a request that is queued now would start.
   base::Duration estimateWait(const Pool &pool, bool IsUrgent,
                               base::MonoTime now) const;
+  /// Time from the start of a request to its answer, if it starts after
+  /// \p wait.
+  base::Duration estimateWork(const Pool &pool, base::Duration wait,
+                              base::MonoTime now) const;
   /// When the holder of keys may be used again, if its requests have failed and
   /// one is on its way already; requests without keys go to other targets.
   std::optional<base::MonoTime> findEjectionEnd(const Pool &pool,
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -3,6 +3,7 @@
 #include "admission/PermitIssuer.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace magnoliamill::admission {
 namespace {
@@ -128,6 +129,60 @@
   return sum / static_cast<std::int64_t>(pool.Members.size());
 }
 
+bool PermitIssuer::hasRoom(const Pool &pool, const Target &target,
+                           base::MonoTime now) {
+  const auto limit = limitOf(pool, target);
+  if (target.InUse >= limit || !target.Rate.isOpen(now))
+    return false;
+  // Requests of other senders use slots, too. One permit is always left: only
+  // an answer shows that those have ended.
+  return target.InUse == 0 || target.Load.present(target.InUse, now) < limit;
+}
+
+base::Duration PermitIssuer::expectedAnswer(const Target &target,
+                                            base::MonoTime now) const {
+  const auto mean = meanServiceTime(target);
+  if (!target.Load.isKnown(now))
+    return mean * (1 + target.InUse);
+  return target.Load.answerTime(mean, target.InUse,
+                                std::max(target.Description.Slots, 1U), now);
+}
+
+base::Duration PermitIssuer::Capacity::timeFor(double count) const {
+  const auto usual = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::micro>(count / PerMicrosecond));
+  return dispatch::LoadEstimate::timeAt(Speed, usual);
+}
+
+std::optional<PermitIssuer::Capacity>
+PermitIssuer::findCapacity(const Pool &pool, base::MonoTime now) const {
+  Capacity capacity;
+  bool HasReports = false;
+  double speeds = 0;
+  std::int64_t count = 0;
+  for (const auto &instance : pool.Members) {
+    const Target &target = Targets.at(instance);
+    const bool IsKnown = target.Load.isKnown(now);
+    HasReports = HasReports || IsKnown;
+    if (IsKnown && (target.Health.isEjected(now) || !target.Rate.isOpen(now)))
+      continue;
+    const auto mean = std::max(meanServiceTime(target), base::Duration(1));
+    const double slots = std::max(target.Description.Slots, 1U);
+    const double rate = slots / static_cast<double>(mean.count());
+    capacity.PerMicrosecond += rate;
+    speeds += rate * target.Load.speed(now);
+    capacity.Excess +=
+        std::max(target.Load.present(target.InUse, now) - slots, 0.0);
+    capacity.MeanTime += mean;
+    ++count;
+  }
+  if (!HasReports || count == 0)
+    return std::nullopt;
+  capacity.Speed = speeds / capacity.PerMicrosecond;
+  capacity.MeanTime /= count;
+  return capacity;
+}
+
 PermitIssuer::Target *PermitIssuer::chooseTarget(const Pool &pool,
                                                  base::MonoTime now) {
   Target *best = nullptr;
@@ -135,10 +190,10 @@
   bool IsBestEjected = false;
   for (const auto &instance : pool.Members) {
     Target &target = Targets.at(instance);
-    if (target.InUse >= limitOf(pool, target) || !target.Rate.isOpen(now))
+    if (!hasRoom(pool, target, now))
       continue;
     const bool IsEjected = target.Health.isEjected(now);
-    const auto expected = meanServiceTime(target) * (1 + target.InUse);
+    const auto expected = expectedAnswer(target, now);
     if (best && (IsEjected != IsBestEjected ? IsEjected : expected >= least))
       continue;
     best = &target;
@@ -161,11 +216,30 @@
   }
   const auto ahead = static_cast<std::int64_t>(pool.Queue.countAheadOf(
       IsUrgent ? settings::Urgency::Urgent : settings::Urgency::Normal));
+  const auto RateWait = rates.behind(static_cast<std::size_t>(ahead));
+  if (const auto capacity = findCapacity(pool, now))
+    return std::max(
+        capacity->timeFor(static_cast<double>(ahead) + capacity->Excess + 1),
+        RateWait);
   const auto SlotWait =
       meanServiceTime(pool) *
       (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
       std::max<std::int64_t>(slots, 1);
-  return std::max(SlotWait, rates.behind(static_cast<std::size_t>(ahead)));
+  return std::max(SlotWait, RateWait);
+}
+
+base::Duration PermitIssuer::estimateWork(const Pool &pool, base::Duration wait,
+                                          base::MonoTime now) const {
+  const auto capacity = findCapacity(pool, now);
+  if (!capacity)
+    return meanServiceTime(pool);
+  // By the end of the wait the speed has moved towards the usual one.
+  const double speed =
+      1 + (capacity->Speed - 1) *
+              std::exp(-std::chrono::duration<double>(wait) /
+                       std::chrono::duration<double>(
+                           dispatch::LoadEstimate::SlownessFade));
+  return dispatch::LoadEstimate::timeAt(speed, capacity->MeanTime);
 }
 
 std::optional<base::MonoTime>
@@ -194,6 +268,28 @@
   return rate.interval() == before ? std::nullopt : std::optional(it->first);
 }
 
+std::optional<TargetInstance>
+PermitIssuer::reportLoad(const PermitId &id, const dispatch::TargetLoad &load,
+                         base::MonoTime now) {
+  const auto permit = Granted.find(id);
+  if (permit == Granted.end())
+    return std::nullopt;
+  const auto it = Targets.find(permit->second.Target);
+  if (it == Targets.end())
+    return std::nullopt;
+  Target &target = it->second;
+  // The answered request is included: whether the report still counts it is not
+  // certain, and it must not pass for a request of another sender.
+  target.Load.onReport(load, target.InUse, now);
+  const bool IsCrowded =
+      target.Load.others(now) > target.Description.Slots &&
+      (!target.CrowdedAt || now - *target.CrowdedAt >= CrowdedInterval);
+  if (!IsCrowded)
+    return std::nullopt;
+  target.CrowdedAt = now;
+  return it->first;
+}
+
 PermitIssuer::Answers PermitIssuer::request(const PermitId &id,
                                             const PermitRequest &request,
                                             base::MonoTime now) {
@@ -215,7 +311,7 @@
   }
   const auto wait = estimateWait(*pool, request.IsUrgent, now);
   const auto limit = request.LatencyObjective * AdmittedPercent / 100;
-  const auto excess = wait + meanServiceTime(*pool) - limit;
+  const auto excess = wait + estimateWork(*pool, wait, now) - limit;
   if (!request.MayWait || excess > base::Duration::zero()) {
     refuse(id, request.MayWait ? excess : wait, answers);
     return answers;
@@ -239,8 +335,11 @@
   ++target.InUse;
   target.Rate.onSent(now);
   Granted[id] = {target.Description.Instance, name, deadline};
-  answers.push_back(
-      {id, PermitDecision::Granted, target.Description.Instance, {}});
+  answers.push_back({id,
+                     PermitDecision::Granted,
+                     target.Description.Instance,
+                     {},
+                     target.Load.age(now)});
 }
 
 void PermitIssuer::refuse(const PermitId &id, base::Duration wait,
@@ -323,7 +422,7 @@
     if (pool.Queue.size() == 0)
       continue;
     // A request that can't be answered in time would only occupy a slot.
-    const auto last = now + meanServiceTime(pool);
+    const auto last = now + estimateWork(pool, {}, now);
     for (const auto &info : pool.Queue.removeIf(
              [&](const auto &it) { return it.Deadline <= last; }))
       refuse(Waiting.extract(info.Id).mapped().Id,
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "dispatch/LoadEstimate.h"
 #include "dispatch/TargetHealth.h"
 #include "entry/TargetNotices.h"
 #include "entry/TargetReach.h"
@@ -64,6 +65,8 @@
   /// Requests that this entry has sent to the target and that are unanswered.
   std::uint32_t InFlight = 0;
   BusyBackoff Busy;
+  /// By the reports in the answers that this entry got.
+  dispatch::LoadEstimate Load;
 
   bool hasRoom(base::MonoTime now) const {
     return InFlight < MaxInFlight && Busy.isOpen(now);
@@ -97,6 +100,10 @@
   bool mayGetRequests(const keyspace::TargetInstance &instance,
                       base::MonoTime now) const;
 
+  /// An answer of the target to this entry reported its load.
+  void onLoad(const keyspace::TargetInstance &instance,
+              const dispatch::TargetLoad &load, base::MonoTime now);
+
   /// What targets told about themselves. Decides on each request, also on those
   /// for which choose() is not called.
   TargetNotices &notices() { return Notices; }
@@ -121,6 +128,8 @@
   /// get no requests; null if there is none. A target in another data centre
   /// must be faster by CrossDataCentreFactor. Targets that leave come after the
   /// others, and those that failed or refused requests recently come last.
+  /// Where targets report their load, the best of a few that are drawn at
+  /// random is chosen, because other entries choose by the same reports.
   PooledTarget *choose(std::string_view service,
                        const std::vector<keyspace::TargetInstance> &tried,
                        base::MonoTime now);
@@ -149,7 +158,12 @@
       const keyspace::TargetInstance &, base::MonoTime) const;
   base::MonoTime findOpening(std::string_view service, base::MonoTime now,
                              Opening opening) const;
-  double expectedLatencyUs(const PooledTarget &target) const;
+  /// \p DefaultUs is assumed for a target that has not answered yet.
+  double expectedLatencyUs(const PooledTarget &target, double DefaultUs,
+                           base::MonoTime now) const;
+  /// Chooses among \p candidates, of which some report their load.
+  PooledTarget *chooseEvenly(const std::vector<PooledTarget *> &candidates,
+                             base::MonoTime now);
   Rank rankOf(const PooledTarget &target, base::MonoTime now) const;
   bool mayGetRequests(const PooledTarget &target, base::MonoTime now) const;
 
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -113,6 +113,8 @@
                                  const AnswerMetadata &answer,
                                  std::string_view request) {
   const auto now = base::readMonotonic();
+  if (answer.Load)
+    Pool.onLoad(target, *answer.Load, now);
   if (answer.IsLeaving && Pool.notices().onLeaving(target, now)) {
     countNotice("leaving");
     base::logInfo("entry", "a target says that it leaves",
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace magnoliamill::entry {
 namespace {
@@ -11,9 +12,20 @@
 /// Latency assumed for a target that has not answered yet: low enough that it
 /// is tried, high enough that it does not receive all requests.
 constexpr double DefaultLatencyUs = 50'000;
+/// The measured mean latency; \p DefaultUs if the target has not answered yet.
+double meanLatencyUs(const PooledTarget &target, double DefaultUs) {
+  const auto latency = target.Health.meanLatency();
+  return latency.count() > 0 ? static_cast<double>(latency.count()) : DefaultUs;
+}
+
 /// Penalty for targets in other data centres: traffic between data centres is
 /// charged, and each direction adds latency.
 constexpr double CrossDataCentreFactor = 2.0;
+/// Targets that are drawn at random where targets report their load; the one
+/// that would answer first is chosen. With three, entries with reports that are
+/// 1 s old had twice as many requests refused as with two, since they chose the
+/// same targets (docs/design/even-load.md).
+constexpr int DrawnTargets = 2;
 
 } // namespace
 
@@ -82,12 +94,25 @@
   return it != Targets.end() && mayGetRequests(it->second, now);
 }
 
-double TargetPool::expectedLatencyUs(const PooledTarget &target) const {
-  const auto latency = target.Health.meanLatency();
-  const double us = latency.count() > 0 ? static_cast<double>(latency.count())
-                                        : DefaultLatencyUs;
+void TargetPool::onLoad(const keyspace::TargetInstance &instance,
+                        const dispatch::TargetLoad &load, base::MonoTime now) {
+  // The answered request has ended at the target.
+  if (PooledTarget *target = find(instance))
+    target->Load.onReport(load, std::max(target->InFlight, 1U) - 1, now);
+}
+
+double TargetPool::expectedLatencyUs(const PooledTarget &target,
+                                     double DefaultUs,
+                                     base::MonoTime now) const {
+  const double us = meanLatencyUs(target, DefaultUs);
   const double slots = std::max(target.Description.Slots, 1U);
   double expected = us * (1.0 + target.InFlight / slots);
+  if (target.Load.isKnown(now))
+    expected =
+        static_cast<double>(target.Load
+                                .answerTime(base::Duration(std::llround(us)),
+                                            target.InFlight, slots, now)
+                                .count());
   if (target.Description.DataCentre != DataCentre)
     expected *= CrossDataCentreFactor;
   return expected;
@@ -175,22 +200,72 @@
     return nullptr;
   PooledTarget *best = nullptr;
   std::pair<Rank, double> least;
+  std::vector<PooledTarget *> candidates;
+  bool HasReports = false;
   for (PooledTarget *target : it->second) {
     if (!mayGetRequests(*target, now) ||
         Notices.opensWithoutPermit(target->Description.Instance, now) > now ||
         std::ranges::find(tried, target->Description.Instance) != tried.end())
       continue;
+    candidates.push_back(target);
+    HasReports = HasReports || target->Load.isKnown(now);
     // Keeps entries with the same measurements from all choosing the same
     // target.
     const double jitter =
         std::uniform_real_distribution<double>(0.8, 1.2)(Random);
     const std::pair value(rankOf(*target, now),
-                          expectedLatencyUs(*target) * jitter);
+                          expectedLatencyUs(*target, DefaultLatencyUs, now) *
+                              jitter);
     if (!best || value < least) {
       best = target;
       least = value;
     }
   }
+  if (!HasReports)
+    return best;
+  std::erase_if(candidates, [&](const PooledTarget *target) {
+    return rankOf(*target, now) != least.first;
+  });
+  return chooseEvenly(candidates, now);
+}
+
+PooledTarget *
+TargetPool::chooseEvenly(const std::vector<PooledTarget *> &candidates,
+                         base::MonoTime now) {
+  // What is not measured counts as average. A low default would draw all
+  // entries to the same unmeasured targets.
+  double sum = 0;
+  double measured = 0;
+  for (const PooledTarget *target : candidates)
+    if (const double us = meanLatencyUs(*target, 0); us > 0) {
+      sum += us;
+      measured += 1;
+    }
+  const double DefaultUs = measured > 0 ? sum / measured : DefaultLatencyUs;
+  PooledTarget *best = nullptr;
+  double least = 0;
+  for (const bool IsNear : {true, false}) {
+    std::vector<PooledTarget *> group;
+    // Targets are drawn by their measured speeds, so that the choice stays
+    // right for targets of different speeds when the reports are old.
+    std::vector<double> speeds;
+    for (PooledTarget *target : candidates)
+      if ((target->Description.DataCentre == DataCentre) == IsNear) {
+        group.push_back(target);
+        speeds.push_back(1 / meanLatencyUs(*target, DefaultUs));
+      }
+    if (group.empty())
+      continue;
+    std::discrete_distribution<std::size_t> draw(speeds.begin(), speeds.end());
+    for (int i = 0; i < DrawnTargets; ++i) {
+      PooledTarget *target = group[draw(Random)];
+      const double expected = expectedLatencyUs(*target, DefaultUs, now);
+      if (!best || expected < least) {
+        best = target;
+        least = expected;
+      }
+    }
+  }
   return best;
 }
 
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -34,6 +34,9 @@
 
 private:
   void update(const View &view, const keyspace::TargetInstance &instance);
+  /// Passes on the load that the target of a permit reported.
+  void reportLoad(const admission::PermitId &id,
+                  const dispatch::TargetLoad &load, base::MonoTime now);
   /// Stops issuing permits for the target of \p end if a newer view than this
   /// core's does not list it as ready.
   void removeIfDeparted(const admission::PermitId &id, const PermitEnd &end);
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -6,6 +6,8 @@
 #include "node/CrashWatch.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <vector>
 
 namespace magnoliamill::fleet {
 
@@ -35,6 +37,25 @@
   }
 }
 
+void observeSlowness(const dispatch::TargetLoad &load) {
+  static const std::vector<double> Bounds{50, 100, 150, 200, 300, 500, 1000};
+  static auto &slowness = base::histogram(
+      "mill_permit_reported_slowness_percent",
+      "How long work takes on a target's machine, in percent of the usual "
+      "time, as reported with answers.",
+      Bounds);
+  slowness.Observe(load.SlownessPercent);
+}
+
+void observeAge(base::Duration age) {
+  static const std::vector<double> Bounds{0.05, 0.1, 0.2, 0.4, 0.8, 1.6};
+  static auto &ages = base::histogram(
+      "mill_permit_report_age_seconds",
+      "Age of the load report of the target for which a permit is granted.",
+      Bounds);
+  ages.Observe(std::chrono::duration<double>(age).count());
+}
+
 } // namespace
 
 void PermitDesk::update(const View &view,
@@ -100,6 +121,8 @@
                     {{"target", target->Id},
                      {"per_second", end.Notice->RateLimit.value_or(-1)},
                      {"entries", Numbers.size()}});
+  if (end.Notice && end.Notice->Load)
+    reportLoad(id, *end.Notice->Load, now);
   const auto failed = end.Use == admission::PermitUse::Failed
                           ? Issuer.targetOf(id)
                           : std::nullopt;
@@ -111,6 +134,22 @@
   answer(Issuer.release(id, end.Use, end.Latency, now));
 }
 
+void PermitDesk::reportLoad(const admission::PermitId &id,
+                            const dispatch::TargetLoad &load,
+                            base::MonoTime now) {
+  observeSlowness(load);
+  if (const auto crowded = Issuer.reportLoad(id, load, now))
+    base::logInfo("permit",
+                  "a target reports more requests of other senders than it has "
+                  "slots",
+                  {{"target", crowded->Id},
+                   {"running", load.Running},
+                   {"waiting", load.Waiting},
+                   {"slots", load.Slots},
+                   {"slowness_percent", load.SlownessPercent},
+                   {"entries", Numbers.size()}});
+}
+
 void PermitDesk::removeIfDeparted(const admission::PermitId &id,
                                   const PermitEnd &end) {
   if (!end.ReturnedBy || *end.ReturnedBy <= CurrentView)
@@ -145,6 +184,8 @@
 void PermitDesk::answer(const admission::PermitIssuer::Answers &answers) {
   for (const auto &it : answers) {
     countDecision(it.Decision);
+    if (it.ReportAge)
+      observeAge(*it.ReportAge);
     if (it.Decision == PermitDecision::Refused ||
         it.Decision == PermitDecision::Unknown)
       Trials.abandon(it.Id);
