--- a/packages/admission/tests/PermitIssuerTest.cpp
+++ b/packages/admission/tests/PermitIssuerTest.cpp
@@ -291,3 +291,44 @@
   // Both slots of the other one are in use.
   CHECK(it.ask(request).Decision == PermitDecision::Queued);
 }
+
+TEST_CASE("Permits ignore the load that targets report") {
+  Fixture it;
+  it.measure(Fast, 100ms);
+  it.measure(Slow, 110ms);
+  const auto report = [&](const keyspace::TargetInstance &instance,
+                          const dispatch::TargetLoad &load) {
+    auto request = makeRequest();
+    request.Holder = instance;
+    REQUIRE(it.ask(request).Decision == PermitDecision::Granted);
+    const auto crowded = it.Issuer.reportLoad({1, it.Last}, load, Start);
+    it.Issuer.release({1, it.Last}, PermitUse::Answered, 100ms, Start);
+    return crowded;
+  };
+
+  SECTION("a target with requests of other senders is chosen later") {
+    CHECK(report(Fast, {2, 4, 2, 100}) == Fast);
+    CHECK_FALSE(report(Slow, {1, 0, 2, 100}));
+    CHECK(it.ask(makeRequest()).Target == Slow);
+    // A log line for each report would flood the log.
+    CHECK_FALSE(report(Fast, {2, 4, 2, 100}));
+  }
+  SECTION("a target that never gets a permit would never report again") {
+    report(Fast, {2, 8, 2, 100});
+    CHECK(it.ask(makeKeyed()).Decision == PermitDecision::Granted);
+    CHECK(it.ask(makeKeyed()).Decision != PermitDecision::Granted);
+  }
+  SECTION("an ejected target's slots count as capacity") {
+    report(Fast, {1, 0, 2, 100});
+    report(Slow, {1, 0, 2, 100});
+    for (int n = 0; n < 3; ++n) {
+      REQUIRE(it.ask(makeKeyed()).Decision == PermitDecision::Granted);
+      it.Issuer.release({1, it.Last}, PermitUse::Failed, {}, Start);
+    }
+    for (int n = 0; n < 4; ++n)
+      REQUIRE(it.ask(makeRequest()).Decision == PermitDecision::Granted);
+    // About 100 ms for two slots of 100 ms, and 100 ms for the work: 160 ms of
+    // the objective may be used.
+    CHECK(it.ask(makeRequest(180ms)).Decision == PermitDecision::Refused);
+  }
+}
