--- a/packages/fleet/tests/PermitDeskTest.cpp
+++ b/packages/fleet/tests/PermitDeskTest.cpp
@@ -82,6 +82,11 @@
   void end(std::uint64_t number, admission::PermitUse use) {
     AtEntry->send(PermitEnd{number, use, 10ms});
   }
+  /// Ends the last permit with an answer that reports \p load.
+  void endWithLoad(const dispatch::TargetLoad &load) {
+    AtEntry->send(PermitEnd{Number, admission::PermitUse::Answered, 10ms,
+                            TargetNotice{std::nullopt, load}});
+  }
   /// Moves the time of the desk.
   void advance(base::Duration time) { Elapsed += time; }
 
@@ -177,3 +182,13 @@
     CHECK(CountGranted(Deadly) == AttemptCount - 1);
   }
 }
+
+TEST_CASE("A load report at the end of a permit is not passed to the issuer") {
+  DeskFixture fixture;
+  fixture.receive(makeView(5));
+  REQUIRE(fixture.ask().Decision == PermitDecision::Granted);
+  fixture.endWithLoad({4, 8, 4, 100});
+  // The target is full of requests of other senders; one permit is left.
+  CHECK(fixture.ask().Decision == PermitDecision::Granted);
+  CHECK(fixture.ask().Decision == PermitDecision::Queued);
+}
