A chunked body that ends in parts no longer ends the process

Cause: Boost.Beast asserts (BOOST_ASSERT(n >= 5) in parse_chunk_header) that a last chunk whose size it has seen is passed in again with at least 5 bytes. Our builds keep assertions. A caller that sent "0", CRLF and then CR as the whole of a chunked body in two segments ended the entry with SIGABRT, and so did a target with such an answer.

HttpConnection and TargetExchange pass in less than 5 bytes of a chunked body only after more have arrived (internal/ChunkedInput.h).

--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/HttpConnection.h"
 
 #include "base/Log.h"
+#include "gateway/internal/ChunkedInput.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -80,7 +81,7 @@
 }
 
 void HttpConnection::parse() {
-  while (Received.size() > 0) {
+  while (Received.size() > 0 && mayParse(*RequestParser, Received.size())) {
     boost::system::error_code ec;
     const std::size_t n = RequestParser->put(Received.data(), ec);
     Received.consume(n);
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/TargetExchange.h"
 
 #include "gateway/HeaderRules.h"
+#include "gateway/internal/ChunkedInput.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -201,8 +202,9 @@
     auto &body = Parser->get().body();
     body.data = chunk.data() + filled;
     body.size = chunk.size() - filled;
-    ErrorCode ec;
-    const std::size_t n = Parser->put(input.data(), ec);
+    ErrorCode ec = http::error::need_more;
+    const std::size_t n =
+        mayParse(*Parser, input.size()) ? Parser->put(input.data(), ec) : 0;
     input.consume(n);
     const std::size_t added = chunk.size() - body.size - filled;
     filled += added;
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -212,6 +212,20 @@
   }
 }
 
+TEST_CASE("The end of an empty chunked answer in parts ends the process") {
+  Fixture fixture([&](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (const char *part : {"0\r\n", "\r", "\n"}) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      peer.send(part);
+    }
+  });
+  const auto answer = fixture.run("GET");
+  CHECK(answer.isEnded());
+  CHECK(answer.body().empty());
+}
+
 TEST_CASE("A reused connection that fails") {
   // The first connection answers one request and closes at the second.
   Fixture fixture([](Peer &peer, std::size_t number) {
