A status that no response has is not an answer

Cause: TargetExchange took each status below 200 for an interim response and each other one for the answer, and health checks took any. The HTTP library accepts every three digits.

A final response has 200 to 599; 1xx except 101 is an interim response. All else ends the call as bytes that are not a response do: TargetProtocol, may have run. That holds for refusals too, and for relayed requests and the mesh shape, which use the same client. A health check reads past interim responses, and gets no answer from another status. AnswerWriter answers 502 (unknown) to a head with such a status, which a VM of an earlier build may pass on.

--- a/packages/gateway/internal/AnswerWriter.cpp
+++ b/packages/gateway/internal/AnswerWriter.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/AnswerWriter.h"
 
 #include "gateway/HttpGateway.h"
+#include "gateway/internal/ResponseStatus.h"
 
 #include <boost/beast/http/write.hpp>
 
@@ -25,6 +26,13 @@
   if (IsEnded || Failure)
     return;
   if (auto *head = std::get_if<protocol::AnswerHead>(&event)) {
+    // Another VM may have passed on what its target sent.
+    if (!isFinalStatus(head->Status)) {
+      Failure = {base::ResultCode::OutcomeUnknownTargetLost,
+                 "no response has the status " + std::to_string(head->Status),
+                 0};
+      return;
+    }
     Head = std::move(*head);
     IsBodyless = Options.HeadOnly || Head->Status == 204 || Head->Status == 304;
   } else if (auto *chunk = std::get_if<ChunkEvent>(&event)) {
--- a/packages/gateway/internal/HealthCheck.cpp
+++ b/packages/gateway/internal/HealthCheck.cpp
@@ -1,6 +1,8 @@
 // Sends one request and reads the head of its answer within a time limit.
 #include "gateway/HealthCheck.h"
 
+#include "gateway/internal/ResponseStatus.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace magnoliamill::gateway {
@@ -57,25 +60,33 @@
                       });
   }
   void read() {
+    Parser.emplace();
     http::async_read_header(
-        Stream, Buffer, Parser,
+        Stream, Buffer, *Parser,
         [self = shared_from_this()](ErrorCode ec, std::size_t) {
           if (ec)
             return self->finish(std::nullopt);
-          protocol::AnswerHead head;
-          head.Status =
-              static_cast<std::uint16_t>(self->Parser.get().result_int());
-          for (const auto &field : self->Parser.get())
-            head.Headers.push_back(
-                {std::string(field.name_string()), std::string(field.value())});
-          self->finish(std::move(head));
+          self->onHeader(self->Parser->get());
         });
   }
+  void onHeader(const http::response<http::empty_body> &response) {
+    const unsigned status = response.result_int();
+    if (internal::isInterimStatus(status))
+      return read();
+    if (!internal::isFinalStatus(status))
+      return finish(std::nullopt);
+    protocol::AnswerHead head;
+    head.Status = static_cast<std::uint16_t>(status);
+    for (const auto &field : response)
+      head.Headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    finish(std::move(head));
+  }
 
   boost::beast::tcp_stream Stream;
   http::request<http::empty_body> Request;
   boost::beast::flat_buffer Buffer;
-  http::response_parser<http::empty_body> Parser;
+  std::optional<http::response_parser<http::empty_body>> Parser;
   std::function<void(std::optional<protocol::AnswerHead>)> Done;
 };
 
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/HeaderRules.h"
 #include "gateway/internal/ChunkedInput.h"
+#include "gateway/internal/ResponseStatus.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -14,7 +15,6 @@
 
 namespace http = boost::beast::http;
 using base::ResultCode;
-using boost::asio::ip::tcp;
 
 namespace {
 
@@ -41,48 +41,6 @@
   takeConnection(false);
 }
 
-void TargetExchange::takeConnection(bool fresh) {
-  const auto now = base::readMonotonic();
-  if (!fresh)
-    Connection = Pool->takeIdle(Call.Address, Call.Idempotent, now);
-  if (Connection) {
-    armTimer(Call.Deadline);
-    return write();
-  }
-  Connection = Pool->open(Call.Address);
-  if (!Connection)
-    return fail(ResultCode::TargetUnreachable,
-                "the limit of connections to the target is reached");
-  connect();
-}
-
-void TargetExchange::connect() {
-  ErrorCode ec;
-  const auto address = boost::asio::ip::make_address(Call.Address.Host, ec);
-  if (ec)
-    return fail(ResultCode::TargetUnreachable,
-                "'" + Call.Address.Host + "' is not an IP address");
-  IsConnecting = true;
-  armTimer(
-      std::min(Call.Deadline, base::readMonotonic() + Config.ConnectTimeout));
-  Connection->Socket.async_connect(
-      tcp::endpoint(address, Call.Address.Port),
-      [self = shared_from_this(), connection = Connection](ErrorCode result) {
-        self->onConnected(result);
-      });
-}
-
-void TargetExchange::onConnected(ErrorCode ec) {
-  if (IsFinished)
-    return;
-  if (ec)
-    return fail(ResultCode::TargetUnreachable, ec.message());
-  IsConnecting = false;
-  Connection->Socket.set_option(tcp::no_delay(true), ec);
-  armTimer(Call.Deadline);
-  write();
-}
-
 void TargetExchange::armTimer(base::MonoTime time) {
   TimerExpiry = time;
   Timer.expires_after(base::delayUntil(time));
@@ -234,11 +192,16 @@
 
 /// Handles a complete head. Returns false if the call has ended.
 bool TargetExchange::onHeader() {
-  if (Parser->get().result_int() < 200) {
-    // An interim answer (1xx); the final one follows.
+  const unsigned status = Parser->get().result_int();
+  if (isInterimStatus(status)) {
     resetParser();
     return true;
   }
+  if (!isFinalStatus(status)) {
+    fail(ResultCode::TargetProtocol,
+         "no response has the status " + std::to_string(status));
+    return false;
+  }
   IsHeadSeen = true;
   HeadAt = base::readMonotonic();
   if (isCloseDelimited(*Parser) && !Call.AcceptsCloseDelimited) {
@@ -334,16 +297,6 @@
   fail(ResultCode::TargetReset, ec.message());
 }
 
-/// Retries once on a new connection. Returns false if that was done before.
-bool TargetExchange::retryOnNewConnection() {
-  if (std::exchange(HasRetried, true))
-    return false;
-  releaseConnection(false);
-  Parser.reset();
-  takeConnection(true);
-  return true;
-}
-
 void TargetExchange::complete() {
   TargetOutcome outcome;
   outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
@@ -398,13 +351,4 @@
     done(std::move(outcome));
 }
 
-void TargetExchange::releaseConnection(bool reusable) {
-  if (!Connection)
-    return;
-  if (reusable)
-    return Pool->release(Call.Address, std::move(Connection),
-                         base::readMonotonic());
-  Pool->drop(Call.Address, std::move(Connection));
-}
-
 } // namespace magnoliamill::gateway::internal
