admission: permits for a target that warms up are limited

A target that was just started crashes under a rush of requests. Waits and refusals include the limit, and waiting requests are granted by tick() when there is room.

Grants count also while the target is warm, because it may become cold at any moment, and for a second after the target was removed.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -4,6 +4,7 @@
 // or than the rate. Performs no I/O.
 #pragma once
 
+#include "admission/WarmUpLimit.h"
 #include "base/Time.h"
 #include "dispatch/FairQueue.h"
 #include "dispatch/RateLimiter.h"
@@ -64,6 +65,9 @@
   keyspace::TargetInstance Target;
   /// When refused: time until there is room again.
   base::Duration RetryAfter{};
+  /// When granted: the target warms up and has a limit. When refused: that
+  /// limit is the reason.
+  bool IsWarmUp = false;
 };
 
 enum class PermitUse : std::uint8_t {
@@ -81,6 +85,9 @@
   std::string Service;
   std::string DataCentre;
   std::uint32_t Slots = 1;
+  /// Permits in any second until WarmUntil; 0 for no limit.
+  std::uint32_t WarmUpPermits = 0;
+  base::MonoTime WarmUntil{};
 };
 
 class PermitIssuer {
@@ -114,7 +121,7 @@
   std::optional<keyspace::TargetInstance> targetOf(const PermitId &id) const;
   /// Ends all permits and waits of a requester whose link was lost.
   Answers releaseAll(std::uint64_t requester, base::MonoTime now);
-  /// Grants permits that the targets' rates allow by now, refuses requests
+  /// Grants permits that the targets' limits allow by now, refuses requests
   /// whose time has run out while they waited, and ends permits that were not
   /// released in time.
   Answers tick(base::MonoTime now);
@@ -127,6 +134,7 @@
     PermitTarget Description;
     dispatch::TargetHealth Health;
     dispatch::RateLimiter Rate;
+    WarmUpLimit WarmUp;
     std::uint32_t InUse = 0;
   };
   /// Targets that serve the same requests: the holder of keys, or all targets
@@ -161,19 +169,28 @@
   /// Time until a request that is queued now would start.
   base::Duration estimateWait(const Pool &pool, bool IsUrgent,
                               base::MonoTime now) const;
+  static std::size_t countAhead(const Pool &pool, bool IsUrgent);
+  /// The wait behind \p ahead others for room at targets that all warm up;
+  /// zero if one of them has no limit at present.
+  base::Duration findWarmUpWait(const Pool &pool, std::size_t ahead,
+                                base::MonoTime now) const;
   /// When the holder of keys may be used again, if its requests have failed and
   /// one is on its way already; requests without keys go to other targets.
   std::optional<base::MonoTime> findEjectionEnd(const Pool &pool,
                                                 base::MonoTime now) const;
   void grant(const std::string &name, const PermitId &id, Target &target,
              base::MonoTime deadline, base::MonoTime now, Answers &answers);
-  void refuse(const PermitId &id, base::Duration wait, Answers &answers);
+  void refuse(const PermitId &id, base::Duration wait, Answers &answers,
+              bool IsWarmUp = false);
   /// Grants permits to waiting requests while the pool has room.
   void serve(const std::string &name, base::MonoTime now, Answers &answers);
   void removeFrom(const std::string &name,
                   const keyspace::TargetInstance &instance, Answers &answers);
 
   std::map<keyspace::TargetInstance, Target> Targets;
+  /// The grants of targets that were removed, for as long as they count: the
+  /// view may list a target again soon.
+  std::map<keyspace::TargetInstance, WarmUpLimit> RemovedLimits;
   std::map<std::string, Pool> Pools;
   std::map<PermitId, Permit> Granted;
   std::map<base::RequestId, Waiter> Waiting;
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -52,6 +52,9 @@
 void PermitIssuer::put(const PermitTarget &target) {
   auto [it, added] = Targets.try_emplace(target.Instance);
   it->second.Description = target;
+  if (auto removed = RemovedLimits.extract(target.Instance))
+    it->second.WarmUp = std::move(removed.mapped());
+  it->second.WarmUp.set(target.WarmUpPermits, target.WarmUntil);
   if (!added)
     return;
   Pools.try_emplace(poolNameOf(target.Instance), true)
@@ -66,6 +69,8 @@
   if (it == Targets.end())
     return answers;
   const PermitTarget target = it->second.Description;
+  if (target.WarmUpPermits > 0)
+    RemovedLimits[instance] = std::move(it->second.WarmUp);
   Targets.erase(it);
   removeFrom(poolNameOf(instance), instance, answers);
   removeFrom(poolNameOf(target.Service, target.DataCentre), instance, answers);
@@ -135,7 +140,8 @@
   bool IsBestEjected = false;
   for (const auto &instance : pool.Members) {
     Target &target = Targets.at(instance);
-    if (target.InUse >= limitOf(pool, target) || !target.Rate.isOpen(now))
+    if (target.InUse >= limitOf(pool, target) || !target.Rate.isOpen(now) ||
+        !target.WarmUp.isOpen(now))
       continue;
     const bool IsEjected = target.Health.isEjected(now);
     const auto expected = meanServiceTime(target) * (1 + target.InUse);
@@ -148,24 +154,51 @@
   return best;
 }
 
+std::size_t PermitIssuer::countAhead(const Pool &pool, bool IsUrgent) {
+  return pool.Queue.countAheadOf(IsUrgent ? settings::Urgency::Urgent
+                                          : settings::Urgency::Normal);
+}
+
+base::Duration PermitIssuer::findWarmUpWait(const Pool &pool, std::size_t ahead,
+                                            base::MonoTime now) const {
+  auto opens = base::MonoTime::max();
+  for (const auto &instance : pool.Members) {
+    const Target &target = Targets.at(instance);
+    if (!target.WarmUp.isLimiting(now))
+      return base::Duration::zero();
+    // The requests that wait are spread over all members.
+    opens = std::min(opens,
+                     target.WarmUp.opensAt(now, ahead / pool.Members.size()));
+  }
+  return opens - now;
+}
+
 base::Duration PermitIssuer::estimateWait(const Pool &pool, bool IsUrgent,
                                           base::MonoTime now) const {
   std::int64_t slots = 0;
   std::int64_t running = 0;
   dispatch::RateWait rates(now);
+  const bool AreAllWarmingUp =
+      std::ranges::all_of(pool.Members, [&](const auto &instance) {
+        return Targets.at(instance).WarmUp.isLimiting(now);
+      });
   for (const auto &instance : pool.Members) {
     const Target &target = Targets.at(instance);
+    if (!AreAllWarmingUp && !target.WarmUp.isOpen(now))
+      continue;
     slots += target.Description.Slots;
     running += target.InUse;
-    rates.add(target.Rate);
+    if (AreAllWarmingUp || !target.WarmUp.isLimiting(now))
+      rates.add(target.Rate);
   }
-  const auto ahead = static_cast<std::int64_t>(pool.Queue.countAheadOf(
-      IsUrgent ? settings::Urgency::Urgent : settings::Urgency::Normal));
+  const auto ahead = static_cast<std::int64_t>(countAhead(pool, IsUrgent));
   const auto SlotWait =
       meanServiceTime(pool) *
       (ahead + std::max<std::int64_t>(running - slots, 0) + 1) /
       std::max<std::int64_t>(slots, 1);
-  return std::max(SlotWait, rates.behind(static_cast<std::size_t>(ahead)));
+  const auto count = static_cast<std::size_t>(ahead);
+  return std::max(
+      {SlotWait, rates.behind(count), findWarmUpWait(pool, count, now)});
 }
 
 std::optional<base::MonoTime>
@@ -217,7 +250,12 @@
   const auto limit = request.LatencyObjective * AdmittedPercent / 100;
   const auto excess = wait + meanServiceTime(*pool) - limit;
   if (!request.MayWait || excess > base::Duration::zero()) {
-    refuse(id, request.MayWait ? excess : wait, answers);
+    // The time at which there is room for a request: before it, a repeat would
+    // be refused as well.
+    const bool IsWarmUp =
+        wait > base::Duration::zero() &&
+        findWarmUpWait(*pool, countAhead(*pool, request.IsUrgent), now) >= wait;
+    refuse(id, request.MayWait && !IsWarmUp ? excess : wait, answers, IsWarmUp);
     return answers;
   }
   dispatch::RequestInfo info;
@@ -238,18 +276,22 @@
                          base::MonoTime now, Answers &answers) {
   ++target.InUse;
   target.Rate.onSent(now);
+  target.WarmUp.onGranted(now);
   Granted[id] = {target.Description.Instance, name, deadline};
-  answers.push_back(
-      {id, PermitDecision::Granted, target.Description.Instance, {}});
+  answers.push_back({id,
+                     PermitDecision::Granted,
+                     target.Description.Instance,
+                     {},
+                     target.WarmUp.isLimiting(now)});
 }
 
 void PermitIssuer::refuse(const PermitId &id, base::Duration wait,
-                          Answers &answers) {
+                          Answers &answers, bool IsWarmUp) {
   const double spread = std::uniform_real_distribution<double>(
       1 - RetrySpread, 1 + RetrySpread)(Random);
   const auto after = std::chrono::duration_cast<base::Duration>(
       std::clamp(wait, MinRetryAfter, MaxRetryAfter) * spread);
-  answers.push_back({id, PermitDecision::Refused, {}, after});
+  answers.push_back({id, PermitDecision::Refused, {}, after, IsWarmUp});
 }
 
 void PermitIssuer::serve(const std::string &name, base::MonoTime now,
@@ -319,6 +361,8 @@
 
 PermitIssuer::Answers PermitIssuer::tick(base::MonoTime now) {
   Answers answers;
+  std::erase_if(RemovedLimits,
+                [&](const auto &it) { return it.second.isIdle(now); });
   for (auto &[name, pool] : Pools) {
     if (pool.Queue.size() == 0)
       continue;
