fleet: the end of a warm-up is published, and cores limit permits by it

The leader compared whole targets, so that a time left which varies by some milliseconds published each heartbeat. It now publishes a later end only shortly before the published one passes, an end that is more than a second earlier, and at once a target that becomes cold again. A whole view that is kept encoded has times left, so it is encoded again after 500 ms.

PermitDesk takes the limit from the service and the settings warm_up_overrun and warm_up_slack; a changed service reaches the targets that are there.

--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -95,6 +95,7 @@
   base::MonoTime ViewConfirmedAt;
   /// LocalView encoded as a frame; null after LocalView has changed.
   EncodedFrame EncodedView;
+  base::MonoTime ViewEncodedAt{};
   std::unique_ptr<node::GroupRunner> Runner;
   /// Set with Runner.
   std::optional<internal::GroupMembership> Members;
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -136,7 +136,7 @@
                        std::function<void(base::Result<void>)> done);
   /// Removes an instance that the sender of a heartbeat has taken the place of.
   void removeFromView(const keyspace::TargetInstance &instance);
-  void updateTarget(const Target &target);
+  void updateTarget(const Target &reported, base::MonoTime now);
   bool isKeyed(const std::string &service) const;
   void plan(base::MonoTime now);
   void dropSilentTargets(base::MonoTime now);
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 
 namespace magnoliamill::fleet {
 
@@ -20,8 +21,10 @@
   /// Whether a target has ended under a request with this content.
   using SuspectHook = std::function<bool(std::uint64_t content)>;
 
-  explicit PermitDesk(std::uint64_t seed, SuspectHook suspect = {})
-      : Issuer(seed), IsSuspect(std::move(suspect)) {}
+  /// \p bound is what the deployment allows beyond the warm-up rates.
+  explicit PermitDesk(std::uint64_t seed, SuspectHook suspect = {},
+                      admission::WarmUpBound bound = {})
+      : Issuer(seed), IsSuspect(std::move(suspect)), Bound(bound) {}
 
   /// Applies the last change of \p view.
   void onView(const View &view);
@@ -34,6 +37,9 @@
 
 private:
   void update(const View &view, const keyspace::TargetInstance &instance);
+  /// Takes the warm-up limits of the services from the configuration, and
+  /// updates the targets of those that have changed.
+  void updateWarmUpLimits(const View &view);
   /// Stops issuing permits for the target of \p end if a newer view than this
   /// core's does not list it as ready.
   void removeIfDeparted(const admission::PermitId &id, const PermitEnd &end);
@@ -47,6 +53,10 @@
   admission::PermitIssuer Issuer;
   admission::PermitTrials Trials;
   SuspectHook IsSuspect;
+  admission::WarmUpBound Bound;
+  /// Permits in any second for a target that warms up, by service; only those
+  /// with a limit.
+  std::map<std::string, std::uint32_t> WarmUpPermits;
   ViewVersion CurrentView;
   /// The number of each link that has asked, and the reverse.
   std::map<std::shared_ptr<Link>, std::uint64_t> Numbers;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -18,6 +18,9 @@
 /// times in milliseconds.
 constexpr std::uint64_t FirstIncarnation = 1;
 constexpr base::Duration TickInterval = FleetLeader::TickInterval;
+/// How long an encoded view is sent to new subscribers: it has times that are
+/// left. Encoding it for each one would be slow when all subscribe at once.
+constexpr base::Duration MaxEncodedViewAge = std::chrono::milliseconds(500);
 constexpr base::Duration CoreListInterval = std::chrono::milliseconds(200);
 /// How often subscribers are told that their view is current.
 constexpr base::Duration ViewCurrentInterval = std::chrono::milliseconds(400);
@@ -61,7 +64,8 @@
              [this](const auto &host) { return makeHello(host); }}),
       Permits(
           base::hash64(Settings.Host, 2),
-          [this](std::uint64_t content) { return Crashes.isKnown(content); }),
+          [this](std::uint64_t content) { return Crashes.isKnown(content); },
+          {Settings.WarmUpOverrun, Settings.WarmUpSlack}),
       Timer(loop.context()) {}
 
 CoreNode::~CoreNode() { Links.closeAll(); }
@@ -358,8 +362,11 @@
 /// Encoded once for all subscribers that ask for the same view: after a restart
 /// of the cores, all entries ask at the same time.
 const EncodedFrame &CoreNode::encodedView() {
-  if (!EncodedView)
-    EncodedView = encodeShared(LocalView.describeWhole());
+  const auto now = base::readMonotonic();
+  if (EncodedView && now - ViewEncodedAt < MaxEncodedViewAge)
+    return EncodedView;
+  EncodedView = encodeShared(LocalView.describeWhole());
+  ViewEncodedAt = now;
   return EncodedView;
 }
 
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -27,6 +27,26 @@
 /// Bounds the size of the command of a departure.
 constexpr std::size_t MaxExpiredPerCommand = 16;
 
+/// Added to the published end of a warm-up: the time left that heartbeats state
+/// varies by some milliseconds with their way here.
+constexpr base::Duration WarmUpMargin = std::chrono::milliseconds(250);
+/// A warm-up that ends earlier than published by less than this is not
+/// published again. The target is only limited for longer.
+constexpr base::Duration MaxWarmUpExcess = std::chrono::seconds(1);
+/// A later end is published this many heartbeats before the published one, so
+/// that it arrives in time although two heartbeats are lost.
+constexpr int WarmUpRenewalHeartbeats = 3;
+
+/// Whether the end of a warm-up that a heartbeat states is to be published. The
+/// end of a target without traffic moves with each heartbeat.
+bool isWarmUpNews(base::MonoTime published, base::MonoTime reported,
+                  base::Duration interval, base::MonoTime now) {
+  if (reported > published)
+    return reported > now &&
+           published - now < interval * WarmUpRenewalHeartbeats;
+  return published - std::max(reported, now) > MaxWarmUpExcess;
+}
+
 /// Adds \p change to the holders of its service in \p update.
 void addHolderChange(ViewUpdate &update, const keyspace::KeyTable &keys,
                      keyspace::StripeChange change) {
@@ -326,7 +346,7 @@
 
 void FleetLeader::answerHeartbeat(const Heartbeat &heartbeat,
                                   const ReplyHook &reply, base::MonoTime now) {
-  updateTarget(heartbeat.Sender);
+  updateTarget(heartbeat.Sender, now);
   if (!isKeyed(heartbeat.Sender.Service))
     return reply(StatusOk, Format.WriteHeartbeatAnswer(
                                {Config.ControlAddress, std::nullopt, {}}));
@@ -517,8 +537,15 @@
   HasPendingUpdate = true;
 }
 
-void FleetLeader::updateTarget(const Target &target) {
-  auto [it, added] = Targets.try_emplace(target.Instance, target);
+void FleetLeader::updateTarget(const Target &reported, base::MonoTime now) {
+  auto [it, added] = Targets.try_emplace(reported.Instance, reported);
+  Target target = reported;
+  const auto published = added ? base::MonoTime{} : it->second.WarmUntil;
+  if (!isWarmUpNews(published, reported.WarmUntil,
+                    Config.Grants.HeartbeatInterval, now))
+    target.WarmUntil = published;
+  else if (reported.WarmUntil > now)
+    target.WarmUntil = reported.WarmUntil + WarmUpMargin;
   Target previous = std::exchange(it->second, target);
   // A new sequence number alone isn't published to entries.
   previous.Sequence = target.Sequence;
@@ -532,6 +559,18 @@
                    {"address", target.Address}});
   PendingUpdate.Targets.push_back(target);
   HasPendingUpdate = true;
+  const auto *service = State.config().findService(target.Service);
+  if (published > now || target.WarmUntil <= now || !service ||
+      service->WarmUpPerSecond <= 0)
+    return;
+  base::logInfo("fleet", "a target warms up, its requests are limited",
+                {{"target", target.Instance.Id},
+                 {"born", target.Instance.StartedAtMs},
+                 {"service", target.Service},
+                 {"left_ms", base::toMs(target.WarmUntil - now)}});
+  // Until they receive it, cores grant permits as for a warm target.
+  if (Hooks.HasLease())
+    publishPending();
 }
 
 void FleetLeader::onApplied(const StateChange &change) {
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -35,6 +35,15 @@
   }
 }
 
+void countWarmUp(PermitDecision decision) {
+  base::counter("mill_permit_warm_up_total",
+                "Permits granted for targets that warm up and have a limit, "
+                "and permits refused because of that limit.",
+                {{"decision",
+                  decision == PermitDecision::Granted ? "granted" : "refused"}})
+      .Increment();
+}
+
 } // namespace
 
 void PermitDesk::update(const View &view,
@@ -42,11 +51,41 @@
   const Target *target = view.findTarget(instance);
   if (!target || target->State != TargetState::Ready)
     return answer(Issuer.remove(instance));
-  Issuer.put({instance, target->Service, target->DataCentre, target->Slots});
+  const auto limit = WarmUpPermits.find(target->Service);
+  Issuer.put({instance, target->Service, target->DataCentre, target->Slots,
+              limit == WarmUpPermits.end() ? 0 : limit->second,
+              target->WarmUntil});
+}
+
+void PermitDesk::updateWarmUpLimits(const View &view) {
+  std::map<std::string, std::uint32_t> limits;
+  for (const auto &[name, service] : view.config().services())
+    if (const auto permits = Bound.countPermits(service.WarmUpPerSecond);
+        permits > 0 && !service.IsRemoved)
+      limits[name] = permits;
+  const auto former = std::exchange(WarmUpPermits, std::move(limits));
+  if (former == WarmUpPermits)
+    return;
+  const auto Find = [](const auto &from, const std::string &service) {
+    const auto it = from.find(service);
+    return it == from.end() ? 0 : it->second;
+  };
+  for (const auto &[name, service] : view.config().services())
+    if (const auto permits = Find(WarmUpPermits, name);
+        permits != Find(former, name))
+      base::logInfo("permit",
+                    "the limit of permits for a target that warms up changes",
+                    {{"service", name},
+                     {"permits_per_second", permits},
+                     {"warm_up_per_second", service.WarmUpPerSecond}});
+  for (const auto &[instance, target] : view.targets())
+    if (Find(WarmUpPermits, target.Service) != Find(former, target.Service))
+      update(view, instance);
 }
 
 void PermitDesk::onView(const View &view) {
   CurrentView = view.version();
+  updateWarmUpLimits(view);
   if (!view.lastChange().IsWhole) {
     for (const auto &instance : view.lastChange().Targets)
       update(view, instance);
@@ -145,6 +184,8 @@
 void PermitDesk::answer(const admission::PermitIssuer::Answers &answers) {
   for (const auto &it : answers) {
     countDecision(it.Decision);
+    if (it.IsWarmUp)
+      countWarmUp(it.Decision);
     if (it.Decision == PermitDecision::Refused ||
         it.Decision == PermitDecision::Unknown)
       Trials.abandon(it.Id);
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -563,3 +563,44 @@
   CHECK(fixture.call(CallKind::Leave, std::string(257, 'x'), "") == 400);
   CHECK(fixture.Proposals.empty());
 }
+
+TEST_CASE("Each heartbeat of a target that warms up is published") {
+  LeaderFixture it;
+  routing::Service service = *it.State.config().findService("stock");
+  ++service.Version;
+  service.WarmUpPerSecond = 3.5;
+  it.State.apply(routing::ConfigItems{{}, {service}, {}}, ++it.Index);
+  constexpr auto Interval = 870ms;
+  const auto beat = [&](base::Duration left) {
+    it.Now += Interval;
+    it.WarmUntil = it.Now + left;
+    it.sendHeartbeat("a", TargetState::Ready);
+    it.Leader->tick(it.Now);
+    const auto *target = it.Published.findTarget({"a", 5});
+    return target ? target->WarmUntil - it.Now : 0ms;
+  };
+  beat(30s);
+  const auto before = it.CountPublished;
+  base::Duration left = 30s;
+  SECTION("although the time left varies only by the way of the heartbeats") {
+    for (int n = 0; n < 20; ++n) {
+      left -= Interval;
+      CHECK(beat(left + (n % 2 ? 40ms : -40ms)) >= left);
+    }
+    CHECK(it.CountPublished == before);
+  }
+  SECTION("although it only stays cold, or its end passes at the receivers") {
+    for (int n = 0; n < 100; ++n)
+      CHECK(beat(30s) >= 2 * Interval);
+    CHECK(it.CountPublished - before <= 4);
+  }
+  SECTION("or one that becomes cold again waits for the next tick") {
+    beat(0ms);
+    REQUIRE(it.CountPublished == before + 1);
+    it.Now += Interval;
+    it.WarmUntil = it.Now + 20s;
+    it.sendHeartbeat("a", TargetState::Ready);
+    CHECK(it.CountPublished == before + 2);
+    CHECK(it.Published.findTarget({"a", 5})->WarmUntil >= it.WarmUntil);
+  }
+}
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -113,7 +113,7 @@
   std::uint16_t sendHeartbeat(const std::string &id, TargetState state,
                               std::string body = "ok") {
     FakeControl.Next.Sender = {{id, 5}, ++Sequence, id + ":80", "stock",
-                               "dc-a",  3,          state};
+                               "dc-a",  3,          state,      WarmUntil};
     return call(CallKind::Heartbeat, id, std::move(body));
   }
   std::uint16_t call(CallKind kind, std::string name, std::string body) {
@@ -150,6 +150,8 @@
   consensus::LogIndex Index = 10;
   std::uint64_t Term = 1;
   std::uint64_t Sequence = 0;
+  /// What heartbeats state.
+  base::MonoTime WarmUntil{};
   bool HasLease = true;
   bool ChecksAddresses = true;
   /// Id of the process that answers health checks, by address.
--- a/packages/fleet/tests/PermitDeskTest.cpp
+++ b/packages/fleet/tests/PermitDeskTest.cpp
@@ -177,3 +177,30 @@
     CHECK(CountGranted(Deadly) == AttemptCount - 1);
   }
 }
+
+TEST_CASE("A changed warm-up limit does not reach targets that are there") {
+  DeskFixture fixture;
+  auto update = makeView(1);
+  update.Targets.front().WarmUntil = base::readMonotonic() + 1h;
+  update.Targets.front().Slots = 100;
+  fixture.receive(update);
+  CHECK(fixture.ask().Decision == PermitDecision::Granted);
+  update.IsWhole = false;
+  update.Targets.clear();
+  routing::Service service;
+  service.Name = "stock";
+  const auto change = [&](double PerSecond) {
+    ++update.Version.Number;
+    ++service.Version;
+    service.WarmUpPerSecond = PerSecond;
+    update.Items.Services = {service};
+    fixture.receive(update);
+  };
+  // Half of it, which is one, since the deployment allows nothing beyond it.
+  change(2);
+  CHECK(fixture.ask().Decision == PermitDecision::Granted);
+  const auto answer = fixture.ask();
+  CHECK(answer.Decision != PermitDecision::Granted);
+  change(0);
+  CHECK(fixture.ask().Decision == PermitDecision::Granted);
+}
--- a/packages/routing/ConfigStore.h
+++ b/packages/routing/ConfigStore.h
@@ -40,6 +40,10 @@
   const std::map<std::string, Route, std::less<>> &routes() const {
     return Routes;
   }
+  /// All services by name, removed ones included.
+  const std::map<std::string, Service, std::less<>> &services() const {
+    return Services;
+  }
   std::size_t countRoutes() const { return Routes.size(); }
 
 private:
