entry: no request without a permit to a target that warms up

Only the core that issues permits counts what a target gets. Without a permit an entry now sends nothing to a target that warms up and has a limit: not when no core answers, not as a retry, not for a relayed request, and not when the target became cold before the write. Other targets get the request, or it is refused as not run with a time to return. A permit for such a target is used for at most 500 ms, since it counts in the second in which it was granted.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -101,6 +101,9 @@
   /// Refuses the request and returns true if this VM may send no more requests
   /// without a permit to the targets that could get it.
   bool refuseIfRateReached();
+  /// Refuses the request and returns true if it has no permit and only targets
+  /// that warm up could get it.
+  bool refuseIfWarmingUp();
   /// The same for \p opens, the time from which a target may get the request.
   bool refuseUntil(base::MonoTime opens, std::string message);
   /// Asks for a permit and returns true, unless the request is to be sent
@@ -137,6 +140,10 @@
   void send(PooledTarget &target);
   /// Whether the request may still be written to \p instance.
   bool mayWrite(const keyspace::TargetInstance &instance) const;
+  /// Whether \p instance has a limit while it warms up, and the request has no
+  /// permit that is still counted there.
+  bool lacksPermit(const keyspace::TargetInstance &instance,
+                   base::MonoTime now) const;
   /// The request without an address.
   gateway::TargetCall makeCall();
   /// Starts a call whose answer is delivered to the client.
@@ -225,6 +232,8 @@
   std::vector<keyspace::TargetInstance> Tried;
   /// The permit that was asked for or granted; 0 for none.
   std::uint64_t Permit = 0;
+  /// When the permit was granted.
+  base::MonoTime PermitGrantedAt;
   /// Permits that were returned because of this VM's view.
   std::uint32_t ReturnedPermits = 0;
   /// The steps that remain until a permit is granted. Not set before the first.
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,6 +98,21 @@
   bool mayGetRequests(const keyspace::TargetInstance &instance,
                       base::MonoTime now) const;
 
+  /// Until when the target gets requests only with a permit, because it warms
+  /// up and its service has a limit for that; \p now if it does not.
+  base::MonoTime warmsUpUntil(const PooledTarget &target,
+                              base::MonoTime now) const;
+  bool isWarmingUp(const PooledTarget &target, base::MonoTime now) const {
+    return warmsUpUntil(target, now) > now;
+  }
+  /// When one of the targets of \p service that are open, but for their
+  /// warm-up, and not in \p tried ends it; \p now if one of them is not warming
+  /// up or if there is none.
+  base::MonoTime
+  findWarmUpEnd(std::string_view service,
+                const std::vector<keyspace::TargetInstance> &tried,
+                base::MonoTime now) const;
+
   /// What targets told about themselves. Decides on each request, also on those
   /// for which choose() is not called.
   TargetNotices &notices() { return Notices; }
@@ -117,10 +133,11 @@
   }
 
   /// The ready target of \p service with the lowest expected latency for a
-  /// request without a permit, excluding those in \p tried and those that may
-  /// get no requests; null if there is none. A target in another data centre
-  /// must be faster by CrossDataCentreFactor. Targets that leave come after the
-  /// others, and those that failed or refused requests recently come last.
+  /// request without a permit, excluding those in \p tried, those that warm up
+  /// with a limit and those that may get no requests; null if there is none. A
+  /// target in another data centre must be faster by CrossDataCentreFactor.
+  /// Targets that leave come after the others, and those that failed or refused
+  /// requests recently come last.
   PooledTarget *choose(std::string_view service,
                        const std::vector<keyspace::TargetInstance> &tried,
                        base::MonoTime now);
@@ -144,6 +161,7 @@
   enum class Rank : std::uint8_t { Normal, Leaving, Avoided };
 
   void put(const fleet::Target &target);
+  void updateWarmUpLimits(const fleet::View &view);
   void remove(const keyspace::TargetInstance &instance);
   using Opening = base::MonoTime (TargetNotices::*)(
       const keyspace::TargetInstance &, base::MonoTime) const;
@@ -159,6 +177,8 @@
   TargetReach Reach;
   std::map<keyspace::TargetInstance, PooledTarget> Targets;
   std::map<std::string, std::vector<PooledTarget *>, std::less<>> ByService;
+  /// The services whose targets have a limit while they warm up.
+  std::set<std::string, std::less<>> WarmUpLimited;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -183,6 +183,8 @@
                   "the key's holder is at capacity",
                   std::max(target->Busy.until() - now, base::Duration::zero()) +
                       BusyRetryAfter);
+  if (refuseIfWarmingUp())
+    return;
   if (target)
     return send(*target);
   if (IsKeyed && Tried.empty() && !IsWaiting)
@@ -229,9 +231,13 @@
 
 bool EntryRequest::mayWrite(const keyspace::TargetInstance &instance) const {
   const auto now = base::readMonotonic();
-  if (Handler.pool().mayGetRequests(instance, now))
+  const bool LacksPermit = lacksPermit(instance, now);
+  if (Handler.pool().mayGetRequests(instance, now) && !LacksPermit)
     return true;
-  base::logInfo("entry", "a call is not written, its target has closed",
+  base::logInfo("entry",
+                LacksPermit ? "a call without a current permit is not written, "
+                              "its target warms up"
+                            : "a call is not written, its target has closed",
                 {{"request", Metadata.Id},
                  {"target", instance.Id},
                  {"attempt", Tried.size()},
@@ -388,7 +394,7 @@
                  {"view_number", Handler.view().version().Number}});
   if (!IsKeyed && tryTakeRetry())
     return tryNext();
-  if (refuseIfClosed())
+  if (refuseIfClosed() || refuseIfWarmingUp())
     return;
   refuse(ResultCode::NotRunTargetRefused, "the target refused the request",
          RefusalMetadata.IsWrongTarget ? NoHolderRetryAfter : BusyRetryAfter);
@@ -412,10 +418,10 @@
   if (!MayHaveRun && relayUnlessReachable())
     return;
   const bool IsUseful =
-      next &&
-      (!IsKeyed || !isTargetReachable() ||
-       (next->hasRoom(now) && Handler.pool().notices().opensWithoutPermit(
-                                  next->Description.Instance, now) <= now));
+      next && (!IsKeyed || !isTargetReachable() ||
+               (next->hasRoom(now) && !Handler.pool().isWarmingUp(*next, now) &&
+                Handler.pool().notices().opensWithoutPermit(
+                    next->Description.Instance, now) <= now));
   if ((IsIdempotent || !MayHaveRun) && IsUseful && tryTakeRetry())
     return tryNext();
   if (MayHaveRun)
@@ -423,7 +429,7 @@
                     ? ResultCode::OutcomeUnknownDeadline
                     : ResultCode::OutcomeUnknownTargetLost,
                 outcome.Message);
-  if (refuseIfClosed())
+  if (refuseIfClosed() || refuseIfWarmingUp())
     return;
   refuse(ResultCode::NotRunNoTarget, outcome.Message, BusyRetryAfter);
 }
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -21,6 +21,10 @@
 /// Upper bound of Retry-After during a target's pause: the remaining time
 /// divided by this. Clients wait no longer.
 constexpr int MaxPauseDivisor = 3;
+/// A permit for a target that warms up is not used later than this. It counts
+/// in the second in which it was granted; permits that are used much later come
+/// on top of those of another second.
+constexpr base::Duration MaxWarmUpPermitAge = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -91,8 +95,10 @@
 }
 
 void EntryRequest::onPermit(const PermitResult &result) {
-  if (result.Decision == PermitDecision::Granted)
+  if (result.Decision == PermitDecision::Granted) {
+    PermitGrantedAt = base::readMonotonic();
     return usePermit(result);
+  }
   Permit = 0;
   if (result.Decision == PermitDecision::Refused)
     PermitRetryAfter = std::min(PermitRetryAfter.value_or(result.RetryAfter),
@@ -171,6 +177,34 @@
   return refuseUntil(opens, "the target of the request limits its rate");
 }
 
+bool EntryRequest::refuseIfWarmingUp() {
+  const auto now = base::readMonotonic();
+  const TargetPool &pool = Handler.pool();
+  auto end = now;
+  if (!IsKeyed)
+    end = pool.findWarmUpEnd(Service, Tried, now);
+  else if (const PooledTarget *holder = chooseTarget())
+    end = pool.warmsUpUntil(*holder, now);
+  if (end <= now)
+    return false;
+  base::counter("mill_entry_warm_up_refused_total",
+                "Requests that were refused because they had no permit and "
+                "only targets that warm up could get them.",
+                {{"service", Service}})
+      .Increment();
+  // By then a core that did not answer is asked again.
+  return refuseUntil(std::min(end, now + PermitPlaces::AvoidTime),
+                     "the target of the request warms up and gets no requests "
+                     "without a permit");
+}
+
+bool EntryRequest::lacksPermit(const keyspace::TargetInstance &instance,
+                               base::MonoTime now) const {
+  const PooledTarget *target = Handler.pool().find(instance);
+  return target && Handler.pool().isWarmingUp(*target, now) &&
+         (Permit == 0 || now - PermitGrantedAt > MaxWarmUpPermitAge);
+}
+
 bool EntryRequest::refuseUntil(base::MonoTime opens, std::string message) {
   const auto now = base::readMonotonic();
   if (opens <= now)
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -18,6 +18,7 @@
 } // namespace
 
 void TargetPool::updateAll(const fleet::View &view) {
+  updateWarmUpLimits(view);
   std::vector<keyspace::TargetInstance> gone;
   for (const auto &[instance, target] : Targets)
     if (!view.findTarget(instance))
@@ -31,6 +32,7 @@
 void TargetPool::update(
     const fleet::View &view,
     const std::vector<keyspace::TargetInstance> &instances) {
+  updateWarmUpLimits(view);
   for (const auto &instance : instances) {
     if (const auto *target = view.findTarget(instance))
       put(*target);
@@ -39,6 +41,37 @@
   }
 }
 
+void TargetPool::updateWarmUpLimits(const fleet::View &view) {
+  WarmUpLimited.clear();
+  for (const auto &[name, service] : view.config().services())
+    if (!service.IsRemoved && service.WarmUpPerSecond > 0)
+      WarmUpLimited.insert(name);
+}
+
+base::MonoTime TargetPool::warmsUpUntil(const PooledTarget &target,
+                                        base::MonoTime now) const {
+  const auto &Description = target.Description;
+  return WarmUpLimited.contains(Description.Service)
+             ? std::max(Description.WarmUntil, now)
+             : now;
+}
+
+base::MonoTime
+TargetPool::findWarmUpEnd(std::string_view service,
+                          const std::vector<keyspace::TargetInstance> &tried,
+                          base::MonoTime now) const {
+  const auto it = ByService.find(service);
+  if (it == ByService.end())
+    return now;
+  auto end = base::MonoTime::max();
+  for (const PooledTarget *target : it->second)
+    if (mayGetRequests(*target, now) &&
+        Notices.opensWithoutPermit(target->Description.Instance, now) <= now &&
+        std::ranges::find(tried, target->Description.Instance) == tried.end())
+      end = std::min(end, warmsUpUntil(*target, now));
+  return end == base::MonoTime::max() ? now : end;
+}
+
 void TargetPool::put(const fleet::Target &target) {
   auto address = base::parseHostPort(target.Address);
   if (!address)
@@ -178,6 +211,7 @@
   for (PooledTarget *target : it->second) {
     if (!mayGetRequests(*target, now) ||
         Notices.opensWithoutPermit(target->Description.Instance, now) > now ||
+        isWarmingUp(*target, now) ||
         std::ranges::find(tried, target->Description.Instance) != tried.end())
       continue;
     // Keeps entries with the same measurements from all choosing the same
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -205,6 +205,22 @@
       update.Holders = {makeHolder(makeTarget(Second, 1))};
     apply(update);
   }
+  /// The service has a warm-up limit, and the first target warms up; the second
+  /// one as well if \p both.
+  void warmUp(bool both = false) {
+    fleet::ViewUpdate update;
+    update.Version = {1, ++Number};
+    routing::Service vault = *View.config().findService("vault");
+    ++vault.Version;
+    vault.WarmUpPerSecond = 3.5;
+    update.Items.Services = {vault};
+    update.Targets = {makeTarget(First, 1)};
+    if (both)
+      update.Targets.push_back(makeTarget(Second, 1));
+    for (auto &target : update.Targets)
+      target.WarmUntil = base::readMonotonic() + 1h;
+    apply(update);
+  }
   /// The whole view, as a core has it.
   fleet::ViewUpdate describeView() {
     fleet::ViewUpdate update;
--- a/packages/entry/tests/TargetPoolTest.cpp
+++ b/packages/entry/tests/TargetPoolTest.cpp
@@ -169,3 +169,37 @@
     CHECK(busy.until() == until);
   }
 }
+
+TEST_CASE("Without a permit a target that warms up gets a request") {
+  TargetPool pool("dc-a", 1, DrainTime);
+  auto view = makeView();
+  fleet::ViewUpdate update;
+  update.Version = {1, 2};
+  for (auto [instance, target] : view.targets()) {
+    target.WarmUntil = Start + (instance.Id == "far" ? 3s : 5s);
+    update.Targets.push_back(target);
+  }
+  routing::Service service;
+  service.Name = "vault";
+  service.Version = 1;
+  const auto publish = [&](double PerSecond) {
+    ++service.Version;
+    service.WarmUpPerSecond = PerSecond;
+    update.Items.Services = {service};
+    REQUIRE(view.apply(update) == fleet::View::Outcome::Applied);
+    pool.update(view, view.lastChange().Targets);
+    ++update.Version.Number;
+  };
+  publish(0);
+  CHECK(pool.choose("vault", {}, Start));
+  CHECK(pool.findWarmUpEnd("vault", {}, Start) == Start);
+  // The changed item reaches the targets that are there.
+  publish(3.5);
+  CHECK_FALSE(pool.choose("vault", {}, Start));
+  CHECK(pool.findWarmUpEnd("vault", {}, Start) == Start + 3s);
+  CHECK(pool.findWarmUpEnd("vault", {{"far", 1}}, Start) == Start + 5s);
+  // With a permit it may.
+  CHECK(pool.mayGetRequests(keyspace::TargetInstance{"far", 1}, Start));
+  CHECK(pool.choose("vault", {}, Start + 3s)->Description.Instance.Id == "far");
+  CHECK(pool.findWarmUpEnd("vault", {}, Start + 3s) == Start + 3s);
+}
