GrantController: targets of evacuated data centres give up their stripes

An operator may evacuate a data centre: its stripes have to move elsewhere within 2 s, a few at a time, since keys are not served while they move.

EvacuationSchedule states which share of its stripes a target gives up with the answer to a heartbeat. GrantController revokes these stripes, takes targets there out of the candidates and revokes the rest after 2 s. KeyReport has the data centre.

--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "keyspace/EvacuationSchedule.h"
 #include "keyspace/KeyTable.h"
 #include "keyspace/StripePlanner.h"
 
@@ -42,6 +43,9 @@
   /// Maximum percentage of stripes that are transferred at the same time. Their
   /// keys are not served during the transfer.
   std::uint32_t MaxTransferPercent = 12;
+  /// How long the stripes of an evacuated data centre move in steps. Then its
+  /// targets lose the rest.
+  base::Duration EvacuationTime = std::chrono::seconds(2);
   /// Encoded size of a row of an answer in bytes; that in JSON if unset.
   std::function<std::size_t(const GrantRow &)> CountRowBytes;
   /// Maximum size in bytes of all rows of an answer to a heartbeat.
@@ -60,6 +64,7 @@
   /// False if nothing but its id and start time says that the sender is the
   /// process that holds the stripes of this instance.
   bool IsIdentified = true;
+  std::string DataCentre = {};
 };
 
 /// A change of the target that receives a stripe's requests; no holder if they
@@ -94,6 +99,21 @@
   /// The target may use its stripes until its hold ends, and may return. One
   /// that was never identified keeps its stripes: it may be at another address.
   void onReplaced(const TargetInstance &instance, base::MonoTime now);
+  /// Targets of these data centres get no stripes and give up those that they
+  /// have: a share with each answer, if there are other targets, and the rest
+  /// with revokeOverdue().
+  void setEvacuated(const std::set<std::string> &centres, base::MonoTime now) {
+    Evacuations.update(centres, now);
+  }
+  /// An evacuated data centre whose targets keep no stripes from now on.
+  struct Revocation {
+    std::string DataCentre;
+    /// Stripes that had not moved.
+    std::size_t Stripes = 0;
+  };
+  /// Revokes the remaining stripes of the data centres whose EvacuationTime has
+  /// passed since the last call. To be called before plan().
+  std::vector<Revocation> revokeOverdue(base::MonoTime now);
   /// Returns the assignments to propose now. Each must be followed by
   /// onApplied() or onDropped() before the next one of its service is planned.
   std::vector<KeyAssignment> plan(base::MonoTime now);
@@ -126,6 +146,7 @@
 private:
   struct InstanceState {
     std::string Service;
+    std::string DataCentre;
     std::uint32_t Slots = 1;
     base::MonoTime HoldEnd;
     base::MonoTime LastHeartbeat;
@@ -193,6 +214,9 @@
                               const ServiceKeys &owned);
   void setActive(const std::string &service, std::uint32_t stripe, bool active);
   void revokeAll(const TargetInstance &instance, const InstanceState &state);
+  /// Revokes what the sender gives up now because of an evacuation.
+  void revokeEvacuated(const KeyReport &report, const InstanceState &state,
+                       const ServiceKeys &owned, base::MonoTime now);
   static void revoke(Keys &keys, std::uint32_t stripe);
   /// The last in the row of its successors; null if there is none.
   const TargetInstance *findHeir(const InstanceState &state) const;
@@ -220,6 +244,7 @@
 
   const KeyTable &Table;
   GrantConfig Config;
+  EvacuationSchedule Evacuations;
   std::map<TargetInstance, InstanceState> Instances;
   std::map<std::string, Keys> Services;
   std::vector<StripeChange> Changes;
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -2,6 +2,7 @@
 #include "keyspace/GrantController.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -72,7 +73,8 @@
 
 GrantController::GrantController(const KeyTable &table, GrantConfig config,
                                  base::MonoTime now)
-    : Table(table), Config(std::move(config)) {
+    : Table(table), Config(std::move(config)),
+      Evacuations(Config.EvacuationTime) {
   for (const auto &[service, owned] : Table.services()) {
     Keys &keys = keysOf(service);
     for (const TargetInstance &owner : owned.listOwners()) {
@@ -119,6 +121,7 @@
   if (!std::exchange(state.HasReported, true))
     endEarlierInstances(report.Instance);
   state.Service = report.Service;
+  state.DataCentre = report.DataCentre;
   state.Slots = std::max(report.Slots, 1U);
   state.LastHeartbeat = now;
   state.IsDisplaced = false;
@@ -133,6 +136,7 @@
     return {};
   if (state.IsLeaving)
     revokeAll(report.Instance, state);
+  revokeEvacuated(report, state, *owned, now);
   if (state.ReleasesFrom <= now)
     recordReleases(report, *owned);
   return grant(report, *owned);
@@ -216,6 +220,50 @@
   }
 }
 
+void GrantController::revokeEvacuated(const KeyReport &report,
+                                      const InstanceState &state,
+                                      const ServiceKeys &owned,
+                                      base::MonoTime now) {
+  const double share = Evacuations.shareDue(report.DataCentre, now);
+  if (share <= 0)
+    return;
+  if (Evacuations.isOver(report.DataCentre, now))
+    return revokeAll(report.Instance, state);
+  // Without other targets, the keys are served for as long as possible.
+  const bool HasOthers = std::ranges::any_of(Instances, [&](const auto &entry) {
+    return entry.second.Service == report.Service &&
+           isCandidate(entry.second, now);
+  });
+  if (!HasOthers)
+    return;
+  Keys &keys = keysOf(report.Service);
+  std::vector<std::uint32_t> kept;
+  for (std::uint32_t i : owned.stripesOf(report.Instance))
+    if (!keys.Stripes[i].IsRevoked)
+      kept.push_back(i);
+  const auto count = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(kept.size())));
+  for (std::size_t n = 0; n < count; ++n)
+    revoke(keys, kept[n * kept.size() / count]);
+}
+
+std::vector<GrantController::Revocation>
+GrantController::revokeOverdue(base::MonoTime now) {
+  std::vector<Revocation> revoked;
+  for (auto &centre : Evacuations.takeOver(now)) {
+    Revocation revocation{std::move(centre)};
+    for (const auto &[id, state] : Instances) {
+      const ServiceKeys *owned = Table.find(state.Service);
+      if (!owned || state.DataCentre != revocation.DataCentre)
+        continue;
+      revocation.Stripes += owned->stripesOf(id).size();
+      revokeAll(id, state);
+    }
+    revoked.push_back(std::move(revocation));
+  }
+  return revoked;
+}
+
 void GrantController::revoke(Keys &keys, std::uint32_t stripe) {
   keys.Stripes[stripe].IsRevoked = true;
   keys.Revoked.insert(stripe);
@@ -326,6 +374,7 @@
 bool GrantController::isCandidate(const InstanceState &state,
                                   base::MonoTime now) const {
   return state.HasReported && !state.IsLeaving && !state.IsDisplaced &&
+         !Evacuations.isEvacuated(state.DataCentre) &&
          now - state.LastHeartbeat <=
              Config.HeartbeatInterval * (MissedHeartbeats + 1);
 }
