FleetLeader: evacuation calls are committed, published and acknowledged

The leader answered evacuation calls with 503. It now checks the name, proposes the command, publishes the evacuated data centres when it is applied and then acknowledges; repeated calls change nothing. A new leader publishes them in its whole view and goes on moving stripes. When an evacuation ends, the targets there count as warming up for their service's warm-up time (WarmUpTimes), also at the next leader. An unknown data centre has the new result code 4012.

--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -70,6 +70,7 @@
   NoQuorum = 4009,
   ChangeOutcomeUnknown = 4010,
   RateLimited = 4011,
+  UnknownDataCentre = 4012,
 
   // 5xxx: replicated state and storage.
   NotLeader = 5001,
--- a/packages/base/internal/HttpStatus.cpp
+++ b/packages/base/internal/HttpStatus.cpp
@@ -35,6 +35,7 @@
   case ResultCode::AccessDenied:
     return 403;
   case ResultCode::PathUnknown:
+  case ResultCode::UnknownDataCentre:
     return 404;
   case ResultCode::VersionConflict:
   case ResultCode::ChangeIdReused:
--- a/packages/base/internal/ResultCode.cpp
+++ b/packages/base/internal/ResultCode.cpp
@@ -101,6 +101,8 @@
     {ResultCode::ChangeOutcomeUnknown, "ChangeOutcomeUnknown",
      "The change may have been accepted: resend it with the same change id."},
     {ResultCode::RateLimited, "RateLimited", "Too many changes at once."},
+    {ResultCode::UnknownDataCentre, "UnknownDataCentre",
+     "The deployment has no data centre of this name."},
     {ResultCode::NotLeader, "NotLeader",
      "This replica does not lead the group."},
     {ResultCode::LogDamaged, "LogDamaged",
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -12,13 +12,16 @@
 #include "fleet/SpeedReport.h"
 #include "fleet/TargetDirectory.h"
 #include "fleet/View.h"
+#include "fleet/WarmUpTimes.h"
 #include "keyspace/GrantController.h"
 
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliamill::fleet {
@@ -39,6 +42,11 @@
   /// Below this number, departures are also accepted of targets of which
   /// neither the view nor the keys give evidence.
   std::size_t MaxUnknownDepartures = 4096;
+  /// The data centres that may be evacuated; empty: any.
+  std::vector<std::string> DataCentres;
+  /// Evacuated data centres are kept up to this number, which bounds the state
+  /// and each view if any name is accepted.
+  std::size_t MaxEvacuations = 1024;
 };
 
 /// Requests the id of the process at \p address (HOST:PORT) from that process
@@ -101,6 +109,17 @@
                        SenderProof proof = SenderProof::None);
   void handleLeave(const Call &call, const ReplyHook &reply);
   void handleConfigChange(const Call &call, const ReplyHook &reply);
+  void handleEvacuation(const Call &call, const ReplyHook &reply);
+  /// Returns the status and the error by which the call is refused.
+  std::optional<std::pair<std::uint16_t, base::Error>>
+  checkEvacuation(const Call &call) const;
+  /// Adopts the evacuated data centres of the state.
+  void applyEvacuations(base::MonoTime now);
+  void logEvacuation(const std::string &centre, bool active) const;
+  bool areAllEvacuated() const;
+  /// The targets of the data centre count as warming up.
+  void warmTargets(const std::string &centre, base::MonoTime now);
+  void revokeOverdue(base::MonoTime now);
   /// Answers a heartbeat that changes nothing.
   void answerUnaccepted(const Target &sender, HeartbeatVerdict verdict,
                         const ReplyHook &reply);
@@ -136,7 +155,7 @@
                        std::function<void(base::Result<void>)> done);
   /// Removes an instance that the sender of a heartbeat has taken the place of.
   void removeFromView(const keyspace::TargetInstance &instance);
-  void updateTarget(const Target &target);
+  void updateTarget(Target target);
   bool isKeyed(const std::string &service) const;
   void plan(base::MonoTime now);
   void dropSilentTargets(base::MonoTime now);
@@ -165,6 +184,11 @@
   /// Changes of configuration that are proposed and not committed yet, in the
   /// order of the log.
   std::list<routing::ConfigItems> PendingChanges;
+  /// Data centres of evacuation calls that are not committed yet.
+  std::multiset<std::string> PendingEvacuations;
+  /// As published.
+  std::set<std::string> Evacuated;
+  WarmUpTimes WarmUps;
   /// Changes to be published with the next update.
   ViewUpdate PendingUpdate;
   bool HasPendingUpdate = false;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -195,6 +195,7 @@
   FleetLeaderConfig config;
   config.Term = LeaderTerm;
   config.ControlAddress = formatAddress(Settings.ControlListen);
+  config.DataCentres = Settings.DataCentres;
   config.Grants.HoldTime = Settings.HoldTime;
   config.Grants.HeartbeatInterval = Settings.HeartbeatInterval;
   FleetLeaderHooks hooks;
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -62,7 +62,10 @@
     : Config(std::move(config)), State(state), Format(format),
       Hooks(std::move(hooks)), Directory(known.targets()),
       Grants(state.keys(), makeGrantConfig(), now), Targets(known.targets()),
-      Cores(known.cores()), NextSilenceCheck(now + SilenceCheckInterval) {
+      Cores(known.cores()),
+      Evacuated(known.evacuated().begin(), known.evacuated().end()),
+      WarmUps(known.targets(), now),
+      NextSilenceCheck(now + SilenceCheckInterval) {
   for (const auto &[instance, index] : State.departures())
     DepartedCalls[instance] = now;
   for (auto &[instance, target] : Targets) {
@@ -84,6 +87,7 @@
 }
 
 void FleetLeader::start() {
+  applyEvacuations(Hooks.ReadTime());
   Grants.takeChanges();
   PendingUpdate = {};
   PendingUpdate.IsWhole = true;
@@ -98,6 +102,7 @@
     PendingUpdate.Holders.push_back(std::move(holders));
   }
   PendingUpdate.Cores = Cores;
+  PendingUpdate.Evacuated.emplace(Evacuated.begin(), Evacuated.end());
   HasPendingUpdate = true;
   publishPending();
 }
@@ -107,6 +112,9 @@
   if (!Hooks.HasLease())
     return refuse(reply, StatusUnavailable,
                   {ResultCode::NoQuorum, "the leader has no quorum"});
+  if (call.Kind == CallKind::StartEvacuation ||
+      call.Kind == CallKind::EndEvacuation)
+    return handleEvacuation(call, reply);
   if (call.Name.size() > MaxIdBytes)
     return refuse(
         reply, StatusBadRequest,
@@ -122,8 +130,7 @@
     return reply(StatusOk, Format.WriteConfig(State.config().listActive()));
   case CallKind::StartEvacuation:
   case CallKind::EndEvacuation:
-    return refuse(reply, StatusUnavailable,
-                  {ResultCode::NotRunNotReady, "not supported yet"});
+    return;
   }
 }
 
@@ -333,6 +340,7 @@
   keyspace::KeyReport report;
   report.Instance = heartbeat.Sender.Instance;
   report.Service = heartbeat.Sender.Service;
+  report.DataCentre = heartbeat.Sender.DataCentre;
   report.Slots = heartbeat.Sender.Slots;
   report.IsLeaving = heartbeat.Sender.State == TargetState::Leaving;
   report.IsIdentified = heartbeat.IsIdentified;
@@ -517,11 +525,18 @@
   HasPendingUpdate = true;
 }
 
-void FleetLeader::updateTarget(const Target &target) {
+void FleetLeader::updateTarget(Target target) {
+  const auto *service = State.config().findService(target.Service);
+  target.WarmUntil = WarmUps.endOf(target, service ? service->TargetWarmUpTime
+                                                   : base::Duration::zero());
   auto [it, added] = Targets.try_emplace(target.Instance, target);
   Target previous = std::exchange(it->second, target);
   // A new sequence number alone isn't published to entries.
   previous.Sequence = target.Sequence;
+  // The time left in a heartbeat varies with the way of the heartbeat.
+  if (std::chrono::abs(previous.WarmUntil - target.WarmUntil) <
+      WarmUpTimes::Tolerance)
+    it->second.WarmUntil = target.WarmUntil = previous.WarmUntil;
   if (!added && previous == target)
     return;
   if (added)
@@ -546,8 +561,10 @@
   }
   if (!change.Service.empty())
     Grants.onApplied(change.Service, change.MovedStripes);
+  if (change.HasEvacuations)
+    applyEvacuations(Hooks.ReadTime());
   // Publishes before the change is acknowledged, which follows this call.
-  if (!change.Items.empty())
+  if (!change.Items.empty() || change.HasEvacuations)
     publishPending();
 }
 
@@ -563,6 +580,7 @@
 }
 
 void FleetLeader::plan(base::MonoTime now) {
+  revokeOverdue(now);
   for (auto &assignment : Grants.plan(now)) {
     base::logInfo("fleet", "stripes are assigned",
                   {{"service", assignment.Service},
