Entries send nothing to evacuated data centres

Requests without a key avoid an evacuated data centre as soon as the entry has the view, and leave queues for permits there. Keys are served there for 2 s; a request that waits for a permit there follows its key. From then on TargetPool::mayGetRequests is false, which is checked before each write. An entry that does not have the evacuations refuses relayed requests of one that has them.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -66,6 +66,10 @@
   /// there.
   void onPause(const keyspace::TargetInstance &target);
 
+  /// The view has changed: if the request waits for a permit in an evacuated
+  /// data centre, it asks elsewhere or waits for the key's next holder.
+  void leaveEvacuated();
+
   /// This VM stops: refuses the request unless a target has it or the time
   /// until the exit suffices for it.
   void onStop();
@@ -113,6 +117,8 @@
   /// Sends the request to the target of a permit, unless the key has moved or
   /// the target has departed or closed while the request waited.
   void usePermit(const PermitResult &result);
+  /// Gives up a permit, or the wait for one, in an evacuated data centre.
+  void replacePermit();
   /// Returns a permit for a target that is not ready in the view, and requests
   /// another one.
   void returnPermit(const PermitResult &result);
@@ -225,7 +231,9 @@
   std::vector<keyspace::TargetInstance> Tried;
   /// The permit that was asked for or granted; 0 for none.
   std::uint64_t Permit = 0;
-  /// Permits that were returned because of this VM's view.
+  /// The step of that permit.
+  PermitStep AskedStep;
+  /// Permits that were returned because of this VM's view or an evacuation.
   std::uint32_t ReturnedPermits = 0;
   /// The steps that remain until a permit is granted. Not set before the first.
   std::optional<std::deque<PermitStep>> PermitSteps;
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -67,6 +67,8 @@
   PermitClient &permits() { return Permits; }
   node::CrashWatch &crashes() { return Crashes; }
   RelayPeers &peers() { return Peers; }
+  /// The first version of the view that has the evacuations of this VM's view.
+  fleet::ViewVersion evacuationVersion() const { return EvacuationVersion; }
   /// The port on which all entries accept relayed requests.
   std::uint16_t linkPort() const { return Settings.LinkPort; }
   /// Takes from an answer of \p target to \p request what the target tells
@@ -104,6 +106,7 @@
 
 private:
   void updateLeastPriorities();
+  void updateEvacuations();
   void logReach(const std::vector<TargetGroup> &news, std::string_view text,
                 const PooledTarget &target) const;
 
@@ -116,6 +119,7 @@
   /// urgent one.
   std::map<std::string, std::uint32_t> LeastPriorities;
   TargetPool Pool;
+  fleet::ViewVersion EvacuationVersion;
   TargetProbe Probe;
   LinkPacer Incoming;
   LinkPacer Outgoing;
--- a/packages/entry/TargetPool.h
+++ b/packages/entry/TargetPool.h
@@ -5,6 +5,7 @@
 
 #include "base/Time.h"
 #include "dispatch/TargetHealth.h"
+#include "entry/EvacuatedCentres.h"
 #include "entry/TargetNotices.h"
 #include "entry/TargetReach.h"
 #include "fleet/View.h"
@@ -92,11 +93,18 @@
   /// The target, if the view lists it as ready; null otherwise.
   PooledTarget *findReady(const keyspace::TargetInstance &instance);
   /// Whether the target may get a request with a permit at \p now, according to
-  /// the view and to the notices. A permit alone does not suffice: the core
-  /// that granted it may have an older view.
+  /// the view, to the notices and to evacuations. A permit alone does not
+  /// suffice: the core that granted it may have an older view.
   bool mayGetRequests(const keyspace::TargetInstance &instance,
                       base::MonoTime now) const;
 
+  /// The target, if the view lists it as ready and its data centre is not
+  /// evacuated or still serves keys; null otherwise.
+  PooledTarget *findServing(const keyspace::TargetInstance &instance,
+                            base::MonoTime now);
+
+  EvacuatedCentres &evacuated() { return Evacuated; }
+  const EvacuatedCentres &evacuated() const { return Evacuated; }
   /// What targets told about themselves. Decides on each request, also on those
   /// for which choose() is not called.
   TargetNotices &notices() { return Notices; }
@@ -152,10 +160,16 @@
   double expectedLatencyUs(const PooledTarget &target) const;
   Rank rankOf(const PooledTarget &target, base::MonoTime now) const;
   bool mayGetRequests(const PooledTarget &target, base::MonoTime now) const;
+  /// The same for requests of services without keys.
+  bool mayChoose(const PooledTarget &target, base::MonoTime now) const {
+    return mayGetRequests(target, now) &&
+           !Evacuated.isEvacuated(target.Description.DataCentre);
+  }
 
   std::string DataCentre;
   std::mt19937_64 Random;
   TargetNotices Notices;
+  EvacuatedCentres Evacuated;
   TargetReach Reach;
   std::map<keyspace::TargetInstance, PooledTarget> Targets;
   std::map<std::string, std::vector<PooledTarget *>, std::less<>> ByService;
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -163,7 +163,7 @@
   if (!IsKeyed)
     return Handler.pool().choose(Service, Tried, now);
   const auto *holder = Handler.view().holderOf(Service, *Metadata.Key);
-  return holder ? Handler.pool().findReady(*holder) : nullptr;
+  return holder ? Handler.pool().findServing(*holder, now) : nullptr;
 }
 
 void EntryRequest::tryNext() {
--- a/packages/entry/internal/EntryRequestPermits.cpp
+++ b/packages/entry/internal/EntryRequestPermits.cpp
@@ -56,9 +56,9 @@
   if (PermitSteps->empty() && IsKeyed && !PermitRetryAfter)
     PermitSteps.reset();
   while (PermitSteps && !PermitSteps->empty()) {
-    const PermitStep step = std::move(PermitSteps->front());
+    AskedStep = std::move(PermitSteps->front());
     PermitSteps->pop_front();
-    Permit = ask(step);
+    Permit = ask(AskedStep);
     if (Permit != 0)
       return true;
   }
@@ -108,6 +108,14 @@
   PooledTarget *target = Handler.pool().findReady(result.Target);
   if (!target && ReturnedPermits < MaxReturnedPermits)
     return returnPermit(result);
+  const auto &evacuated = Handler.pool().evacuated();
+  const bool IsAvoided =
+      target &&
+      (IsKeyed ? evacuated.isClosed(target->Description.DataCentre,
+                                    base::readMonotonic())
+               : evacuated.isEvacuated(target->Description.DataCentre));
+  if (IsAvoided)
+    return replacePermit();
   const bool IsCurrent = target && (!IsKeyed || target == chooseTarget());
   const bool IsOpen =
       Handler.pool().notices().isOpen(result.Target, base::readMonotonic());
@@ -140,6 +148,30 @@
   tryNext();
 }
 
+void EntryRequest::leaveEvacuated() {
+  const bool IsQueued = !IsFinished && Permit != 0 && Tried.empty();
+  if (!IsQueued ||
+      !Handler.pool().evacuated().isEvacuated(AskedStep.DataCentre))
+    return;
+  const auto *holder =
+      IsKeyed ? Handler.view().holderOf(Service, *Metadata.Key) : nullptr;
+  if (holder && AskedStep.Holder == *holder)
+    return;
+  replacePermit();
+}
+
+void EntryRequest::replacePermit() {
+  base::counter("mill_entry_evacuated_permits_total",
+                "Permits, and waits for permits, in evacuated data centres "
+                "that were given up.")
+      .Increment();
+  endPermit(admission::PermitUse::Abandoned);
+  PermitSteps.reset();
+  // A core may grant a permit in another data centre than the one asked for.
+  SkipsPermit = !IsKeyed && ++ReturnedPermits > MaxReturnedPermits;
+  tryNext();
+}
+
 void EntryRequest::onPause(const keyspace::TargetInstance &target) {
   const bool IsQueued = !IsFinished && IsKeyed && Permit != 0 && Tried.empty();
   if (!IsQueued)
--- a/packages/entry/internal/EntryRequestRelay.cpp
+++ b/packages/entry/internal/EntryRequestRelay.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <prometheus/counter.h>
 
 namespace magnoliamill::entry {
@@ -41,6 +42,20 @@
   return std::to_string(route.Version) + " " + route.Name;
 }
 
+std::string formatVersion(const fleet::ViewVersion &version) {
+  return std::to_string(version.Term) + " " + std::to_string(version.Number);
+}
+
+/// The latest version if \p text is not one, so that the request is refused.
+fleet::ViewVersion parseVersion(std::string_view text) {
+  const auto space = std::min(text.find(' '), text.size() - 1);
+  const auto term = parse<std::uint64_t>(text.substr(0, space));
+  const auto number = parse<std::uint64_t>(text.substr(space + 1));
+  if (!term || !number)
+    return {std::numeric_limits<std::uint64_t>::max(), 0};
+  return {*term, *number};
+}
+
 std::optional<keyspace::TargetInstance>
 readAnsweringTarget(const Headers &headers) {
   const auto text = findHeader(headers, internal::AnsweringTargetHeader);
@@ -63,12 +78,23 @@
            NoHolderRetryAfter);
     return false;
   }
+  // Else it would send the request to a target that the other VM avoids.
+  const auto evacuation =
+      findHeader(Request.Headers, internal::EvacuationHeader);
+  if (!evacuation.empty() &&
+      Handler.view().version() < parseVersion(evacuation)) {
+    refuse(ResultCode::NotRunNotReady,
+           "this VM does not have the evacuations yet", NoHolderRetryAfter);
+    return false;
+  }
   const auto left = parse<std::uint32_t>(
       findHeader(Request.Headers, internal::AttemptsLeftHeader));
   Route->MaxAttempts = std::min(Route->MaxAttempts, left.value_or(1));
   std::erase_if(Request.Headers, [](const protocol::HttpHeader &header) {
     return gateway::equalsIgnoringCase(header.Name,
                                        internal::AttemptsLeftHeader) ||
+           gateway::equalsIgnoringCase(header.Name,
+                                       internal::EvacuationHeader) ||
            gateway::equalsIgnoringCase(header.Name, internal::RouteHeader);
   });
   return true;
@@ -124,6 +150,10 @@
        std::to_string(std::max(Route->MaxAttempts, tried + 1) - tried)});
   call.Request.Headers.push_back(
       {std::string(internal::RouteHeader), formatRoute(*Route)});
+  if (!Handler.pool().evacuated().isEmpty())
+    call.Request.Headers.push_back(
+        {std::string(internal::EvacuationHeader),
+         formatVersion(Handler.evacuationVersion())});
   auto self = shared_from_this();
   call.Classify = [self](const protocol::AnswerHead &head, bool) {
     return self->classifyRelayed(head);
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -8,6 +8,7 @@
 #include "entry/OwedAnswers.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 
 namespace magnoliamill::entry {
 namespace {
@@ -25,6 +26,8 @@
 /// Part of the VM's memory that requests and answers may use: half. The rest is
 /// for the program, its buffers and the bytes that were not read yet.
 constexpr std::size_t MessageMemoryDivisor = 2;
+/// Bounds a log line: up to 1024 data centres may be evacuated.
+constexpr std::size_t MaxLoggedBytes = 1024;
 
 gateway::TargetClientConfig makeClientConfig(const EntryFormat &format,
                                              const LinkPacer &pacer) {
@@ -104,9 +107,33 @@
     Pool.updateAll(View);
   else
     Pool.update(View, change.Targets);
+  if (change.HasEvacuations)
+    updateEvacuations();
   const auto waiting = Waiting;
   for (const auto &request : waiting)
     request->onView();
+  if (Pool.evacuated().isEmpty())
+    return;
+  const auto running = Requests;
+  for (const auto &request : running)
+    request->leaveEvacuated();
+}
+
+void RequestHandler::updateEvacuations() {
+  Pool.evacuated().update(View.evacuated(), base::readMonotonic());
+  EvacuationVersion = View.version();
+  base::gauge("mill_entry_evacuated_data_centres",
+              "Data centres whose targets get no requests from this VM.")
+      .Set(static_cast<double>(View.evacuated().size()));
+  std::string centres;
+  for (const auto &centre : View.evacuated())
+    centres += (centres.empty() ? "" : ",") + centre;
+  base::logInfo("entry", "the evacuated data centres have changed",
+                {{"count", View.evacuated().size()},
+                 {"data_centres", centres.substr(0, MaxLoggedBytes)},
+                 {"requests", Requests.size()},
+                 {"view_term", EvacuationVersion.Term},
+                 {"view_number", EvacuationVersion.Number}});
 }
 
 void RequestHandler::readNotices(const keyspace::TargetInstance &target,
--- a/packages/entry/internal/TargetPool.cpp
+++ b/packages/entry/internal/TargetPool.cpp
@@ -76,6 +76,14 @@
              : nullptr;
 }
 
+PooledTarget *TargetPool::findServing(const keyspace::TargetInstance &instance,
+                                      base::MonoTime now) {
+  PooledTarget *target = findReady(instance);
+  return target && !Evacuated.isClosed(target->Description.DataCentre, now)
+             ? target
+             : nullptr;
+}
+
 bool TargetPool::mayGetRequests(const keyspace::TargetInstance &instance,
                                 base::MonoTime now) const {
   auto it = Targets.find(instance);
@@ -105,7 +113,8 @@
 bool TargetPool::mayGetRequests(const PooledTarget &target,
                                 base::MonoTime now) const {
   return target.Description.State == fleet::TargetState::Ready &&
-         Notices.isOpen(target.Description.Instance, now);
+         Notices.isOpen(target.Description.Instance, now) &&
+         !Evacuated.isClosed(target.Description.DataCentre, now);
 }
 
 base::MonoTime TargetPool::findOpening(std::string_view service,
@@ -114,7 +123,8 @@
   std::optional<base::MonoTime> first;
   if (auto it = ByService.find(service); it != ByService.end())
     for (const PooledTarget *target : it->second)
-      if (target->Description.State == fleet::TargetState::Ready) {
+      if (target->Description.State == fleet::TargetState::Ready &&
+          !Evacuated.isEvacuated(target->Description.DataCentre)) {
         const auto opens =
             (Notices.*opening)(target->Description.Instance, now);
         first = std::min(first.value_or(opens), opens);
@@ -129,7 +139,7 @@
     return true;
   bool HasReady = false;
   for (const PooledTarget *target : it->second) {
-    if (!mayGetRequests(*target, now))
+    if (!mayChoose(*target, now))
       continue;
     if (isReachable(*target, now))
       return true;
@@ -156,7 +166,7 @@
   std::vector<std::string> centres;
   if (auto it = ByService.find(service); it != ByService.end())
     for (const PooledTarget *target : it->second)
-      if (mayGetRequests(*target, now))
+      if (mayChoose(*target, now))
         centres.push_back(target->Description.DataCentre);
   std::ranges::sort(centres);
   centres.erase(std::unique(centres.begin(), centres.end()), centres.end());
@@ -176,7 +186,7 @@
   PooledTarget *best = nullptr;
   std::pair<Rank, double> least;
   for (PooledTarget *target : it->second) {
-    if (!mayGetRequests(*target, now) ||
+    if (!mayChoose(*target, now) ||
         Notices.opensWithoutPermit(target->Description.Instance, now) > now ||
         std::ranges::find(tried, target->Description.Instance) != tried.end())
       continue;
--- a/packages/entry/tests/TargetPoolTest.cpp
+++ b/packages/entry/tests/TargetPoolTest.cpp
@@ -169,3 +169,27 @@
     CHECK(busy.until() == until);
   }
 }
+
+TEST_CASE("A pool sends nothing to an evacuated data centre after 2 s") {
+  TargetPool pool("dc-a", 1, DrainTime);
+  pool.updateAll(makeView());
+  const keyspace::TargetInstance near{"near-1", 1};
+  pool.evacuated().update({"dc-a"}, Start);
+  CHECK(pool.listDataCentres("vault", Start) ==
+        std::vector<std::string>{"dc-b"});
+  CHECK(pool.choose("vault", {}, Start)->Description.Instance.Id == "far");
+  CHECK(pool.mayGetRequests(near, Start + 1999ms));
+  CHECK_FALSE(pool.mayGetRequests(near, Start + 2s));
+  CHECK_FALSE(pool.findServing(near, Start + 2s));
+
+  SECTION("a pause elsewhere counts for requests without a key") {
+    pool.notices().onPause({"far", 1}, 1s, Start);
+    CHECK(pool.opensAt("vault", Start) == Start + 1s);
+  }
+  SECTION("until the evacuation ends") {
+    pool.evacuated().update({}, Start + 3s);
+    CHECK(pool.mayGetRequests(near, Start + 3s));
+    pool.evacuated().update({"dc-a"}, Start + 4s);
+    CHECK(pool.mayGetRequests(near, Start + 5s));
+  }
+}
