Stripes are placed by load if balance_by_load is set

Purpose: keys are placed by the number of stripes and the speed of targets, but a few adjacent keys can get a third of the requests. Their targets are then overloaded while half of all slots are free.

Entries count the requests of each stripe and report the total and the 64 busiest once a second, to cores of protocol version 3 or later. The leader keeps a decaying estimate of each stripe's load. keyspace::planLoadTransfers() plans transfers of named stripes from targets that have more load than they can bear: single busy stripes at once, ordinary stripes only once the overload has lasted 8 s. The rule by count takes loads into account, so that it doesn't undo these transfers. Without loads it is as before.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -119,6 +119,10 @@
   /// released in time.
   Answers tick(base::MonoTime now);
 
+  /// The median of the mean times that the service's targets take to answer;
+  /// zero if none has answered.
+  base::Duration typicalServiceTime(const std::string &service) const;
+
   std::size_t countGranted() const { return Granted.size(); }
   std::size_t countWaiting() const { return Waiting.size(); }
 
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -121,6 +121,22 @@
                               : it->second.meanLatency();
 }
 
+base::Duration
+PermitIssuer::typicalServiceTime(const std::string &service) const {
+  std::vector<base::Duration> times;
+  for (const auto &[instance, target] : Targets)
+    if (const auto time = target.Health.meanLatency();
+        target.Description.Service == service && time > base::Duration::zero())
+      times.push_back(time);
+  if (times.empty())
+    return base::Duration::zero();
+  // Requests wait at overloaded targets, so that their times are too long.
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::ranges::nth_element(times, middle);
+  return *middle;
+}
+
 base::Duration PermitIssuer::meanServiceTime(const Pool &pool) const {
   base::Duration sum{};
   for (const auto &instance : pool.Members)
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -15,6 +15,7 @@
 #include "entry/TargetProbe.h"
 #include "fleet/FleetSettings.h"
 #include "fleet/SpeedReport.h"
+#include "fleet/StripeLoadMeter.h"
 #include "fleet/View.h"
 #include "gateway/HttpServer.h"
 #include "gateway/MessageMemory.h"
@@ -96,6 +97,9 @@
   /// Paces answers to clients.
   LinkPacer &outgoing() { return Outgoing; }
   fleet::SpeedMeter &speeds() { return Speeds; }
+  fleet::StripeLoadMeter &stripeLoads() { return StripeLoads; }
+  /// Counts a request for \p key of a keyed service.
+  void countRequest(const std::string &service, std::uint32_t key);
   std::string chooseService(const routing::Route &route);
   dispatch::RetryBudget &retryBudgetOf(const std::string &service);
   void finish(const std::shared_ptr<EntryRequest> &request);
@@ -127,6 +131,7 @@
   RelayPeers Peers;
   LinkBudget Link;
   fleet::SpeedMeter Speeds;
+  fleet::StripeLoadMeter StripeLoads{base::readMonotonic()};
   std::map<std::string, routing::WeightedChoice> ServiceChoices;
   std::map<std::string, dispatch::RetryBudget> Budgets;
   std::set<std::shared_ptr<EntryRequest>> Requests;
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -39,6 +39,10 @@
   const fleet::View &view() const { return CurrentView; }
   /// Sends \p frame to the current core; drops it if there is no open link.
   void send(const fleet::Frame &frame);
+  /// Whether the current core understands a StripeLoadReport.
+  bool acceptsStripeLoads() const {
+    return CoreProtocol >= fleet::StripeLoadProtocolVersion;
+  }
 
 private:
   void connect();
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -102,6 +102,9 @@
       return;
     if (auto report = Handler.speeds().take(); !report.empty())
       Subscription.send(std::move(report));
+    auto loads = Handler.stripeLoads().take(base::readMonotonic());
+    if (!loads.empty() && Subscription.acceptsStripeLoads())
+      Subscription.send(std::move(loads));
     base::gauge("mill_entry_owed_bytes",
                 "Bytes of answers in progress that were not passed on yet.")
         .Set(static_cast<double>(Handler.owedBytes()));
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -121,6 +121,9 @@
     answerFailure(ResultCode::MissingKey, "the service needs a key", {});
     return false;
   }
+  // The entry that relays a request has counted it.
+  if (IsKeyed && Origin == RequestOrigin::Client)
+    Handler.countRequest(Service, *Metadata.Key);
   return true;
 }
 
--- a/packages/entry/internal/RequestHandler.cpp
+++ b/packages/entry/internal/RequestHandler.cpp
@@ -192,6 +192,12 @@
   return it != LeastPriorities.end() && route.Priority < it->second;
 }
 
+void RequestHandler::countRequest(const std::string &service,
+                                  std::uint32_t key) {
+  if (const auto count = View.countStripes(service); count > 0)
+    StripeLoads.onRequest(service, keyspace::stripeOfKey(key, count), count);
+}
+
 std::string RequestHandler::chooseService(const routing::Route &route) {
   return route.Shares[ServiceChoices[route.Name].next(route.Shares)].Service;
 }
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -62,6 +62,8 @@
   void onReply(CallReply reply);
   void onCrashReport(const dispatch::CrashReport &report,
                      CrashRelay::Source source);
+  /// \p host is the core that has sent the report; empty for an entry.
+  void onStripeLoads(const std::string &host, const StripeLoadReport &report);
   void onViewUpdate(ViewUpdate update);
   void relayViewCurrent(const ViewCurrent &current);
   /// The leader's last confirmation of LocalView.
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -10,6 +10,7 @@
 #include "fleet/Frame.h"
 #include "fleet/Heartbeat.h"
 #include "fleet/SpeedReport.h"
+#include "fleet/StripeLoadTable.h"
 #include "fleet/TargetDirectory.h"
 #include "fleet/View.h"
 #include "keyspace/GrantController.h"
@@ -39,6 +40,8 @@
   /// Below this number, departures are also accepted of targets of which
   /// neither the view nor the keys give evidence.
   std::size_t MaxUnknownDepartures = 4096;
+  /// Whether stripes are placed by their measured load.
+  bool BalancesByLoad = false;
 };
 
 /// Requests the id of the process at \p address (HOST:PORT) from that process
@@ -59,6 +62,8 @@
   /// Not called if empty; an address then counts as in use until its target is
   /// silent.
   IdentifyProcessHook IdentifyProcess;
+  /// How long requests of a service occupy a slot. Not known if empty.
+  StripeLoadTable::WorkTimeHook ReadWorkTime;
 };
 
 using ReplyHook = std::function<void(std::uint16_t status, std::string body)>;
@@ -84,12 +89,16 @@
   void tick(base::MonoTime now);
   void setCores(std::vector<VmAddress> cores);
   void onSpeeds(const SpeedReport &report) { Speeds.add(report); }
+  void onStripeLoads(const StripeLoadReport &report, base::MonoTime now) {
+    if (Config.BalancesByLoad)
+      StripeLoads.add(report, now);
+  }
   ViewVersion version() const { return {Config.Term, LastUpdateNumber}; }
 
   static constexpr base::Duration TickInterval = std::chrono::milliseconds(50);
 
 private:
-  keyspace::GrantConfig makeGrantConfig() const;
+  keyspace::GrantConfig makeGrantConfig();
   /// What says that a heartbeat's sender is the process of its id.
   enum class SenderProof {
     None,
@@ -149,6 +158,7 @@
   FleetLeaderHooks Hooks;
   TargetDirectory Directory;
   SpeedTable Speeds;
+  StripeLoadTable StripeLoads;
   keyspace::GrantController Grants;
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<keyspace::TargetInstance, base::MonoTime> LastHeartbeat;
--- a/packages/fleet/PermitDesk.h
+++ b/packages/fleet/PermitDesk.h
@@ -31,6 +31,9 @@
              base::MonoTime now);
   void onLinkClosed(const std::shared_ptr<Link> &link, base::MonoTime now);
   void tick(base::MonoTime now);
+  base::Duration typicalServiceTime(const std::string &service) const {
+    return Issuer.typicalServiceTime(service);
+  }
 
 private:
   void update(const View &view, const keyspace::TargetInstance &instance);
--- a/packages/fleet/View.h
+++ b/packages/fleet/View.h
@@ -114,6 +114,8 @@
   /// The target to which requests of \p key go; null when there is none.
   const keyspace::TargetInstance *holderOf(std::string_view service,
                                            std::uint32_t key) const;
+  /// The number of stripes of the service; 0 if none was ever assigned.
+  std::uint32_t countStripes(std::string_view service) const;
   /// What the last apply() changed, for callers that keep tables derived from
   /// the view.
   struct LastChange {
--- a/packages/fleet/internal/CoreLinks.cpp
+++ b/packages/fleet/internal/CoreLinks.cpp
@@ -126,6 +126,7 @@
   CorePeer &peer = Peers[hello.Host];
   peer.DataCentre = hello.DataCentre;
   peer.Incarnation = hello.Incarnation;
+  peer.Protocol = hello.Protocol;
   peer.LastHeard = now;
 }
 
--- a/packages/fleet/internal/CoreLinks.h
+++ b/packages/fleet/internal/CoreLinks.h
@@ -33,6 +33,8 @@
   std::uint64_t Incarnation = 0;
   /// When a hello was received from it, or any frame on the outgoing link.
   base::MonoTime LastHeard;
+  /// Version of the protocol that it understands.
+  std::uint16_t Protocol = FirstProtocolVersion;
 };
 
 class CoreLinks {
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -195,6 +195,7 @@
   FleetLeaderConfig config;
   config.Term = LeaderTerm;
   config.ControlAddress = formatAddress(Settings.ControlListen);
+  config.BalancesByLoad = Settings.BalancesByLoad;
   config.Grants.HoldTime = Settings.HoldTime;
   config.Grants.HeartbeatInterval = Settings.HeartbeatInterval;
   FleetLeaderHooks hooks;
@@ -206,6 +207,9 @@
     return Runner->core().hasLeaderLease(base::readMonotonic());
   };
   hooks.IdentifyProcess = IdentifyProcess;
+  hooks.ReadWorkTime = [this](const std::string &service) {
+    return Permits.typicalServiceTime(service);
+  };
   Leader = std::make_unique<FleetLeader>(std::move(config), State, Format,
                                          LocalView, std::move(hooks), now);
   Leader->setCores(listCores());
@@ -289,6 +293,8 @@
       Links.send(FollowedCore, std::move(*report));
     return;
   }
+  if (const auto *report = std::get_if<StripeLoadReport>(&frame))
+    return onStripeLoads(host, *report);
   if (const auto *report = std::get_if<dispatch::CrashReport>(&frame))
     return onCrashReport(*report, !host.empty() || CorePeers.contains(from)
                                       ? CrashRelay::Source::Core
@@ -397,6 +403,18 @@
   broadcast(encodeShared(news.ForEntries));
 }
 
+void CoreNode::onStripeLoads(const std::string &host,
+                             const StripeLoadReport &report) {
+  if (!Settings.BalancesByLoad)
+    return;
+  if (Leader)
+    return Leader->onStripeLoads(report, base::readMonotonic());
+  const auto leader = Links.peers().find(FollowedCore);
+  if (host.empty() && leader != Links.peers().end() &&
+      leader->second.Protocol >= StripeLoadProtocolVersion)
+    Links.send(FollowedCore, report);
+}
+
 void CoreNode::relayViewCurrent(const ViewCurrent &current) {
   if (current.Version != LocalView.version())
     return;
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -3,8 +3,10 @@
 #include "fleet/FleetLeader.h"
 
 #include "base/Log.h"
+#include "base/Metrics.h"
 
 #include <algorithm>
+#include <prometheus/counter.h>
 
 namespace magnoliamill::fleet {
 
@@ -42,6 +44,23 @@
   it->Changes.push_back({change.Stripe, std::move(change.Holder)});
 }
 
+void recordLoadTransfers(const keyspace::LoadTransferRound &round) {
+  base::counter("mill_stripe_load_transfers_total",
+                "Transfers of stripes by load that were begun.",
+                {{"service", round.Service}})
+      .Increment(static_cast<double>(round.Transfers));
+  base::counter("mill_stripe_load_checks_total",
+                "Checks of the load of a service's targets by stripe.",
+                {{"service", round.Service},
+                 {"result", round.Overloaded > 0 ? "overloaded" : "balanced"}})
+      .Increment();
+  if (round.Overloaded > 0)
+    base::logInfo("fleet", "stripes are transferred by load",
+                  {{"service", round.Service},
+                   {"overloaded", round.Overloaded},
+                   {"stripes", round.Transfers}});
+}
+
 /// Drops the items' documents: entries route by the decoded fields and never
 /// return the items to operators.
 routing::ConfigItems withoutDocuments(routing::ConfigItems items) {
@@ -61,6 +80,7 @@
                          FleetLeaderHooks hooks, base::MonoTime now)
     : Config(std::move(config)), State(state), Format(format),
       Hooks(std::move(hooks)), Directory(known.targets()),
+      StripeLoads(state.keys(), Hooks.ReadWorkTime),
       Grants(state.keys(), makeGrantConfig(), now), Targets(known.targets()),
       Cores(known.cores()), NextSilenceCheck(now + SilenceCheckInterval) {
   for (const auto &[instance, index] : State.departures())
@@ -74,12 +94,17 @@
   }
 }
 
-keyspace::GrantConfig FleetLeader::makeGrantConfig() const {
+keyspace::GrantConfig FleetLeader::makeGrantConfig() {
   auto config = Config.Grants;
   config.CountRowBytes = Format.CountRowBytes;
   config.SpeedOf = [this](const TargetInstance &instance) {
     return Speeds.speedOf(instance);
   };
+  if (Config.BalancesByLoad)
+    config.LoadsOf = [this](const std::string &service) {
+      return StripeLoads.find(service, Hooks.ReadTime());
+    };
+  config.OnLoadTransfers = recordLoadTransfers;
   return config;
 }
 
--- a/packages/fleet/internal/View.cpp
+++ b/packages/fleet/internal/View.cpp
@@ -106,6 +106,13 @@
   return it == Targets.end() ? nullptr : &it->second;
 }
 
+std::uint32_t View::countStripes(std::string_view service) const {
+  auto it = ByService.find(service);
+  return it == ByService.end()
+             ? 0
+             : static_cast<std::uint32_t>(it->second.ByStripe.size());
+}
+
 const keyspace::TargetInstance *View::holderOf(std::string_view service,
                                                std::uint32_t key) const {
   auto it = ByService.find(service);
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -22,6 +22,14 @@
 
 namespace magnoliamill::keyspace {
 
+/// A check of the loads and the transfers that it has begun.
+struct LoadTransferRound {
+  std::string Service;
+  /// Targets with more load than they can bear.
+  std::size_t Overloaded = 0;
+  std::size_t Transfers = 0;
+};
+
 struct GrantConfig {
   /// How long a target may hold its stripes after sending a heartbeat.
   base::Duration HoldTime = std::chrono::seconds(4);
@@ -36,6 +44,20 @@
   base::Duration SettleTime = std::chrono::milliseconds(1500);
   /// The relative speed of a target; 1 is the mean. All are 1 if unset.
   std::function<double(const TargetInstance &)> SpeedOf;
+  /// The load of each stripe of a service; null if it is not known. Never known
+  /// if unset.
+  std::function<const StripeLoads *(const std::string &service)> LoadsOf;
+  /// Called after each check of the loads.
+  std::function<void(const LoadTransferRound &)> OnLoadTransfers;
+  /// Time between two rounds of transfers by load: each entry has reported
+  /// once.
+  base::Duration LoadTransferInterval = std::chrono::seconds(1);
+  /// Maximum percentage of stripes that are in transfer when a round of
+  /// transfers by load ends.
+  std::uint32_t MaxLoadTransferPercent = 4;
+  /// How long a stripe is not transferred by load again. Longer than the
+  /// transfer and the time in which a measurement reflects it.
+  base::Duration LoadTransferPause = std::chrono::seconds(6);
   /// Time between two rounds of transfers, so that the measured speeds reflect
   /// the effect of the last round.
   base::Duration TransferInterval = std::chrono::seconds(2);
@@ -156,11 +178,18 @@
     /// The target that a transfer moves the stripe to.
     std::optional<TargetInstance> Destination;
     std::string Handover;
+    /// Until then it is not transferred by load.
+    base::MonoTime StaysUntil;
     /// End of the hold of earlier instances of the owner, which it has
     /// inherited the stripe from. Until then the stripe passes to no other
     /// target: that they have ended is stated by the owner's id alone.
     base::MonoTime FormerHoldEnd;
   };
+  /// When a target had too much load for the first and for the last time.
+  struct Overload {
+    base::MonoTime Since;
+    base::MonoTime Last;
+  };
   struct Keys {
     std::vector<Stripe> Stripes;
     /// Stripes with IsRevoked set.
@@ -168,6 +197,9 @@
     bool IsProposed = false;
     /// Earliest time of the next round of transfers.
     base::MonoTime NextTransfers;
+    /// The same for transfers by load.
+    base::MonoTime NextLoadTransfers;
+    std::map<TargetInstance, Overload> Overloads;
     /// Time of the first heartbeat of any target of the service.
     std::optional<base::MonoTime> FirstHeartbeat;
   };
@@ -215,6 +247,20 @@
                                            base::MonoTime now);
   void planServiceTransfers(const std::string &service, const CandidateSet &set,
                             base::MonoTime now);
+  /// The load of each stripe of the service; null if it is not known.
+  const StripeLoads *findLoads(const std::string &service) const;
+  std::vector<LoadCandidate> measureCandidates(const std::string &service,
+                                               const CandidateSet &set,
+                                               const StripeLoads &loads,
+                                               base::MonoTime now);
+  /// The candidates by which stripes are placed by count.
+  std::vector<Candidate> countCandidates(const std::string &service,
+                                         const CandidateSet &set,
+                                         base::MonoTime now);
+  /// Begins transfers by load. Returns false if none are needed or loads are
+  /// not known.
+  bool planLoadTransfers(const std::string &service, const CandidateSet &set,
+                         base::MonoTime now);
   void deactivateExpired(const std::string &service, const ServiceKeys &owned,
                          base::MonoTime now);
 
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -489,9 +489,11 @@
     else
       add(i, static_cast<std::uint32_t>(wanted - set.Instances.begin()));
   }
-  for (const auto &placement :
-       placeStripes(unplaced, set.Candidates, assignment.StripeCount))
-    add(placement.Stripe, placement.Candidate);
+  if (!unplaced.empty())
+    for (const auto &placement :
+         placeStripes(unplaced, countCandidates(service, set, now),
+                      assignment.StripeCount))
+      add(placement.Stripe, placement.Candidate);
   if (!assignment.Moves.empty()) {
     dropUnusedOwners(assignment);
     return assignment;
@@ -506,11 +508,12 @@
                                            base::MonoTime now) {
   Keys &keys = keysOf(service);
   const ServiceKeys &owned = *Table.find(service);
-  if (now < keys.NextTransfers)
+  if (planLoadTransfers(service, set, now) || now < keys.NextTransfers)
     return;
   const std::size_t most =
       std::size_t{owned.countStripes()} * Config.MaxTransferPercent / 100;
-  const auto transfers = planTransfers(set.Candidates, owned.countStripes());
+  const auto transfers =
+      planTransfers(countCandidates(service, set, now), owned.countStripes());
   std::map<std::uint32_t, std::uint32_t> taken;
   keys.NextTransfers = now + (transfers.empty() ? TransferCheckInterval
                                                 : Config.TransferInterval);
@@ -552,8 +555,10 @@
   for (std::uint32_t i : moved) {
     setActive(service, i, false);
     const auto FormerHoldEnd = keys.Stripes[i].FormerHoldEnd;
+    const auto StaysUntil = keys.Stripes[i].StaysUntil;
     keys.Stripes[i] = Stripe{};
     keys.Stripes[i].FormerHoldEnd = FormerHoldEnd;
+    keys.Stripes[i].StaysUntil = StaysUntil;
     keys.Revoked.erase(i);
   }
   for (Stripe &stripe : keys.Stripes)
--- a/packages/keyspace/internal/StripePlanner.cpp
+++ b/packages/keyspace/internal/StripePlanner.cpp
@@ -164,7 +164,8 @@
   auto counts = currentCounts(candidates);
   transferAboveLimits(candidates, quotas, counts, transfers);
   for (std::uint32_t from = 0; from < candidates.size(); ++from) {
-    if (counts[from] <= quotas[from] * HighThreshold)
+    if (counts[from] <= quotas[from] * HighThreshold ||
+        candidates[from].HasLowLoad)
       continue;
     while (counts[from] > quotas[from] + 1) {
       const std::uint32_t to = findLeastLoaded(candidates, counts, quotas);
