--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -10,6 +10,7 @@
 #include "fleet/Frame.h"
 #include "fleet/Heartbeat.h"
 #include "fleet/SpeedReport.h"
+#include "fleet/StripeLoadTable.h"
 #include "fleet/TargetDirectory.h"
 #include "fleet/View.h"
 #include "fleet/WarmUpTimes.h"
@@ -47,6 +48,8 @@
   /// Evacuated data centres are kept up to this number, which bounds the state
   /// and each view if any name is accepted.
   std::size_t MaxEvacuations = 1024;
+  /// Whether stripes are placed by their measured load.
+  bool BalancesByLoad = false;
 };
 
 /// Requests the id of the process at \p address (HOST:PORT) from that process
@@ -67,6 +70,8 @@
   /// Not called if empty; an address then counts as in use until its target is
   /// silent.
   IdentifyProcessHook IdentifyProcess;
+  /// How long requests of a service occupy a slot. Not known if empty.
+  StripeLoadTable::WorkTimeHook ReadWorkTime;
 };
 
 using ReplyHook = std::function<void(std::uint16_t status, std::string body)>;
@@ -92,12 +97,16 @@
   void tick(base::MonoTime now);
   void setCores(std::vector<VmAddress> cores);
   void onSpeeds(const SpeedReport &report) { Speeds.add(report); }
+  void onStripeLoads(const StripeLoadReport &report, base::MonoTime now) {
+    if (Config.BalancesByLoad)
+      StripeLoads.add(report, now);
+  }
   ViewVersion version() const { return {Config.Term, LastUpdateNumber}; }
 
   static constexpr base::Duration TickInterval = std::chrono::milliseconds(50);
 
 private:
-  keyspace::GrantConfig makeGrantConfig() const;
+  keyspace::GrantConfig makeGrantConfig();
   /// What says that a heartbeat's sender is the process of its id.
   enum class SenderProof {
     None,
@@ -168,6 +177,7 @@
   FleetLeaderHooks Hooks;
   TargetDirectory Directory;
   SpeedTable Speeds;
+  StripeLoadTable StripeLoads;
   keyspace::GrantController Grants;
   std::map<keyspace::TargetInstance, Target> Targets;
   std::map<keyspace::TargetInstance, base::MonoTime> LastHeartbeat;
