A new leader corrects no counts for 5 s if stripes are placed by load

With balance_by_load it now waits 5 s.

Also: tests that an entry counts a request once, that older cores get no StripeLoadReport and that the setting is off by default; the test of the pause of a stripe ended too early to fail without the pause.

--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -218,6 +218,13 @@
   void beginStop(base::Duration grace) {
     EventLoop.run([&] { Handler->beginStop(grace); });
   }
+  /// The requests of keyed services since the last call.
+  fleet::StripeLoadReport takeStripeLoads() {
+    fleet::StripeLoadReport report;
+    EventLoop.run(
+        [&] { report = Handler->stripeLoads().take(base::readMonotonic()); });
+    return report;
+  }
   std::string body() const { return Collected.body(); }
   bool hasFailed() const { return HasFailed; }
   int countRequests() const { return Count; }
--- a/packages/entry/tests/OtherBuildsTest.cpp
+++ b/packages/entry/tests/OtherBuildsTest.cpp
@@ -65,12 +65,14 @@
 } // namespace
 
 TEST_CASE("An entry keeps its link to a core of an older or a newer build") {
-  const std::uint16_t protocol =
-      GENERATE(std::uint16_t{0}, fleet::ProtocolVersion,
-               std::uint16_t{fleet::ProtocolVersion + 1});
+  const std::uint16_t protocol = GENERATE(
+      std::uint16_t{0}, fleet::EntriesProtocolVersion, fleet::ProtocolVersion,
+      std::uint16_t{fleet::ProtocolVersion + 1});
   OtherCore core(protocol);
-  const SubscribedEntry entry(std::array{"127.0.0.1"}, core.port());
+  SubscribedEntry entry(std::array{"127.0.0.1"}, core.port());
   CHECK(waitFor([&] { return entry.viewNumber() == Version.Number; }));
+  CHECK(entry.acceptsStripeLoads() ==
+        (protocol >= fleet::StripeLoadProtocolVersion));
   std::this_thread::sleep_for(AskTime);
   CHECK(core.countHellos() == 1);
   const bool HasEntries = protocol >= fleet::EntriesProtocolVersion;
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -210,3 +210,20 @@
   std::this_thread::sleep_for(300ms);
   CHECK(entry.countRequests() == 1);
 }
+
+// Requests that are refused are load too; those counted twice would move
+// stripes of targets that can't be reached.
+TEST_CASE("A request with a key is counted once for its stripe") {
+  EntryOptions options;
+  options.IsKeyed = true;
+  Entry entry([](Peer &peer, int) { peer.send(Refusal); }, options);
+  CHECK(entry.request("POST", "/order/1") == 503);
+  CHECK(entry.request("POST", "/order/2", RequestOrigin::Entry) == 503);
+  const auto report = entry.takeStripeLoads();
+  REQUIRE(report.size() == 1);
+  CHECK(report[0].Service == "vault");
+  CHECK(report[0].StripeCount == 1);
+  CHECK(report[0].Requests == 1);
+  CHECK(report[0].Busiest == std::vector<fleet::StripeLoad::Count>{{0, 1}});
+  CHECK(entry.takeStripeLoads().empty());
+}
--- a/packages/entry/tests/SubscribedEntry.h
+++ b/packages/entry/tests/SubscribedEntry.h
@@ -38,6 +38,12 @@
   /// The number of the entry's view; 0 before the first.
   std::uint64_t viewNumber() const { return Number; }
 
+  bool acceptsStripeLoads() {
+    bool accepts = false;
+    EventLoop.run([&] { accepts = Subscription->acceptsStripeLoads(); });
+    return accepts;
+  }
+
 private:
   gateway::tests::ScopedEventLoop EventLoop;
   fleet::FleetSettings Settings;
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -1,7 +1,10 @@
 // Tests the leader's answers to targets and operators.
 #include "LeaderFixture.h"
 
+#include "base/Metrics.h"
+
 #include <catch2/catch.hpp>
+#include <prometheus/counter.h>
 
 using namespace magnoliamill;
 using namespace magnoliamill::fleet;
@@ -563,3 +566,19 @@
   CHECK(fixture.call(CallKind::Leave, std::string(257, 'x'), "") == 400);
   CHECK(fixture.Proposals.empty());
 }
+
+// Deployments without the setting keep their placement by count.
+TEST_CASE("Reports on the load of stripes count only if the setting is on") {
+  const bool IsOn = GENERATE(false, true);
+  LeaderFixture fixture;
+  fixture.Config.BalancesByLoad = IsOn;
+  fixture.startLeader(2);
+  fixture.assignAllStripes();
+  const auto &used =
+      base::counter("mill_stripe_load_reports_total", "", {{"result", "used"}});
+  const auto before = used.Value();
+  const auto count = fixture.Published.countStripes("stock");
+  CHECK(count > 0);
+  fixture.Leader->onStripeLoads({{"stock", count, 1s, 10, {}}}, fixture.Now);
+  CHECK(used.Value() == before + (IsOn ? 1 : 0));
+}
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -55,6 +55,9 @@
   /// Maximum percentage of stripes that are in transfer when a round of
   /// transfers by load ends.
   std::uint32_t MaxLoadTransferPercent = 4;
+  /// How long a new leader transfers no stripes by count if loads are to become
+  /// known: it can't tell yet which targets have few stripes because of load.
+  base::Duration LoadSettleTime = std::chrono::seconds(5);
   /// How long a stripe is not transferred by load again. Longer than the
   /// transfer and the time in which a measurement reflects it.
   base::Duration LoadTransferPause = std::chrono::seconds(6);
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -75,6 +75,8 @@
     : Table(table), Config(std::move(config)) {
   for (const auto &[service, owned] : Table.services()) {
     Keys &keys = keysOf(service);
+    if (Config.LoadsOf)
+      keys.NextTransfers = now + Config.LoadSettleTime;
     for (const TargetInstance &owner : owned.listOwners()) {
       InstanceState &state = Instances[owner];
       state.Service = service;
--- a/packages/keyspace/tests/LoadTransfersTest.cpp
+++ b/packages/keyspace/tests/LoadTransfersTest.cpp
@@ -2,6 +2,7 @@
 #include "keyspace/GrantController.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace magnoliamill;
 using namespace magnoliamill::keyspace;
@@ -11,7 +12,11 @@
 
 /// Three targets that hold all stripes. Assignments are committed immediately.
 struct Fixture {
-  Fixture() : Controller(Table, makeConfig(), Now) { run(6s); }
+  Fixture() {
+    startLeader();
+    run(6s);
+  }
+  void startLeader() { Controller.emplace(Table, makeConfig(), Now); }
 
   GrantConfig makeConfig() {
     GrantConfig config;
@@ -25,15 +30,15 @@
     for (const auto end = Now + time; Now < end; Now += 870ms) {
       for (auto &[target, held] : Held) {
         const auto rows =
-            Controller.onHeartbeat({target, "stock", 2, false, held, {}}, Now);
+            Controller->onHeartbeat({target, "stock", 2, false, held, {}}, Now);
         held.clear();
         for (const auto &row : rows)
           held.push_back({row.Keys, row.Token});
       }
-      for (const auto &assignment : Controller.plan(Now)) {
+      for (const auto &assignment : Controller->plan(Now)) {
         const auto moved = Table.apply(assignment, ++Index);
         CountMoves += moved.size();
-        Controller.onApplied(assignment.Service, moved);
+        Controller->onApplied(assignment.Service, moved);
       }
     }
   }
@@ -56,7 +61,7 @@
   std::size_t CountMoves = 0;
   std::map<TargetInstance, std::vector<HeldRange>> Held{
       {{"a", 1}, {}}, {{"b", 1}, {}}, {{"c", 1}, {}}};
-  GrantController Controller;
+  std::optional<GrantController> Controller;
 };
 
 } // namespace
@@ -88,6 +93,27 @@
     ++other;
   fixture.measure(moved, stripes);
   fixture.Loads.ByStripe[other].PerSecond = 14;
-  fixture.run(1700ms);
+  // Enough for another transfer.
+  fixture.run(2600ms);
   CHECK(fixture.ownerOf(moved) == holder);
 }
+
+// What was moved by load would be moved back with each loss of a leader.
+TEST_CASE("A new leader waits for loads before it places by count") {
+  Fixture fixture;
+  const auto &owned = *fixture.Table.find("stock");
+  KeyAssignment skewed{"stock", owned.countStripes(), {{"b", 1}}, {}};
+  for (const std::uint32_t i : owned.stripesOf({"a", 1}))
+    if (i % 3 == 0)
+      skewed.Moves.push_back({i, 0, owned.tokenOf(i), {}});
+  fixture.Table.apply(skewed, ++fixture.Index);
+  fixture.startLeader();
+  fixture.CountMoves = 0;
+  fixture.run(4500ms);
+  CHECK(fixture.CountMoves == 0);
+
+  SECTION("but not for long") {
+    fixture.run(5s);
+    CHECK(fixture.CountMoves > 0);
+  }
+}
