--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -77,6 +77,8 @@
       Evacuations(Config.EvacuationTime) {
   for (const auto &[service, owned] : Table.services()) {
     Keys &keys = keysOf(service);
+    if (Config.LoadsOf)
+      keys.NextTransfers = now + Config.LoadSettleTime;
     for (const TargetInstance &owner : owned.listOwners()) {
       InstanceState &state = Instances[owner];
       state.Service = service;
