Long header fields, a refused repeat, and requests at a drain

Three faults found while the reports of operators of similar systems were examined, each with a test that failed before:

- Boost.Beast's fields throw std::length_error beyond 65,533 bytes.
An exception that leaves an event handler ends the process.
A target reached that with a trailer field (SIGABRT), a caller with a header or trailer where max_header_bytes is above 64 KiB (SIGABRT). parseInput() makes it an error of the header limit.
- An idempotent request whose connection was lost is sent again on a new one.
If the target refused that repeat, the call ended as not run (3004), although the first sending may have run.
It ends as lost now (8003, may have run).
- When a server drained, connections that its listener had not accepted were reset with the requests that they had sent (none of 8 was read).
It accepts them first, and a new connection has DrainIdleTime for its request.

--- a/packages/gateway/HttpServer.h
+++ b/packages/gateway/HttpServer.h
@@ -91,6 +91,9 @@
 private:
   void accept();
   void onAccepted(boost::asio::ip::tcp::socket socket);
+  /// Accepts the connections that wait for it: those left when the listener
+  /// closes would be reset, with the requests that they have sent.
+  void acceptPending();
   /// Closes a connection in favour of a new one, see
   /// HttpConnection::canBeReplaced().
   void makeRoom();
--- a/packages/gateway/internal/ChunkedInput.h
+++ b/packages/gateway/internal/ChunkedInput.h
@@ -1,7 +1,10 @@
 // Guards the HTTP library's parser against input that it asserts not to get.
 #pragma once
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
 #include <cstddef>
+#include <stdexcept>
 
 namespace magnoliamill::gateway::internal {
 
@@ -17,4 +20,21 @@
          bytes >= MinChunkedBytes;
 }
 
+/// Passes \p input to \p parser and returns how much of it was used. Its fields
+/// hold at most 65,533 bytes and throw beyond that, where larger limits or a
+/// trailer allow more.
+template <class Parser>
+std::size_t parseInput(Parser &parser, boost::asio::const_buffer input,
+                       boost::system::error_code &ec) {
+  ec = boost::beast::http::error::need_more;
+  if (!mayParse(parser, input.size()))
+    return 0;
+  try {
+    return parser.put(input, ec);
+  } catch (const std::length_error &) {
+    ec = boost::beast::http::error::header_limit;
+    return 0;
+  }
+}
+
 } // namespace magnoliamill::gateway::internal
--- a/packages/gateway/internal/HttpConnection.cpp
+++ b/packages/gateway/internal/HttpConnection.cpp
@@ -68,16 +68,18 @@
     setLimit(Server->limits().HeaderTimeout);
     return parse();
   }
-  if (Server->isDraining())
+  // A connection that was just accepted may have sent a request.
+  if (Server->isDraining() && HasAnswered)
     return linger();
-  setLimit(Server->limits().IdleTimeout);
+  setLimit(Server->isDraining() ? Server->limits().DrainIdleTime
+                                : Server->limits().IdleTimeout);
   readMore();
 }
 
 void HttpConnection::parse() {
-  while (Received.size() > 0 && mayParse(*RequestParser, Received.size())) {
+  while (Received.size() > 0) {
     boost::system::error_code ec;
-    const std::size_t n = RequestParser->put(Received.data(), ec);
+    const std::size_t n = parseInput(*RequestParser, Received.data(), ec);
     Received.consume(n);
     if (ec && ec != http::error::need_more)
       return refuse({codeOfParseError(ec), ec.message(), 0});
@@ -243,6 +245,7 @@
 void HttpConnection::onAnswered(bool keep) {
   if (State != Phase::Answering)
     return;
+  HasAnswered = true;
   Inbox->close();
   Cancel = nullptr;
   if (!keep || IsInputDiscarded)
--- a/packages/gateway/internal/HttpConnection.h
+++ b/packages/gateway/internal/HttpConnection.h
@@ -109,6 +109,8 @@
   /// What was read behind the present request was discarded.
   bool IsInputDiscarded = false;
   std::optional<Parser> RequestParser;
+  /// At least one request of the connection was answered.
+  bool HasAnswered = false;
   bool IsContinueSent = false;
   bool IsHeaderSeen = false;
   /// For the body of the request that is being received.
--- a/packages/gateway/internal/HttpServer.cpp
+++ b/packages/gateway/internal/HttpServer.cpp
@@ -71,6 +71,17 @@
   });
 }
 
+void HttpServer::acceptPending() {
+  boost::system::error_code ec;
+  Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(EventLoop.context());
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      onAccepted(std::move(socket));
+  }
+}
+
 void HttpServer::onAccepted(tcp::socket socket) {
   const std::size_t limit = Config.Limits.MaxConnections;
   if (Connections.size() >= limit)
@@ -150,6 +161,7 @@
 void HttpServer::drain(std::function<void()> done) {
   internal::runOnEventLoop(
       EventLoop, [self = shared_from_this(), done = std::move(done)] {
+        self->acceptPending();
         self->Draining = true;
         self->OnDrained = done;
         boost::system::error_code ec;
--- a/packages/gateway/internal/TargetExchange.cpp
+++ b/packages/gateway/internal/TargetExchange.cpp
@@ -160,9 +160,8 @@
     auto &body = Parser->get().body();
     body.data = chunk.data() + filled;
     body.size = chunk.size() - filled;
-    ErrorCode ec = http::error::need_more;
-    const std::size_t n =
-        mayParse(*Parser, input.size()) ? Parser->put(input.data(), ec) : 0;
+    ErrorCode ec;
+    const std::size_t n = parseInput(*Parser, input.data(), ec);
     input.consume(n);
     const std::size_t added = chunk.size() - body.size - filled;
     filled += added;
@@ -298,6 +297,9 @@
 }
 
 void TargetExchange::complete() {
+  if (IsRefused && HasLostAnswer)
+    return fail(ResultCode::TargetReset,
+                "the connection was lost, and the repeat was refused");
   TargetOutcome outcome;
   outcome.Status = static_cast<std::uint16_t>(Parser->get().result_int());
   outcome.Latency = HeadAt - StartedAt;
--- a/packages/gateway/internal/TargetExchange.h
+++ b/packages/gateway/internal/TargetExchange.h
@@ -79,6 +79,8 @@
   /// write fails before its first byte and it was false before.
   bool IsWritten = false;
   bool HasRetried = false;
+  /// The request was written before, and its connection was lost.
+  bool HasLostAnswer = false;
   bool IsConnecting = false;
   bool HasConnectTimedOut = false;
   bool IsHeadSeen = false;
--- a/packages/gateway/internal/TargetExchangeConnection.cpp
+++ b/packages/gateway/internal/TargetExchangeConnection.cpp
@@ -54,6 +54,7 @@
 bool TargetExchange::retryOnNewConnection() {
   if (std::exchange(HasRetried, true))
     return false;
+  HasLostAnswer = IsWritten;
   releaseConnection(false);
   Parser.reset();
   takeConnection(true);
--- a/packages/gateway/tests/TargetClientTest.cpp
+++ b/packages/gateway/tests/TargetClientTest.cpp
@@ -282,6 +282,41 @@
   CHECK_FALSE(refused.outcome().MayHaveRun);
 }
 
+TEST_CASE("A refused repeat tells that the request has not run") {
+  // The request may have run on the first connection before its answer was
+  // lost; the repeat is refused.
+  Fixture fixture([](Peer &peer, std::size_t number) {
+    peer.readRequest();
+    if (number == 1) {
+      peer.send(OkAnswer);
+      peer.readRequest();
+    } else {
+      peer.send("HTTP/1.1 503 Busy\r\nMill-Not-Run: 1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    }
+  });
+  fixture.run("GET");
+  const auto answer = fixture.run("GET");
+  CHECK(fixture.Server.countConnections() == 2);
+  CHECK_FALSE(answer.outcome().Answered);
+  CHECK(answer.outcome().MayHaveRun);
+  CHECK(answer.outcome().Code == ResultCode::TargetReset);
+}
+
+TEST_CASE("A trailer field that the HTTP library can't hold ends the process") {
+  Fixture fixture([](Peer &peer, std::size_t) {
+    peer.readRequest();
+    peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " +
+              std::string(60'000, 'x'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    peer.send(std::string(20'000, 'x') + "\r\n\r\n");
+    peer.awaitClose();
+  });
+  const auto answer = fixture.run("GET");
+  CHECK_FALSE(answer.isEnded());
+  CHECK(answer.outcome().MayHaveRun);
+}
+
 TEST_CASE("A connection that the target has closed is not reused") {
   Fixture fixture([](Peer &peer, std::size_t) {
     peer.readRequest();
--- a/packages/gateway/tests/UntrustedCallerTest.cpp
+++ b/packages/gateway/tests/UntrustedCallerTest.cpp
@@ -2,6 +2,8 @@
 // that end its process by the way in which they send.
 #include "GatewayFixture.h"
 
+#include <future>
+
 using namespace magnoliamill;
 using namespace magnoliamill::gateway;
 using namespace magnoliamill::gateway::tests;
@@ -142,3 +144,43 @@
   fixture.answer(fixture.countRequests() - 1, "fine");
   CHECK(client.readAnswer().ends_with("fine"));
 }
+
+TEST_CASE("A header field that the HTTP library can't hold ends the process") {
+  GatewayConfig config = makeConfig();
+  config.Limits.MaxHeaderBytes = 200'000;
+  GatewayFixture fixture(std::move(config));
+  const std::string field = "A: " + std::string(70'000, 'x') + "\r\n\r\n";
+  SECTION("in a header") {
+    RawClient client(fixture.Gateway->port());
+    client.send("GET /s/a/ HTTP/1.1\r\n" + field);
+    CHECK(contains(client.readAnswer(), " 431 "));
+  }
+  SECTION("in a trailer") {
+    RawClient client(fixture.Gateway->port());
+    client.send(ChunkedPost + "0\r\n" + field);
+    CHECK(contains(client.readAnswer(), " 431 "));
+  }
+  CHECK(fixture.countRequests() == 0);
+}
+
+TEST_CASE("A request that a draining server has just accepted is cut off") {
+  GatewayFixture fixture;
+  std::vector<std::unique_ptr<RawClient>> clients;
+  std::promise<void> drained;
+  // The event loop is busy while they connect, and drains before it accepts.
+  fixture.Runner.run([&] {
+    for (int n = 0; n < 8; ++n) {
+      clients.push_back(std::make_unique<RawClient>(fixture.Gateway->port()));
+      clients.back()->send(SimpleGet);
+    }
+    fixture.Gateway->drain([&] { drained.set_value(); });
+  });
+  for (std::size_t n = 0; n < clients.size(); ++n)
+    fixture.answer(n, "ok");
+  for (const auto &client : clients) {
+    CHECK(client->readAll().ends_with("ok"));
+    client->close();
+  }
+  CHECK(drained.get_future().wait_for(std::chrono::seconds(10)) ==
+        std::future_status::ready);
+}
