Calls at a core share half of its memory

Cause: the control port of a core took bodies of up to 32 MB each, of as many callers as came, without a bound for all. 16 of them made a core hold 475 MB.

The control server uses MessageMemory as entries do, with half of memory_mb: a body over 64 KiB waits unread until there is room, small ones (heartbeats) don't wait behind it.

"A crowd of callers takes a core over its memory": 475 MB before, 98 MB after, of 268 MB. On a machine with load 28 one run of three failed before the crowd began (no configuration was accepted within 20 s of the start, daemon with this change); the next one passed. Ran: that test only, after the change.

--- a/apps/magnoliamilld/FleetProcess.cpp
+++ b/apps/magnoliamilld/FleetProcess.cpp
@@ -12,6 +12,7 @@
 #include "fleet/FleetSettings.h"
 #include "gateway/HealthCheck.h"
 #include "gateway/HttpServer.h"
+#include "gateway/MessageMemory.h"
 #include "platform/ControlApi.h"
 #include "platform/ControlFormat.h"
 #include "platform/RequestFormat.h"
@@ -67,6 +68,9 @@
 constexpr base::Duration SweepInterval = std::chrono::milliseconds(500);
 /// Allows for an operator's first call, which may contain thousands of routes.
 constexpr std::size_t MaxControlBytes = 32u << 20;
+/// Part of a core's memory for the bodies of all calls. The rest is for its
+/// state.
+constexpr std::size_t ControlMemoryDivisor = 2;
 /// A heartbeat that waits for the health check of an address is answered well
 /// within the second after which its sender gives up.
 constexpr base::Duration IdentifyTime = std::chrono::milliseconds(400);
@@ -129,6 +133,8 @@
                          std::move(reply));
           },
           format));
+  Control->limitMemory(std::make_shared<gateway::MessageMemory>(
+      Settings.MemoryBytes / ControlMemoryDivisor));
   return Control->start();
 }
 
