--- a/packages/admission/tests/PermitIssuerTest.cpp
+++ b/packages/admission/tests/PermitIssuerTest.cpp
@@ -301,7 +301,7 @@
     auto request = makeRequest();
     request.Holder = instance;
     REQUIRE(it.ask(request).Decision == PermitDecision::Granted);
-    const auto crowded = it.Issuer.reportLoad({1, it.Last}, load, Start);
+    auto crowded = it.Issuer.reportLoad({1, it.Last}, load, Start);
     it.Issuer.release({1, it.Last}, PermitUse::Answered, 100ms, Start);
     return crowded;
   };
