--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -107,7 +107,7 @@
 
 private:
   keyspace::GrantConfig makeGrantConfig();
-  /// What says that a heartbeat's sender is the process of its id.
+  /// Evidence that a heartbeat's sender is the process of its id.
   enum class SenderProof {
     None,
     /// The process at its address has named itself.
--- a/packages/fleet/internal/TargetDirectory.cpp
+++ b/packages/fleet/internal/TargetDirectory.cpp
@@ -19,7 +19,7 @@
 TargetDirectory::update(const Target &target, const Evidence &evidence) {
   const Target *same = find(target.Instance.Id);
   if (same && same->Instance == target.Instance) {
-    // Before the sequence numbers: those of another process say nothing.
+    // Checked before the sequence numbers, which differ between processes.
     if (target.Address != same->Address)
       return {HeartbeatVerdict::Contradicting, {}, same->Instance};
     if (target.Sequence <= same->Sequence)
