Add review case 6: a late heartbeat gives held keys to others

An upstream's heartbeat arrives seconds late, at a new leader after a planned stop of the former one, when the upstream has just signed off with DELETE. The new leader knows an old sequence number only, takes the heartbeat's list of keys for a release, and grants the keys to other upstreams while the leaving one holds them.

--- a/review/standin-2/Fleet.cpp
+++ b/review/standin-2/Fleet.cpp
@@ -156,9 +156,10 @@
       int status = 0;
       if (process.Pid > 0 &&
           ::waitpid(process.Pid, &status, WNOHANG) == process.Pid) {
-        process = {-1, Clock::now() + RestartDelay};
-        ++Ends[name];
-        Out.write(name + " ended by itself, " +
+        const bool planned = process.IsStopped;
+        process = {-1, Clock::now() + RestartDelay, false};
+        Ends[name] += planned ? 0 : 1;
+        Out.write(name + (planned ? " has stopped, " : " ended by itself, ") +
                   (WIFSIGNALED(status)
                        ? "signal " + std::to_string(WTERMSIG(status))
                        : "exit code " + std::to_string(WEXITSTATUS(status))));
@@ -203,9 +204,27 @@
   return true;
 }
 
+void Fleet::stopCore(std::size_t core) {
+  const std::string name = "core-" + std::to_string(core);
+  const std::lock_guard lock(Mutex);
+  auto &process = Processes[name];
+  process.IsStopped = true;
+  ::kill(process.Pid, SIGTERM);
+  Out.write("platform stops " + name + " with SIGTERM");
+}
+
+std::size_t Fleet::coreAt(const std::string &address) const {
+  std::size_t core = 0;
+  while (core < Config.Cores && control(core).text() != address)
+    ++core;
+  return core;
+}
+
 std::map<std::string, int> Fleet::ends() const {
   const std::lock_guard lock(Mutex);
-  return Ends;
+  auto ends = Ends;
+  std::erase_if(ends, [](const auto &it) { return it.second == 0; });
+  return ends;
 }
 
 Value makeRoute(const std::string &name, std::uint64_t version,
--- a/review/standin-2/Fleet.h
+++ b/review/standin-2/Fleet.h
@@ -51,6 +51,10 @@
                                      const std::string &body,
                                      std::chrono::seconds limit);
   bool waitUntilReady(std::chrono::seconds limit);
+  /// Sends SIGTERM to a core; it is started again once it has ended.
+  void stopCore(std::size_t core);
+  /// The core with this control address.
+  std::size_t coreAt(const std::string &address) const;
   /// How often processes have ended by themselves, by the name of the process.
   std::map<std::string, int> ends() const;
 
@@ -58,6 +62,7 @@
   struct Process {
     pid_t Pid = -1;
     Time RestartAt;
+    bool IsStopped = false;
   };
 
   std::string coreHost(std::size_t i) const;
--- a/review/standin-2/Upstream.cpp
+++ b/review/standin-2/Upstream.cpp
@@ -143,6 +143,19 @@
   }
   const bool drains = IsDraining;
   const auto sent = Clock::now();
+  if (++Beats == HeldBack) {
+    const auto body = composeHeartbeat(Config.Zone, 0);
+    {
+      const std::lock_guard lock(Mutex);
+      LateBody = body;
+      LateSince = sent;
+      Out.write("upstream " + Config.Id + " sends a heartbeat with " +
+                std::to_string(Held.size()) + " rows held, it is held back");
+    }
+    std::this_thread::sleep_for(1s);
+    ++NextCore;
+    return false;
+  }
   const auto reply =
       call(System.control(NextCore % System.countCores()), "PUT",
            "/v1/instances/" + Config.Id, composeHeartbeat(Config.Zone, 0), 1s);
@@ -155,11 +168,70 @@
   IsKnown = true;
   if (drains && !IsDrainAcknowledged.exchange(true))
     Out.write("upstream " + Config.Id + " has its leaving acknowledged");
-  if (const auto value = decode(reply->Body))
+  if (const auto value = decode(reply->Body)) {
     applyGrants(*value, sent);
+    const std::lock_guard lock(Mutex);
+    if (const Value *next = value->find("heartbeat_url"))
+      Leader = next->Text;
+  }
+  ++Answers;
   return true;
 }
 
+void Upstream::waitForAnswer() {
+  const auto answers = Answers.load();
+  while (Answers == answers)
+    std::this_thread::sleep_for(5ms);
+}
+
+std::string Upstream::leader() {
+  const std::lock_guard lock(Mutex);
+  return Leader;
+}
+
+bool Upstream::deliverLate(std::size_t core) {
+  std::string body;
+  Time since;
+  {
+    const std::lock_guard lock(Mutex);
+    body = LateBody;
+    since = LateSince;
+  }
+  if (body.empty())
+    return false;
+  const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - since);
+  const auto answer =
+      call(System.control(core), "PUT", "/v1/instances/" + Config.Id, body, 1s);
+  Out.write("the heartbeat of " + Config.Id +
+            " that was held back arrives after " +
+            std::to_string(late.count()) + " ms, answer " +
+            (answer ? std::to_string(answer->status()) : "none"));
+  return true;
+}
+
+bool Upstream::signOffFirst(std::chrono::seconds limit) {
+  IsSilent = true;
+  const auto body = encode(Value::map({{"born", Born}}));
+  const auto answer =
+      System.callControl("DELETE", "/v1/instances/" + Config.Id, body, limit);
+  Out.write("upstream " + Config.Id +
+            " signs off and goes on serving, answer " +
+            (answer ? std::to_string(answer->status()) : "none"));
+  return answer && answer->status() / 100 == 2;
+}
+
+std::vector<bool> Upstream::listKeys() {
+  constexpr std::size_t AllKeys = 65536;
+  std::vector<bool> keys(AllKeys);
+  const std::lock_guard lock(Mutex);
+  if (Clock::now() < HoldEnd)
+    for (const Range &range : Held)
+      for (auto key = range.First; key <= range.Last && key < AllKeys; ++key)
+        keys[key] = true;
+  return keys;
+}
+
 void Upstream::applyGrants(const Value &answer, Time sent) {
   const std::lock_guard lock(Mutex);
   Released.clear();
@@ -185,7 +257,8 @@
   auto next = Clock::now();
   while (!IsEnding) {
     std::this_thread::sleep_for(10ms);
-    if (Clock::now() < next && !(IsDraining && !IsDrainAcknowledged))
+    if (IsSilent ||
+        (Clock::now() < next && !(IsDraining && !IsDrainAcknowledged)))
       continue;
     const bool answered = sendHeartbeat();
     bool hurried = !answered;
--- a/review/standin-2/Upstream.h
+++ b/review/standin-2/Upstream.h
@@ -30,6 +30,24 @@
   /// The body of a heartbeat. \p zone and \p ahead are those of another writer,
   /// which knows what the upstream says of itself.
   std::string composeHeartbeat(const std::string &zone, std::uint64_t ahead);
+  /// Signs off first, sends no more heartbeats and goes on serving. Returns
+  /// whether that was acknowledged within \p limit.
+  bool signOffFirst(std::chrono::seconds limit);
+  /// Ends it after it has signed off.
+  void exit() { IsEnding = true; }
+  /// The network holds the heartbeat \p number back until deliverLate(); the
+  /// upstream gives that call up after a second.
+  void holdBack(std::uint64_t number) { HeldBack = number; }
+  /// The heartbeat that was held back arrives at \p core. Returns whether there
+  /// was one.
+  bool deliverLate(std::size_t core);
+  /// Returns right after a heartbeat was answered.
+  void waitForAnswer();
+  /// The core that acted as the leader by the last answer; empty before.
+  std::string leader();
+  /// Which of all keys it holds, by its own clock.
+  std::vector<bool> listKeys();
+  bool isUp() const { return !IsEnding; }
   std::size_t countKeys();
   bool holds(std::uint32_t key);
   bool hasBeenAcknowledged() const { return IsKnown; }
@@ -57,8 +75,15 @@
   std::atomic<bool> IsDrainAcknowledged{false};
   std::atomic<bool> IsKnown{false};
   std::atomic<bool> IsEnding{false};
+  std::atomic<bool> IsSilent{false};
+  std::atomic<std::uint64_t> HeldBack{0};
   std::mutex Mutex;
   std::uint64_t Sequence = 0;
+  std::uint64_t Beats = 0;
+  std::string LateBody;
+  Time LateSince;
+  std::atomic<std::uint64_t> Answers{0};
+  std::string Leader;
   std::vector<Range> Held;
   std::vector<Range> Released;
   Time HoldEnd;
