--- a/packages/fleet/Commands.h
+++ b/packages/fleet/Commands.h
@@ -28,8 +28,9 @@
   bool IsActive = true;
 };
 
-using Command = std::variant<routing::ConfigItems, keyspace::KeyAssignment,
-                             TargetDeparture, Evacuation>;
+using Command =
+    std::variant<routing::ConfigItems, keyspace::KeyAssignment, TargetDeparture,
+                 Evacuation, keyspace::GrantRecord>;
 
 std::string encodeCommand(const Command &command);
 /// Error: LogDamaged when \p bytes are malformed.
--- a/packages/fleet/FleetLeader.h
+++ b/packages/fleet/FleetLeader.h
@@ -151,9 +151,22 @@
                base::MonoTime now) const;
   void answerHeartbeat(const Heartbeat &heartbeat, const ReplyHook &reply,
                        base::MonoTime now);
-  /// Answers with the stripes that the sender may hold.
+  /// True if the heartbeat was sent before a later instance of its id, or
+  /// before the sender's last grant, which a former leader may have given.
+  bool isOutdated(const Target &sender) const;
+  /// True if an answer may not grant stripes before a GrantRecord of the
+  /// heartbeat is committed.
+  bool needsRecord(const keyspace::KeyReport &report) const;
+  /// The last heartbeat that a GrantRecord names; null if there is none.
+  const keyspace::SentHeartbeat *
+  lastGrantOf(const std::string &service,
+              const keyspace::TargetInstance &instance) const;
+  /// Records the report and answers with the stripes that the sender may hold.
   void grantStripes(const keyspace::KeyReport &report, const ReplyHook &reply,
                     base::MonoTime now);
+  /// Commits the record that the answer needs, and answers.
+  void recordGrant(const keyspace::KeyReport &report, const ReplyHook &reply);
+  void answerGrant(const keyspace::KeyReport &report, const ReplyHook &reply);
   /// True if there is room for one more departure.
   bool mayDepart(const keyspace::TargetInstance &instance) const;
   void refuseDeparture(const keyspace::TargetInstance &instance,
--- a/packages/fleet/internal/FleetCodec.cpp
+++ b/packages/fleet/internal/FleetCodec.cpp
@@ -240,6 +240,17 @@
       entry.setIsInherited(keys.isInherited(stripe));
     }
   }
+  std::vector<std::uint32_t> granted;
+  for (std::uint32_t i = 0; i < owners.size(); ++i)
+    if (keys.lastGrantOf(owners[i]))
+      granted.push_back(i);
+  auto grants = to.initLastGrants(sizeOf(granted));
+  for (capnp::uint i = 0; i < grants.size(); ++i) {
+    const auto &last = *keys.lastGrantOf(owners[granted[i]]);
+    grants[i].setOwner(granted[i]);
+    grants[i].setHeartbeat(last.Number);
+    grants[i].setAddress(asText(last.Address));
+  }
 }
 
 keyspace::ServiceKeys decodeKeys(wire::ServiceKeys::Reader from) {
@@ -256,6 +267,11 @@
     if (stripe.getIsInherited())
       keys.markInherited(stripe.getStripe());
   }
+  for (auto last : from.getLastGrants()) {
+    KJ_REQUIRE(last.getOwner() < owners.size(), "an owner is out of range");
+    keys.recordGrant(owners[last.getOwner()],
+                     {toString(last.getAddress()), last.getHeartbeat()});
+  }
   return keys;
 }
 
@@ -782,6 +798,13 @@
     auto expired = root.initExpired(sizeOf(departure->Expired));
     for (capnp::uint i = 0; i < expired.size(); ++i)
       expired.set(i, departure->Expired[i]);
+  } else if (const auto *record =
+                 std::get_if<keyspace::GrantRecord>(&command)) {
+    auto to = root.initGrant();
+    to.setService(asText(record->Service));
+    encode(record->Instance, to.initLife());
+    to.setHeartbeat(record->Heartbeat.Number);
+    to.setAddress(asText(record->Heartbeat.Address));
   } else {
     const auto &evacuation = std::get<Evacuation>(command);
     auto to = root.initEvacuation();
@@ -804,6 +827,11 @@
         case wire::Command::EVACUATION:
           return Evacuation{toString(from.getEvacuation().getDataCentre()),
                             from.getEvacuation().getIsActive()};
+        case wire::Command::GRANT:
+          return keyspace::GrantRecord{toString(from.getGrant().getService()),
+                                       decode(from.getGrant().getLife()),
+                                       {toString(from.getGrant().getAddress()),
+                                        from.getGrant().getHeartbeat()}};
         }
         // The macro ends with an empty statement.
         // NOLINTNEXTLINE(bugprone-suspicious-semicolon)
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -222,7 +222,7 @@
       Hooks.IdentifyProcess && Grants.isUnreportedHolder(instance, now))
     return checkDeparture(call, heartbeat.Sender, reply, now);
   const auto result =
-      Grants.hasLaterInstance(instance)
+      isOutdated(heartbeat.Sender)
           ? TargetDirectory::UpdateResult{}
           : Directory.update(heartbeat.Sender,
                              {[&](const auto &it) { return isAlive(it, now); },
@@ -391,20 +391,48 @@
   report.IsIdentified = heartbeat.IsIdentified;
   report.Holds = heartbeat.Holds;
   report.Released = heartbeat.Released;
-  // The lease is checked again immediately before stripes are granted.
-  if (!Hooks.HasLease())
-    return refuse(reply, StatusUnavailable,
-                  {ResultCode::NoQuorum, "the leader has no quorum"});
+  report.Heartbeat = {heartbeat.Sender.Address, heartbeat.Sender.Sequence};
+  // A process at another address has its keys, or has pretended to.
+  const auto *last = lastGrantOf(report.Service, report.Instance);
+  if (last && last->Address != report.Heartbeat.Address)
+    report.IsIdentified = false;
   grantStripes(report, reply, now);
 }
 
+bool FleetLeader::isOutdated(const Target &sender) const {
+  if (Grants.hasLaterInstance(sender.Instance))
+    return true;
+  const auto *last = lastGrantOf(sender.Service, sender.Instance);
+  return last && last->Address == sender.Address &&
+         sender.Sequence <= last->Number;
+}
+
+const keyspace::SentHeartbeat *
+FleetLeader::lastGrantOf(const std::string &service,
+                         const TargetInstance &instance) const {
+  const auto *keys = State.keys().find(service);
+  return keys ? keys->lastGrantOf(instance) : nullptr;
+}
+
+bool FleetLeader::needsRecord(const keyspace::KeyReport &report) const {
+  const auto *last = lastGrantOf(report.Service, report.Instance);
+  const bool IsRecorded = last && last->Address == report.Heartbeat.Address &&
+                          last->Number >= report.Heartbeat.Number;
+  return !IsRecorded && Grants.hasNewStripes(report);
+}
+
 void FleetLeader::grantStripes(const keyspace::KeyReport &report,
                                const ReplyHook &reply, base::MonoTime now) {
-  HeartbeatAnswer answer{Config.ControlAddress, Grants.onHeartbeat(report, now),
-                         Grants.config().HoldTime};
+  if (const auto released = Grants.recordHeartbeat(report, now); released > 0)
+    base::logInfo("fleet", "a target has released stripes",
+                  {{"target", report.Instance.Id},
+                   {"born", report.Instance.StartedAtMs},
+                   {"sequence", report.Heartbeat.Number},
+                   {"stripes", released},
+                   {"is_leaving", report.IsLeaving}});
   auto passed = Grants.planInheritance(report.Instance, now);
   if (!passed)
-    return reply(StatusOk, Format.WriteHeartbeatAnswer(answer));
+    return recordGrant(report, reply);
   base::logInfo("fleet", "stripes pass to a target that has started again",
                 {{"target", report.Instance.Id},
                  {"born", report.Instance.StartedAtMs},
@@ -417,16 +445,42 @@
       return reply(StatusUnavailable, "");
     if (!result)
       Grants.onDropped(report.Service);
-    if (!Hooks.HasLease())
-      return refuse(reply, StatusUnavailable,
-                    {ResultCode::NoQuorum, "the leader has no quorum"});
-    reply(StatusOk, Format.WriteHeartbeatAnswer(
-                        {Config.ControlAddress,
-                         Grants.onHeartbeat(report, Hooks.ReadTime()),
-                         Grants.config().HoldTime}));
+    recordGrant(report, reply);
   });
 }
 
+void FleetLeader::recordGrant(const keyspace::KeyReport &report,
+                              const ReplyHook &reply) {
+  if (!needsRecord(report))
+    return answerGrant(report, reply);
+  // Later leaders don't receive this heartbeat. Without the record, they could
+  // take a delayed earlier one for the release of what it didn't report yet.
+  Hooks.Propose(
+      keyspace::GrantRecord{report.Service, report.Instance, report.Heartbeat},
+      [this, alive = Alive, report, reply](const base::Result<void> &result) {
+        if (!*alive || !result)
+          return reply(StatusUnavailable, "");
+        answerGrant(report, reply);
+      });
+}
+
+void FleetLeader::answerGrant(const keyspace::KeyReport &report,
+                              const ReplyHook &reply) {
+  // Checked immediately before stripes are granted.
+  if (!Hooks.HasLease())
+    return refuse(reply, StatusUnavailable,
+                  {ResultCode::NoQuorum, "the leader has no quorum"});
+  HeartbeatAnswer answer{Config.ControlAddress, std::nullopt, {}};
+  const Target *known = Directory.find(report.Instance.Id);
+  // A later heartbeat may have been answered while a record was committed.
+  if (known && known->Instance == report.Instance &&
+      known->Sequence == report.Heartbeat.Number && !needsRecord(report)) {
+    answer.Rows = Grants.grant(report);
+    answer.HoldTime = Grants.config().HoldTime;
+  }
+  reply(StatusOk, Format.WriteHeartbeatAnswer(answer));
+}
+
 bool FleetLeader::mayDepart(const TargetInstance &instance) const {
   const std::size_t count = State.departures().size() + CountPendingDepartures;
   const bool IsKnown = Targets.contains(instance) || Grants.isOwner(instance);
--- a/packages/fleet/internal/FleetState.cpp
+++ b/packages/fleet/internal/FleetState.cpp
@@ -15,6 +15,9 @@
     change.MovedStripes = Parts.Keys.apply(*moves, index);
   } else if (const auto *departure = std::get_if<TargetDeparture>(&command)) {
     recordDeparture(*departure, index);
+  } else if (const auto *record =
+                 std::get_if<keyspace::GrantRecord>(&command)) {
+    Parts.Keys.apply(*record);
   } else {
     const auto &evacuation = std::get<Evacuation>(command);
     change.HasEvacuations =
--- a/packages/fleet/tests/ForeignWritersTest.cpp
+++ b/packages/fleet/tests/ForeignWritersTest.cpp
@@ -1,9 +1,9 @@
 // Plays targets with leases beside foreign writers, whose heartbeats and leave
 // calls have any fields. A longer run: RC_PARAMS="seed=N max_success=2000".
 #include "LeaderFixture.h"
+#include "LeasedTarget.h"
 
 #include <catch2/catch.hpp>
-#include <map>
 #include <ostream>
 #include <rapidcheck.h>
 #include <set>
@@ -21,15 +21,6 @@
 /// Until the first stripes are granted.
 constexpr auto SettleTime = 4s;
 
-/// A target that uses its keys until its lease ends.
-struct LeasedTarget {
-  Target Description;
-  std::map<keyspace::KeyRange, keyspace::FencingToken> Held;
-  std::vector<keyspace::ReleasedRange> Released;
-  base::MonoTime LeaseEnd;
-  base::MonoTime NextHeartbeat;
-};
-
 /// A call of a foreign writer.
 struct ForeignCall {
   bool IsLeave = false;
@@ -159,55 +150,21 @@
   }
 
   void step(LeasedTarget &target) {
-    if (Fixture.Now >= target.LeaseEnd)
-      target.Held.clear();
+    target.expire(Fixture.Now);
     if (Fixture.Now < target.NextHeartbeat)
       return;
     target.NextHeartbeat = Fixture.Now + Interval;
-    ++target.Description.Sequence;
-    auto &next = Fixture.FakeControl.Next;
-    next = {};
-    next.Sender = target.Description;
-    for (const auto &[range, token] : target.Held)
-      next.Holds.push_back({range, token});
-    next.Released = std::exchange(target.Released, {});
+    Fixture.FakeControl.Next = target.compose();
     const auto status =
         Fixture.call(CallKind::Heartbeat, target.Description.Instance.Id, "");
     if (status == 200 && Fixture.FakeControl.Answer.Rows)
-      receive(target, *Fixture.FakeControl.Answer.Rows);
-  }
-
-  void receive(LeasedTarget &target,
-               const std::vector<keyspace::GrantRow> &rows) {
-    std::map<keyspace::KeyRange, keyspace::FencingToken> held;
-    for (const auto &row : rows)
-      for (auto key = row.Keys.First; key <= row.Keys.Last; key += blockSize())
-        held[{key, key + blockSize() - 1}] = row.Token;
-    for (const auto &[range, token] : target.Held)
-      if (!held.contains(range))
-        target.Released.push_back({range, "h"});
-    if (!target.Released.empty())
-      target.NextHeartbeat = Fixture.Now + 90ms;
-    target.Held = std::move(held);
-    target.LeaseEnd = Fixture.Now + 4s;
-  }
-
-  /// Rows may cover several stripes.
-  std::uint32_t blockSize() const {
-    return keyspace::KeyCount /
-           Fixture.State.keys().find("stock")->countStripes();
+      target.receive(*Fixture.FakeControl.Answer.Rows,
+                     Fixture.countStripeKeys(), Fixture.Now, Fixture.Now);
   }
 
   void check() const {
-    std::map<keyspace::KeyRange, std::string> holders;
-    for (const auto &target : Targets)
-      for (const auto &[range, token] : target.Held) {
-        const auto &id = target.Description.Instance.Id;
-        const auto [it, added] = holders.emplace(range, id);
-        if (!added)
-          RC_FAIL("key " + std::to_string(range.First) + " has two holders, " +
-                  it->second + " and " + id);
-      }
+    if (const auto found = findSecondHolder(Targets); !found.empty())
+      RC_FAIL(found);
   }
 
   LeaderFixture Fixture;
--- a/packages/fleet/tests/LeaderFixture.h
+++ b/packages/fleet/tests/LeaderFixture.h
@@ -74,6 +74,12 @@
     config.ControlAddress = "10.0.0.9:90";
     FleetLeaderHooks hooks;
     hooks.Propose = [this](Command command, auto done) {
+      // Answers to heartbeats wait for records of grants.
+      if (CommitsGrants && Proposals.empty() &&
+          std::holds_alternative<keyspace::GrantRecord>(command)) {
+        State.apply(command, ++Index);
+        return done(base::ok());
+      }
       Proposals.push_back({std::move(command), std::move(done)});
     };
     hooks.Publish = [this](const ViewUpdate &update) {
@@ -101,6 +107,11 @@
     for (auto &proposal : std::exchange(Proposals, {}))
       proposal.Done(base::fail(base::ResultCode::ChangeOutcomeUnknown, ""));
   }
+  /// The number of keys of a stripe; all keys if none is assigned yet.
+  std::uint32_t countStripeKeys() const {
+    const auto *keys = State.keys().find("stock");
+    return keyspace::KeyCount / (keys ? keys->countStripes() : 1);
+  }
   /// Applies the proposed commands and reports them as committed.
   void commit() {
     for (auto &proposal : std::exchange(Proposals, {})) {
@@ -153,6 +164,8 @@
   /// What heartbeats state.
   base::MonoTime WarmUntil{};
   bool HasLease = true;
+  /// Records of grants are committed at once if nothing else is proposed.
+  bool CommitsGrants = true;
   bool ChecksAddresses = true;
   /// Id of the process that answers health checks, by address.
   std::map<std::string, std::string> Answering;
--- a/packages/fleet/tests/ViewTest.cpp
+++ b/packages/fleet/tests/ViewTest.cpp
@@ -227,6 +227,8 @@
   state.apply(items, 1);
   state.apply(keyspace::KeyAssignment{"stock", 4, {A}, {{2, 0, 0, "h"}}}, 2);
   state.apply(TargetDeparture{A}, 3);
+  const keyspace::GrantRecord grant{"stock", A, {"10.0.0.1:80", 8}};
+  state.apply(decodeCommand(encodeCommand(grant)).value(), 4);
 
   FleetState copy;
   REQUIRE(copy.restore(state.encodeSnapshot()));
@@ -235,6 +237,8 @@
   CHECK(copy.keys().find("stock")->tokenOf(2) == 2);
   CHECK(copy.keys().find("stock")->handoverOf(2) == "h");
   CHECK(*copy.keys().find("stock")->ownerOf(2) == A);
+  REQUIRE(copy.keys().find("stock")->lastGrantOf(A));
+  CHECK(*copy.keys().find("stock")->lastGrantOf(A) == grant.Heartbeat);
 
   SECTION("a damaged snapshot is refused") {
     CHECK_FALSE(copy.restore("not a snapshot"));
--- a/packages/keyspace/GrantController.h
+++ b/packages/keyspace/GrantController.h
@@ -90,6 +90,7 @@
   /// process that holds the stripes of this instance.
   bool IsIdentified = true;
   std::string DataCentre = {};
+  SentHeartbeat Heartbeat = {};
 };
 
 /// A change of the target that receives a stripe's requests; no holder if they
@@ -105,13 +106,25 @@
   GrantController(const KeyTable &table, GrantConfig config,
                   base::MonoTime now);
 
+  /// Records a heartbeat, which must be the newest of its target instance, and
+  /// later than the last one that a GrantRecord names. The first one ends
+  /// earlier instances of the same id: their stripes pass to this one without a
+  /// wait, to other targets only after their hold has ended. Returns the number
+  /// of revoked stripes that the target has released.
+  std::size_t recordHeartbeat(const KeyReport &report, base::MonoTime now);
+  /// True if the answer to the heartbeat would grant stripes that the target
+  /// doesn't report with their current token. Such an answer needs a committed
+  /// GrantRecord.
+  bool hasNewStripes(const KeyReport &report) const;
   /// Returns all keys that the target may hold for config().HoldTime after it
-  /// sent this heartbeat. The heartbeat must be the newest of its target
-  /// instance. The first one ends earlier instances of the same id: their
-  /// stripes pass to this one without a wait, to other targets only after their
-  /// hold has ended.
+  /// sent this heartbeat, the last one that was recorded of its instance.
+  std::vector<GrantRow> grant(const KeyReport &report);
+  /// Records and grants at once.
   std::vector<GrantRow> onHeartbeat(const KeyReport &report,
-                                    base::MonoTime now);
+                                    base::MonoTime now) {
+    recordHeartbeat(report, now);
+    return grant(report);
+  }
   /// The target will send no more heartbeats, but may use its stripes until its
   /// hold ends.
   void onDeparture(const TargetInstance &instance);
@@ -244,9 +257,7 @@
                     const TargetInstance &successor);
   /// Makes \p successor the heir of the earlier instances of its id.
   void endEarlierInstances(const TargetInstance &successor);
-  void recordReleases(const KeyReport &report, const ServiceKeys &owned);
-  std::vector<GrantRow> grant(const KeyReport &report,
-                              const ServiceKeys &owned);
+  std::size_t recordReleases(const KeyReport &report, const ServiceKeys &owned);
   void setActive(const std::string &service, std::uint32_t stripe, bool active);
   void revokeAll(const TargetInstance &instance, const InstanceState &state);
   /// Revokes what the sender gives up now because of an evacuation.
--- a/packages/keyspace/KeyTable.h
+++ b/packages/keyspace/KeyTable.h
@@ -52,6 +52,14 @@
     Stripes[stripe].IsInherited = true;
   }
 
+  /// Records that an answer to this heartbeat may grant the owner stripes that
+  /// it didn't report. Of heartbeats from one address the latest counts. Has no
+  /// effect if \p instance owns no stripe.
+  void recordGrant(const TargetInstance &instance, SentHeartbeat heartbeat);
+  /// The last recorded heartbeat since the owner got its first stripe; null if
+  /// there is none.
+  const SentHeartbeat *lastGrantOf(const TargetInstance &instance) const;
+
 private:
   struct Stripe {
     const TargetInstance *Owner = nullptr;
@@ -59,9 +67,14 @@
     std::string Handover;
     bool IsInherited = false;
   };
+  struct Owned {
+    /// In ascending order; not empty.
+    std::vector<std::uint32_t> Stripes;
+    std::optional<SentHeartbeat> LastGrant;
+  };
   std::vector<Stripe> Stripes;
-  /// Stripe::Owner points to a key of this map. No value is empty.
-  std::map<TargetInstance, std::vector<std::uint32_t>> ByOwner;
+  /// Stripe::Owner points to a key of this map.
+  std::map<TargetInstance, Owned> ByOwner;
 };
 
 /// The stripes of all services.
@@ -72,6 +85,8 @@
   /// range or were planned with an older token are ignored.
   std::vector<std::uint32_t> apply(const KeyAssignment &assignment,
                                    FencingToken index);
+  /// Applies a committed record, see ServiceKeys::recordGrant().
+  void apply(const GrantRecord &record);
 
   /// Null if no stripe of the service was ever assigned.
   const ServiceKeys *find(std::string_view service) const;
--- a/packages/keyspace/Types.h
+++ b/packages/keyspace/Types.h
@@ -16,6 +16,15 @@
 /// with each assignment of the stripe.
 using FencingToken = std::uint64_t;
 
+/// Names a heartbeat of a target instance.
+struct SentHeartbeat {
+  /// Address of the sender.
+  std::string Address;
+  /// Increases with each heartbeat.
+  std::uint64_t Number = 0;
+  bool operator==(const SentHeartbeat &) const = default;
+};
+
 /// One run of a target's process. A later run with the same id has no state of
 /// the earlier one.
 struct TargetInstance {
@@ -86,4 +95,15 @@
   bool operator==(const KeyAssignment &) const = default;
 };
 
+/// An answer to the heartbeat may grant its sender stripes that it didn't
+/// report. Earlier heartbeats, even if they arrive later, don't show which of
+/// its stripes the target has released. Replicated as a log entry before the
+/// answer is sent.
+struct GrantRecord {
+  std::string Service;
+  TargetInstance Instance;
+  SentHeartbeat Heartbeat;
+  bool operator==(const GrantRecord &) const = default;
+};
+
 } // namespace magnoliamill::keyspace
--- a/packages/keyspace/internal/GrantController.cpp
+++ b/packages/keyspace/internal/GrantController.cpp
@@ -115,8 +115,8 @@
   return keys;
 }
 
-std::vector<GrantRow> GrantController::onHeartbeat(const KeyReport &report,
-                                                   base::MonoTime now) {
+std::size_t GrantController::recordHeartbeat(const KeyReport &report,
+                                             base::MonoTime now) {
   InstanceState &state = Instances[report.Instance];
   if (!report.IsIdentified && !state.HasReported)
     state.ReleasesFrom = state.HoldEnd;
@@ -135,18 +135,17 @@
     state.IsLeaving = true;
   const ServiceKeys *owned = Table.find(report.Service);
   if (!owned)
-    return {};
+    return 0;
   if (state.IsLeaving)
     revokeAll(report.Instance, state);
   revokeEvacuated(report, state, *owned, now);
-  if (state.ReleasesFrom <= now)
-    recordReleases(report, *owned);
-  return grant(report, *owned);
+  return state.ReleasesFrom <= now ? recordReleases(report, *owned) : 0;
 }
 
-void GrantController::recordReleases(const KeyReport &report,
-                                     const ServiceKeys &owned) {
+std::size_t GrantController::recordReleases(const KeyReport &report,
+                                            const ServiceKeys &owned) {
   Keys &keys = keysOf(report.Service);
+  std::size_t released = 0;
   const auto held = markStripes(std::span<const HeldRange>(report.Holds),
                                 owned.countStripes());
   for (std::uint32_t i : owned.stripesOf(report.Instance)) {
@@ -154,13 +153,37 @@
     if (!stripe.IsRevoked || stripe.IsReleased || held[i])
       continue;
     stripe.IsReleased = true;
+    ++released;
     stripe.Handover =
         findHandover(report.Released, rangeOfStripe(i, owned.countStripes()));
   }
+  return released;
 }
 
-std::vector<GrantRow> GrantController::grant(const KeyReport &report,
-                                             const ServiceKeys &owned) {
+bool GrantController::hasNewStripes(const KeyReport &report) const {
+  const ServiceKeys *owned = Table.find(report.Service);
+  const auto found = Services.find(report.Service);
+  if (!owned || found == Services.end())
+    return false;
+  const auto IsReported = [&](std::uint32_t stripe) {
+    const KeyRange keys = rangeOfStripe(stripe, owned->countStripes());
+    return std::ranges::any_of(report.Holds, [&](const HeldRange &held) {
+      return held.Keys.First <= keys.First && keys.Last <= held.Keys.Last &&
+             held.Token == owned->tokenOf(stripe);
+    });
+  };
+  return std::ranges::any_of(
+      owned->stripesOf(report.Instance), [&](std::uint32_t i) {
+        const Stripe &stripe = found->second.Stripes[i];
+        return !stripe.IsRevoked && !stripe.IsProposed && !IsReported(i);
+      });
+}
+
+std::vector<GrantRow> GrantController::grant(const KeyReport &report) {
+  const ServiceKeys *table = Table.find(report.Service);
+  if (!table)
+    return {};
+  const ServiceKeys &owned = *table;
   Keys &keys = keysOf(report.Service);
   const auto held = markStripes(std::span<const HeldRange>(report.Holds),
                                 owned.countStripes());
--- a/packages/keyspace/internal/KeyTable.cpp
+++ b/packages/keyspace/internal/KeyTable.cpp
@@ -22,12 +22,12 @@
   auto it = ByOwner.find(instance);
   if (it == ByOwner.end())
     return {};
-  return it->second;
+  return it->second.Stripes;
 }
 
 std::vector<TargetInstance> ServiceKeys::listOwners() const {
   std::vector<TargetInstance> owners;
-  for (const auto &[instance, stripes] : ByOwner)
+  for (const auto &[instance, owned] : ByOwner)
     owners.push_back(instance);
   return owners;
 }
@@ -39,16 +39,35 @@
                            stripe.Owner->Id == instance.Id;
   if (stripe.Owner) {
     auto old = ByOwner.find(*stripe.Owner);
-    auto &held = old->second;
+    auto &held = old->second.Stripes;
     held.erase(std::ranges::lower_bound(held, index));
     if (held.empty() && old->first != instance)
       ByOwner.erase(old);
   }
-  auto &[owner, held] = *ByOwner.try_emplace(instance).first;
+  auto &[owner, owned] = *ByOwner.try_emplace(instance).first;
+  auto &held = owned.Stripes;
   held.insert(std::ranges::lower_bound(held, index), index);
   stripe = {&owner, token, std::move(handover), IsInherited};
 }
 
+void ServiceKeys::recordGrant(const TargetInstance &instance,
+                              SentHeartbeat heartbeat) {
+  const auto it = ByOwner.find(instance);
+  if (it == ByOwner.end())
+    return;
+  auto &last = it->second.LastGrant;
+  if (!last || last->Address != heartbeat.Address ||
+      last->Number < heartbeat.Number)
+    last = std::move(heartbeat);
+}
+
+const SentHeartbeat *
+ServiceKeys::lastGrantOf(const TargetInstance &instance) const {
+  const auto it = ByOwner.find(instance);
+  return it == ByOwner.end() || !it->second.LastGrant ? nullptr
+                                                      : &*it->second.LastGrant;
+}
+
 std::vector<std::uint32_t> KeyTable::apply(const KeyAssignment &assignment,
                                            FencingToken index) {
   std::vector<std::uint32_t> moved;
@@ -70,6 +89,11 @@
   return moved;
 }
 
+void KeyTable::apply(const GrantRecord &record) {
+  if (const auto it = Services.find(record.Service); it != Services.end())
+    it->second.recordGrant(record.Instance, record.Heartbeat);
+}
+
 const ServiceKeys *KeyTable::find(std::string_view service) const {
   auto it = Services.find(service);
   return it == Services.end() ? nullptr : &it->second;
--- a/packages/keyspace/tests/KeyTableTest.cpp
+++ b/packages/keyspace/tests/KeyTableTest.cpp
@@ -5,6 +5,31 @@
 
 using namespace magnoliamill::keyspace;
 
+TEST_CASE("The last grant of an owner is kept while it owns stripes") {
+  KeyTable table;
+  const TargetInstance a{"a", 1};
+  const TargetInstance b{"b", 1};
+  table.apply({"stock", 4, {a}, {{0, 0, 0, ""}}}, 7);
+  const ServiceKeys &keys = *table.find("stock");
+  CHECK(keys.lastGrantOf(a) == nullptr);
+  table.apply(GrantRecord{"stock", a, {"h:80", 5}});
+  table.apply(GrantRecord{"stock", a, {"h:80", 3}});
+  CHECK(*keys.lastGrantOf(a) == SentHeartbeat{"h:80", 5});
+
+  SECTION("a process at another address has numbers of its own") {
+    table.apply(GrantRecord{"stock", a, {"g:80", 2}});
+    CHECK(*keys.lastGrantOf(a) == SentHeartbeat{"g:80", 2});
+  }
+  SECTION("nothing is kept of targets without stripes") {
+    table.apply(GrantRecord{"stock", b, {"h:81", 5}});
+    CHECK(keys.lastGrantOf(b) == nullptr);
+    table.apply({"stock", 4, {b}, {{0, 0, 7, ""}}}, 9);
+    CHECK(keys.lastGrantOf(a) == nullptr);
+    table.apply({"stock", 4, {a}, {{0, 0, 9, ""}}}, 10);
+    CHECK(keys.lastGrantOf(a) == nullptr);
+  }
+}
+
 TEST_CASE("A stripe is owned according to its last assignment") {
   KeyTable table;
   const TargetInstance a{"a", 1};
--- a/packages/protocol/schema/fleet.capnp
+++ b/packages/protocol/schema/fleet.capnp
@@ -75,18 +75,30 @@
     # The target receives no new work from now on.
     departure @2 :TargetLife;
     evacuation @4 :Evacuation;
+    grant @5 :Grant;
   }
   # Of a departure: log indices of earlier ones that no longer bind.
   expired @3 :List(UInt64);
 }
 # The targets of a data centre get no requests, or may get them again.
 struct Evacuation { dataCentre @0 :Text; isActive @1 :Bool; }
+# An answer to the heartbeat with this number may grant a target stripes that it
+# didn't report.
+struct Grant {
+  service @0 :Text;
+  life @1 :TargetLife;
+  heartbeat @2 :UInt64;
+  address @3 :Text;
+}
+# The last such heartbeat of an owner.
+struct LastGrant { owner @0 :UInt32; heartbeat @1 :UInt64; address @2 :Text; }
 struct ServiceKeys {
   service @0 :Text;
   stripeCount @1 :UInt32;
   owners @2 :List(TargetLife);
   # One for each assigned stripe; the field expected contains its token.
   stripes @3 :List(StripeMove);
+  lastGrants @4 :List(LastGrant);
 }
 struct Departure { life @0 :TargetLife; index @1 :UInt64; }
 struct State {
--- a/packages/protocol/schema/fleet.capnp.h
+++ b/packages/protocol/schema/fleet.capnp.h
@@ -30,6 +30,8 @@
 CAPNP_DECLARE_SCHEMA(86402fe38f3c51e1);
 CAPNP_DECLARE_SCHEMA(9a73d0f78a670bc9);
 CAPNP_DECLARE_SCHEMA(e8782f4fdc03b55f);
+CAPNP_DECLARE_SCHEMA(a11a55ed4f8472e2);
+CAPNP_DECLARE_SCHEMA(fb388ad7ea0e3443);
 CAPNP_DECLARE_SCHEMA(cd9f44466b89717d);
 CAPNP_DECLARE_SCHEMA(dff397c3526da4f2);
 CAPNP_DECLARE_SCHEMA(da34a1324b671f67);
@@ -189,6 +191,7 @@
     ASSIGNMENT,
     DEPARTURE,
     EVACUATION,
+    GRANT,
   };
 
   struct _capnpPrivate {
@@ -214,6 +217,36 @@
   };
 };
 
+struct Grant {
+  Grant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a11a55ed4f8472e2, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LastGrant {
+  LastGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb388ad7ea0e3443, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServiceKeys {
   ServiceKeys() = delete;
 
@@ -222,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd9f44466b89717d, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cd9f44466b89717d, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1449,6 +1482,10 @@
   inline bool hasEvacuation() const;
   inline  ::magnoliamill::fleet::wire::Evacuation::Reader getEvacuation() const;
 
+  inline bool isGrant() const;
+  inline bool hasGrant() const;
+  inline  ::magnoliamill::fleet::wire::Grant::Reader getGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1518,6 +1555,14 @@
   inline void adoptEvacuation(::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation>&& value);
   inline ::capnp::Orphan< ::magnoliamill::fleet::wire::Evacuation> disownEvacuation();
 
+  inline bool isGrant();
+  inline bool hasGrant();
+  inline  ::magnoliamill::fleet::wire::Grant::Builder getGrant();
+  inline void setGrant( ::magnoliamill::fleet::wire::Grant::Reader value);
+  inline  ::magnoliamill::fleet::wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::magnoliamill::fleet::wire::Grant>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::Grant> disownGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1630,6 +1675,204 @@
 };
 #endif  // !CAPNP_LITE
 
+class Grant::Reader {
+public:
+  typedef Grant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasLife() const;
+  inline  ::magnoliamill::fleet::wire::TargetLife::Reader getLife() const;
+
+  inline  ::uint64_t getHeartbeat() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Grant::Builder {
+public:
+  typedef Grant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasLife();
+  inline  ::magnoliamill::fleet::wire::TargetLife::Builder getLife();
+  inline void setLife( ::magnoliamill::fleet::wire::TargetLife::Reader value);
+  inline  ::magnoliamill::fleet::wire::TargetLife::Builder initLife();
+  inline void adoptLife(::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife>&& value);
+  inline ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife> disownLife();
+
+  inline  ::uint64_t getHeartbeat();
+  inline void setHeartbeat( ::uint64_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Grant::Pipeline {
+public:
+  typedef Grant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::magnoliamill::fleet::wire::TargetLife::Pipeline getLife();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LastGrant::Reader {
+public:
+  typedef LastGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getOwner() const;
+
+  inline  ::uint64_t getHeartbeat() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LastGrant::Builder {
+public:
+  typedef LastGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getOwner();
+  inline void setOwner( ::uint32_t value);
+
+  inline  ::uint64_t getHeartbeat();
+  inline void setHeartbeat( ::uint64_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LastGrant::Pipeline {
+public:
+  typedef LastGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceKeys::Reader {
 public:
   typedef ServiceKeys Reads;
@@ -1658,6 +1901,9 @@
   inline bool hasStripes() const;
   inline  ::capnp::List< ::magnoliamill::fleet::wire::StripeMove,  ::capnp::Kind::STRUCT>::Reader getStripes() const;
 
+  inline bool hasLastGrants() const;
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Reader getLastGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1710,6 +1956,13 @@
   inline void adoptStripes(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeMove,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::StripeMove,  ::capnp::Kind::STRUCT>> disownStripes();
 
+  inline bool hasLastGrants();
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Builder getLastGrants();
+  inline void setLastGrants( ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Builder initLastGrants(unsigned int size);
+  inline void adoptLastGrants(::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>> disownLastGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5199,6 +5452,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isGrant() const {
+  return which() == Command::GRANT;
+}
+inline bool Command::Builder::isGrant() {
+  return which() == Command::GRANT;
+}
+inline bool Command::Reader::hasGrant() const {
+  if (which() != Command::GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasGrant() {
+  if (which() != Command::GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::Grant::Reader Command::Reader::getGrant() const {
+  KJ_IREQUIRE((which() == Command::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::Grant::Builder Command::Builder::getGrant() {
+  KJ_IREQUIRE((which() == Command::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setGrant( ::magnoliamill::fleet::wire::Grant::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::GRANT);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::Grant::Builder Command::Builder::initGrant() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::GRANT);
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptGrant(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::Grant>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::GRANT);
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::Grant> Command::Builder::disownGrant() {
+  KJ_IREQUIRE((which() == Command::GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::Grant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Evacuation::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5247,6 +5554,189 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Grant::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Grant::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Grant::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Grant::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Grant::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Grant::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Grant::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Grant::Reader::hasLife() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Grant::Builder::hasLife() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::magnoliamill::fleet::wire::TargetLife::Reader Grant::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::magnoliamill::fleet::wire::TargetLife::Builder Grant::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::magnoliamill::fleet::wire::TargetLife::Pipeline Grant::Pipeline::getLife() {
+  return  ::magnoliamill::fleet::wire::TargetLife::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Grant::Builder::setLife( ::magnoliamill::fleet::wire::TargetLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::magnoliamill::fleet::wire::TargetLife::Builder Grant::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Grant::Builder::adoptLife(
+    ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife>&& value) {
+  ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::magnoliamill::fleet::wire::TargetLife> Grant::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::magnoliamill::fleet::wire::TargetLife>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Grant::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Grant::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setHeartbeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Grant::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Grant::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Grant::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Grant::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Grant::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Grant::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Grant::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t LastGrant::Reader::getOwner() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LastGrant::Builder::getOwner() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LastGrant::Builder::setOwner( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LastGrant::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LastGrant::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LastGrant::Builder::setHeartbeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LastGrant::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LastGrant::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LastGrant::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LastGrant::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LastGrant::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LastGrant::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LastGrant::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LastGrant::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceKeys::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5363,6 +5853,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ServiceKeys::Reader::hasLastGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceKeys::Builder::hasLastGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Reader ServiceKeys::Reader::getLastGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Builder ServiceKeys::Builder::getLastGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServiceKeys::Builder::setLastGrants( ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>::Builder ServiceKeys::Builder::initLastGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ServiceKeys::Builder::adoptLastGrants(
+    ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>> ServiceKeys::Builder::disownLastGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::magnoliamill::fleet::wire::LastGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Departure::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
