--- a/packages/base/StrictJson.h
+++ b/packages/base/StrictJson.h
@@ -10,8 +10,9 @@
 namespace magnoliamill::base {
 
 /// Parses one JSON value nested at most \p depth levels. Fails with
-/// JsonMalformed, or with DuplicateField when an object has two members of the
-/// same name: lenient parsers silently drop one of them, and which one differs.
+/// JsonMalformed, also if a number is too large for a double, or with
+/// DuplicateField when an object has two members of the same name: lenient
+/// parsers silently drop one of them, and which one differs.
 Result<boost::json::value> parseStrictJson(std::string_view text,
                                            std::size_t depth = 32);
 
--- a/packages/base/internal/Log.cpp
+++ b/packages/base/internal/Log.cpp
@@ -4,6 +4,7 @@
 
 #include "base/Metrics.h"
 #include "base/Time.h"
+#include "base/Utf8.h"
 
 #include <atomic>
 #include <boost/json/object.hpp>
@@ -93,6 +94,12 @@
   return Limiter;
 }
 
+/// Field values may hold any bytes that another process has sent.
+boost::json::value makeReadable(const boost::json::value &value) {
+  const auto *text = value.if_string();
+  return text && !isUtf8(*text) ? boost::json::value(repairUtf8(*text)) : value;
+}
+
 /// Writes the whole line, or drops it when that would block.
 void writeLine(const std::string &line) {
   static prometheus::Counter &Dropped =
@@ -140,7 +147,7 @@
     line["omitted"] = decision.Omitted;
   boost::json::object nofields = line;
   for (const LogField &field : fields)
-    line[field.Name] = field.Value;
+    line[field.Name] = makeReadable(field.Value);
   std::string bytes = boost::json::serialize(line) + '\n';
   if (bytes.size() > MaxLineBytes) {
     nofields["fields_bytes"] = bytes.size();
--- a/packages/base/internal/StrictJson.cpp
+++ b/packages/base/internal/StrictJson.cpp
@@ -2,9 +2,11 @@
 // boost::json does not; a second one builds the value.
 #include "base/StrictJson.h"
 
+#include <algorithm>
 #include <boost/json/basic_parser_impl.hpp>
 #include <boost/json/parse.hpp>
 #include <charconv>
+#include <cmath>
 #include <set>
 #include <string>
 #include <vector>
@@ -125,11 +127,14 @@
   if (!first.handler().Duplicate.empty())
     return fail(ResultCode::DuplicateField,
                 "duplicate member '" + first.handler().Duplicate + "'");
+  const auto &fractions = first.handler().Fractions;
+  if (!std::ranges::all_of(fractions,
+                           [](double it) { return std::isfinite(it); }))
+    return fail(ResultCode::JsonMalformed, "a number is out of range");
   auto value = boost::json::parse(text, ec, {}, options);
   if (ec)
     return describeError(ec, depth);
-  if (auto next = first.handler().Fractions.cbegin();
-      next != first.handler().Fractions.cend())
+  if (auto next = fractions.cbegin(); next != fractions.cend())
     setFractions(value, next);
   return value;
 }
--- a/packages/base/tests/BaseTest.cpp
+++ b/packages/base/tests/BaseTest.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "base/Metrics.h"
 #include "base/Token.h"
+#include "base/Utf8.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -88,6 +89,23 @@
   REQUIRE(seen == std::vector<int>{0, 1, 2, 3, 4, 5, 6, 7, 8, 9});
 }
 
+TEST_CASE("Text that is not UTF-8 is found and repaired", "[base]") {
+  for (const char *good :
+       {"", "a", "\xC3\xA9", "\xE2\x82\xAC", "\xED\x9F\xBF", "\xEE\x80\x80",
+        "\xF0\x90\x80\x80", "\xF4\x8F\xBF\xBF"}) {
+    CHECK(isUtf8(good));
+    CHECK(repairUtf8(good) == good);
+  }
+  for (const char *bad :
+       {"\x80", "a\xFF", "\xC3", "\xC3(", "\xC0\xAF", "\xC1\xBF",
+        "\xE0\x9F\xBF", "\xED\xA0\x80", "\xF0\x8F\xBF\xBF", "\xF4\x90\x80\x80",
+        "\xF5\x80\x80\x80", "\xE2\x82", "\xF0\x90\x80"}) {
+    CHECK_FALSE(isUtf8(bad));
+    CHECK(isUtf8(repairUtf8(bad)));
+  }
+  CHECK(repairUtf8("a\xFFz") == "a\xEF\xBF\xBDz");
+}
+
 TEST_CASE("Metrics are rendered as text", "[base]") {
   counter("mill_test_total", "A counter of the test.", {{"kind", "a"}})
       .Increment(3);
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -4,6 +4,7 @@
 
 #include "base/Log.h"
 #include "base/Metrics.h"
+#include "base/Utf8.h"
 
 #include <algorithm>
 #include <prometheus/counter.h>
@@ -157,6 +158,11 @@
   if (!Hooks.HasLease())
     return refuse(reply, StatusUnavailable,
                   {ResultCode::NoQuorum, "the leader has no quorum"});
+  // Names go to views, logs and metrics.
+  if (!base::isUtf8(call.Name))
+    return refuse(
+        reply, StatusBadRequest,
+        {ResultCode::AnnouncementInvalid, "the name in the path is not UTF-8"});
   if (call.Kind == CallKind::StartEvacuation ||
       call.Kind == CallKind::EndEvacuation)
     return handleEvacuation(call, reply);
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -117,6 +117,16 @@
   }
 }
 
+TEST_CASE("A name in a path that is not UTF-8 is refused") {
+  LeaderFixture fixture;
+  fixture.FakeControl.LeaveStart = 5;
+  for (const auto kind : {CallKind::Heartbeat, CallKind::Leave,
+                          CallKind::StartEvacuation, CallKind::EndEvacuation})
+    CHECK(fixture.call(kind, "i\xFF", "ok") == 400);
+  CHECK(fixture.Proposals.empty());
+  CHECK(fixture.Published.targets().empty());
+}
+
 // An order was refused for good because of a change that failed to commit.
 TEST_CASE("Two changes at once leave a route without its service, or refuse a "
           "valid order for good") {
