Bodies of answers are kept in blocks that are reserved before they are used

What callers saw: nothing yet, as nothing limits the memory of a process here; with the platform's limit an entry would have been killed, and the requests of all its callers with it.

Cause: the bytes of a body were counted, not the memory that they take. A string that grows takes twice its size, and the old buffer while it is copied.

Why it works: blocks of 1 to 32 KiB are reserved before they are allocated and freed when their bytes are passed on; nothing is copied.

Two more inputs without end in EndlessAnswerTest: bytes without a line end, a status line.

--- a/fakes/platform/FakeUpstream.cpp
+++ b/fakes/platform/FakeUpstream.cpp
@@ -98,7 +98,8 @@
     end();
     return {};
   }
-  if (Config.EndlessKey == key) {
+  if (Config.EndlessKey == key ||
+      (!Config.EndlessPath.empty() && call.Target == Config.EndlessPath)) {
     answerEndlessly(sink, attempt);
     return {};
   }
--- a/fakes/platform/FakeUpstream.h
+++ b/fakes/platform/FakeUpstream.h
@@ -34,6 +34,8 @@
   std::size_t AnswerBytes = 0;
   /// Requests for this key get a body without end.
   std::optional<std::uint32_t> EndlessKey = std::nullopt;
+  /// Requests for this path, too.
+  std::string EndlessPath{};
   /// A request for this path ends the target as soon as it runs.
   std::string EndingPath{};
 };
--- a/packages/entry/AnswerBody.h
+++ b/packages/entry/AnswerBody.h
@@ -1,66 +1,58 @@
-// The received part of an answer's body, without what was passed on.
+// The received part of an answer's body, without what was passed on. Kept in
+// blocks, so that it never takes more memory than it has reserved: a buffer
+// that grows takes several times its content while it is copied.
 #pragma once
 
 #include "gateway/MessageMemory.h"
 
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace magnoliamill::entry {
 
 class AnswerBody {
 public:
+  /// Each block is as large as all earlier ones together, within these limits:
+  /// small answers take little more than their size.
+  static constexpr std::size_t MinBlockBytes = 1u << 10;
+  static constexpr std::size_t MaxBlockBytes = 32u << 10;
+
   explicit AnswerBody(std::shared_ptr<gateway::MessageMemory> memory)
       : Memory(std::move(memory)) {}
   AnswerBody(const AnswerBody &) = delete;
   AnswerBody &operator=(const AnswerBody &) = delete;
   ~AnswerBody() { clear(); }
 
-  /// Returns false, and keeps nothing of \p data, if there is no memory for it.
-  bool append(std::string_view data) {
-    HasOverflowed = HasOverflowed || !Memory->take(Data.size(), data.size());
-    if (!HasOverflowed)
-      Data += data;
-    return !HasOverflowed;
-  }
+  /// Returns false if there is no memory for all of \p data. Nothing can be
+  /// appended then until the next clear().
+  bool append(std::string_view data);
   /// Removes and returns the next \p n bytes, which must have been received.
-  std::string take(std::size_t n) {
-    std::string part = Data.substr(Begin, n);
-    Begin += part.size();
-    // Erasing rarely keeps the cost per byte constant.
-    if (Begin * 2 >= Data.size())
-      dropTaken();
-    return part;
-  }
+  std::string take(std::size_t n);
   /// Bytes received so far, whether or not they were taken.
-  std::size_t size() const { return DroppedBytes + Data.size(); }
+  std::size_t size() const { return ReceivedBytes; }
   /// True if the memory did not suffice since the last clear().
   bool hasOverflowed() const { return HasOverflowed; }
-
-  void clear() {
-    Memory->release(Data.size());
-    Data = std::string();
-    Begin = 0;
-    DroppedBytes = 0;
-    HasOverflowed = false;
-  }
+  void clear();
 
 private:
-  void dropTaken() {
-    Memory->release(Begin);
-    Data.erase(0, Begin);
-    DroppedBytes += Begin;
-    Begin = 0;
-  }
+  struct Block {
+    std::unique_ptr<char[]> Data;
+    std::size_t Capacity = 0;
+    /// What was received and not taken is between these offsets.
+    std::size_t Begin = 0;
+    std::size_t End = 0;
+  };
+
+  bool addBlock();
 
   std::shared_ptr<gateway::MessageMemory> Memory;
-  /// Its size is what this answer holds of Memory.
-  std::string Data;
-  /// Start of what was not taken, within Data.
-  std::size_t Begin = 0;
-  std::size_t DroppedBytes = 0;
+  std::list<Block> Blocks;
+  /// Sum of the capacities of Blocks, which is what this answer holds of
+  /// Memory.
+  std::size_t HeldBytes = 0;
+  std::size_t ReceivedBytes = 0;
   bool HasOverflowed = false;
 };
 
--- a/packages/gateway/tests/EndlessAnswerTest.cpp
+++ b/packages/gateway/tests/EndlessAnswerTest.cpp
@@ -35,6 +35,8 @@
 
 std::vector<EndlessAnswer> answersWithoutEnd() {
   return {
+      {"bytes without a line end", "", "xxxxx"},
+      {"a status line", "HTTP/1.1 200 ", "reason "},
       {"header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
       {"one header field", "HTTP/1.1 200 OK\r\nX-Field: ", "value"},
       {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
