Permits: a target whose data centre changes moves between the pools

Cause: PermitIssuer::put() replaced the description of a known target and left it in the pool of its former data centre; remove() used an end iterator, or left a member without a description.

Why it works: membership follows the description; requests that waited for the last target of a pool are answered and sent elsewhere.

--- a/packages/admission/PermitIssuer.h
+++ b/packages/admission/PermitIssuer.h
@@ -101,8 +101,10 @@
   /// \p seed spreads the times at which refused callers return.
   explicit PermitIssuer(std::uint64_t seed) : Random(seed) {}
 
-  /// Adds or updates a target that takes new requests.
-  void put(const PermitTarget &target);
+  /// Adds or updates a target that takes new requests. Returns the answers to
+  /// requests that waited for a target of its former data centre, if it was the
+  /// last one there.
+  Answers put(const PermitTarget &target);
   /// The target takes no more requests. Those that wait for it are answered
   /// with Unknown.
   Answers remove(const keyspace::TargetInstance &instance);
--- a/packages/admission/internal/PermitIssuer.cpp
+++ b/packages/admission/internal/PermitIssuer.cpp
@@ -50,18 +50,25 @@
   return "service " + service + " " + centre;
 }
 
-void PermitIssuer::put(const PermitTarget &target) {
+PermitIssuer::Answers PermitIssuer::put(const PermitTarget &target) {
   auto [it, added] = Targets.try_emplace(target.Instance);
+  Answers answers;
+  const auto &described = it->second.Description;
+  const auto former = poolNameOf(described.Service, described.DataCentre);
+  const auto next = poolNameOf(target.Service, target.DataCentre);
+  if (!added && former != next)
+    removeFrom(former, target.Instance, answers);
   it->second.Description = target;
   if (auto removed = RemovedLimits.extract(target.Instance))
     it->second.WarmUp = std::move(removed.mapped());
   it->second.WarmUp.set(target.WarmUpPermits, target.WarmUntil);
-  if (!added)
-    return;
-  Pools.try_emplace(poolNameOf(target.Instance), true)
-      .first->second.Members.push_back(target.Instance);
-  Pools.try_emplace(poolNameOf(target.Service, target.DataCentre), false)
-      .first->second.Members.push_back(target.Instance);
+  if (added)
+    Pools.try_emplace(poolNameOf(target.Instance), true)
+        .first->second.Members.push_back(target.Instance);
+  if (added || former != next)
+    Pools.try_emplace(next, false)
+        .first->second.Members.push_back(target.Instance);
+  return answers;
 }
 
 PermitIssuer::Answers PermitIssuer::remove(const TargetInstance &instance) {
--- a/packages/admission/tests/PermitIssuerTest.cpp
+++ b/packages/admission/tests/PermitIssuerTest.cpp
@@ -332,3 +332,37 @@
     CHECK(it.ask(makeRequest(180ms)).Decision == PermitDecision::Refused);
   }
 }
+
+// A heartbeat named another data centre. The core that granted permits there
+// ended by a signal when the target had left.
+TEST_CASE("A target whose data centre changes ends the process") {
+  Fixture fixture;
+  const auto AskIn = [&](const std::string &centre) {
+    auto request = makeRequest();
+    request.DataCentre = centre;
+    return fixture.ask(request);
+  };
+  CHECK(fixture.Issuer.put({Fast, "orders", "dc-b", 2}).empty());
+  CHECK(AskIn("dc-a").Target == Slow);
+  CHECK(AskIn("dc-b").Target == Fast);
+
+  SECTION("when it leaves") {
+    fixture.Issuer.remove(Fast);
+    CHECK(AskIn("dc-b").Decision == PermitDecision::Unknown);
+    CHECK(AskIn("dc-a").Target == Slow);
+  }
+  SECTION("when it changes back") {
+    fixture.Issuer.put({Fast, "orders", "dc-a", 2});
+    CHECK(AskIn("dc-b").Decision == PermitDecision::Unknown);
+    fixture.Issuer.remove(Slow);
+    CHECK(AskIn("dc-a").Target == Fast);
+  }
+  SECTION("as the last one of its data centre, while requests wait") {
+    REQUIRE(AskIn("dc-b").Decision == PermitDecision::Granted);
+    REQUIRE(AskIn("dc-b").Decision == PermitDecision::Queued);
+    const auto answers = fixture.Issuer.put({Fast, "orders", "dc-a", 2});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().Id.Number == fixture.Last);
+    CHECK(answers.front().Decision == PermitDecision::Unknown);
+  }
+}
--- a/packages/fleet/internal/PermitDesk.cpp
+++ b/packages/fleet/internal/PermitDesk.cpp
@@ -73,9 +73,9 @@
   if (!target || target->State != TargetState::Ready)
     return answer(Issuer.remove(instance));
   const auto limit = WarmUpPermits.find(target->Service);
-  Issuer.put({instance, target->Service, target->DataCentre, target->Slots,
-              limit == WarmUpPermits.end() ? 0 : limit->second,
-              target->WarmUntil});
+  answer(Issuer.put(
+      {instance, target->Service, target->DataCentre, target->Slots,
+       limit == WarmUpPermits.end() ? 0 : limit->second, target->WarmUntil}));
 }
 
 void PermitDesk::updateWarmUpLimits(const View &view) {
