--- a/tests/DocsTest.cpp
+++ b/tests/DocsTest.cpp
@@ -72,11 +72,11 @@
   return text;
 }
 
-/// The concatenated C++ sources of packages/ and apps/, without tests and
-/// without the generated Cap'n Proto files.
+/// The concatenated C++ sources of packages/, apps/ and platform/, without
+/// tests and without the generated Cap'n Proto files.
 std::string readSources() {
   std::string all;
-  for (const char *folder : {"packages", "apps"})
+  for (const char *folder : {"packages", "apps", "platform"})
     for (const auto &entry :
          std::filesystem::recursive_directory_iterator(Root / folder)) {
       const auto &path = entry.path();
