--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,7 +5,7 @@
 MILL_PACKAGES="gcc g++ cmake ninja-build ccache clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev capnproto libcapnp-dev prometheus-cpp-dev
   libgflags-dev libfmt-dev nlohmann-json3-dev catch2 librapidcheck-dev libxxhash-dev libssl-dev zlib1g-dev
-  libcurl4-openssl-dev"
+  libcurl4-openssl-dev libcbor-dev"
 export CCACHE_BASEDIR=$MILL_ROOT CCACHE_NOHASHDIR=1 CCACHE_SLOPPINESS=pch_defines,time_macros
 
 # Installs only missing packages, so that a second run needs no package registry.
