Control calls: a body of small values takes a core over its memory

Callers saw: one call of 32 MiB, from any writer, took the leader to over a gigabyte (256 MB on the users' sites) and kept it for seconds from all others.

Cause: bodies were bounded in bytes only; small values take up to 60 times as much in memory.

--- a/packages/base/internal/StrictJson.cpp
+++ b/packages/base/internal/StrictJson.cpp
@@ -28,6 +28,7 @@
   using Text = boost::json::string_view;
   using ErrorCode = boost::json::error_code;
 
+  std::size_t ValuesLeft = 0;
   std::vector<std::set<std::string, std::less<>>> OpenObjects;
   std::string PartialKey;
   std::string Duplicate;
@@ -35,19 +36,28 @@
   /// All fractions, in their order in the text.
   std::vector<double> Fractions;
 
+  bool countValue(ErrorCode &ec) {
+    if (ValuesLeft > 0) {
+      --ValuesLeft;
+      return true;
+    }
+    ec = boost::json::error::array_too_large;
+    return false;
+  }
+
   // These names are required by boost::json::basic_parser.
   // NOLINTBEGIN(readability-identifier-naming)
   bool on_document_begin(ErrorCode &) { return true; }
   bool on_document_end(ErrorCode &) { return true; }
-  bool on_object_begin(ErrorCode &) {
+  bool on_object_begin(ErrorCode &ec) {
     OpenObjects.emplace_back();
-    return true;
+    return countValue(ec);
   }
   bool on_object_end(std::size_t, ErrorCode &) {
     OpenObjects.pop_back();
     return true;
   }
-  bool on_array_begin(ErrorCode &) { return true; }
+  bool on_array_begin(ErrorCode &ec) { return countValue(ec); }
   bool on_array_end(std::size_t, ErrorCode &) { return true; }
   bool on_key_part(Text text, std::size_t, ErrorCode &) {
     PartialKey.append(text.data(), text.size());
@@ -61,30 +71,30 @@
     return true;
   }
   bool on_string_part(Text, std::size_t, ErrorCode &) { return true; }
-  bool on_string(Text, std::size_t, ErrorCode &) { return true; }
+  bool on_string(Text, std::size_t, ErrorCode &ec) { return countValue(ec); }
   bool on_number_part(Text text, ErrorCode &) {
     PartialNumber.append(text.data(), text.size());
     return true;
   }
-  bool on_int64(std::int64_t, Text, ErrorCode &) {
+  bool on_int64(std::int64_t, Text, ErrorCode &ec) {
     PartialNumber.clear();
-    return true;
+    return countValue(ec);
   }
-  bool on_uint64(std::uint64_t, Text, ErrorCode &) {
+  bool on_uint64(std::uint64_t, Text, ErrorCode &ec) {
     PartialNumber.clear();
-    return true;
+    return countValue(ec);
   }
-  bool on_double(double value, Text text, ErrorCode &) {
+  bool on_double(double value, Text text, ErrorCode &ec) {
     PartialNumber.append(text.data(), text.size());
     const char *end = PartialNumber.data() + PartialNumber.size();
     // Out of range, \p value is kept: zero or infinite.
     std::from_chars(PartialNumber.data(), end, value);
     Fractions.push_back(value);
     PartialNumber.clear();
-    return true;
+    return countValue(ec);
   }
-  bool on_bool(bool, ErrorCode &) { return true; }
-  bool on_null(ErrorCode &) { return true; }
+  bool on_bool(bool, ErrorCode &ec) { return countValue(ec); }
+  bool on_null(ErrorCode &ec) { return countValue(ec); }
   bool on_comment_part(Text, ErrorCode &) { return true; }
   bool on_comment(Text, ErrorCode &) { return true; }
   // NOLINTEND(readability-identifier-naming)
@@ -104,26 +114,32 @@
       setFractions(member.value(), next);
 }
 
-auto describeError(const boost::json::error_code &ec, std::size_t depth) {
+auto describeError(const boost::json::error_code &ec,
+                   const JsonLimits &limits) {
   if (ec == boost::json::error::too_deep)
+    return fail(ResultCode::JsonMalformed, "nested deeper than " +
+                                               std::to_string(limits.Depth) +
+                                               " levels");
+  if (ec == boost::json::error::array_too_large)
     return fail(ResultCode::JsonMalformed,
-                "nested deeper than " + std::to_string(depth) + " levels");
+                "more than " + std::to_string(limits.Values) + " values");
   return fail(ResultCode::JsonMalformed, "not JSON: " + ec.message());
 }
 
 } // namespace
 
 Result<boost::json::value> parseStrictJson(std::string_view text,
-                                           std::size_t depth) {
+                                           JsonLimits limits) {
   boost::json::parse_options options;
-  options.max_depth = depth;
+  options.max_depth = limits.Depth;
   boost::json::basic_parser<FirstPass> first(options);
+  first.handler().ValuesLeft = limits.Values;
   boost::json::error_code ec;
   const std::size_t n = first.write_some(false, text.data(), text.size(), ec);
   if (!ec && n < text.size())
     ec = boost::json::error::extra_data;
   if (ec)
-    return describeError(ec, depth);
+    return describeError(ec, limits);
   if (!first.handler().Duplicate.empty())
     return fail(ResultCode::DuplicateField,
                 "duplicate member '" + first.handler().Duplicate + "'");
@@ -133,7 +149,7 @@
     return fail(ResultCode::JsonMalformed, "a number is out of range");
   auto value = boost::json::parse(text, ec, {}, options);
   if (ec)
-    return describeError(ec, depth);
+    return describeError(ec, limits);
   if (auto next = fractions.cbegin(); next != fractions.cend())
     setFractions(value, next);
   return value;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -26,7 +26,12 @@
 constexpr base::Duration ViewCurrentInterval = std::chrono::milliseconds(400);
 /// Callers try another core after a second without an answer.
 constexpr base::Duration CallTime = std::chrono::milliseconds(900);
+constexpr std::uint16_t StatusTooLarge = 413;
 constexpr std::uint16_t StatusUnavailable = 503;
+/// A call is sent to the leader in one frame, on the link that also carries the
+/// log. The largest heartbeat names each key in a row of its own.
+constexpr std::size_t MaxChangeBytes = 16u << 20;
+constexpr std::size_t MaxOtherCallBytes = 4u << 20;
 
 consensus::ReplicaConfig makeReplicaConfig(const std::string &host,
                                            std::uint64_t Incarnation) {
@@ -447,6 +452,13 @@
 
 void CoreNode::handle(CallKind kind, std::string name, std::string body,
                       ReplyHook reply) {
+  if (body.size() >
+      (kind == CallKind::ChangeConfig ? MaxChangeBytes : MaxOtherCallBytes)) {
+    base::logInfo("fleet", "a call was refused, its body is too large",
+                  {{"name", name}, {"bytes", body.size()}});
+    return reply(StatusTooLarge, Format.WriteError({ResultCode::BodyTooLarge,
+                                                    "the body is too large"}));
+  }
   const std::uint64_t id = NextCall++;
   PendingCall pending;
   pending.Request = {id, kind, std::move(name), std::move(body)};
--- a/packages/settings/internal/JsonReader.cpp
+++ b/packages/settings/internal/JsonReader.cpp
@@ -31,7 +31,7 @@
 
 std::optional<json::value> parseJson(std::string_view text, std::size_t depth,
                                      Faults &faults) {
-  auto parsed = base::parseStrictJson(text, depth);
+  auto parsed = base::parseStrictJson(text, {.Depth = depth});
   if (parsed)
     return std::move(parsed.value());
   faults.push_back({parsed.error().Code, "", parsed.error().Message});
