Log: where a change of configuration is, and why a request matches no route

The cores log each change that they send, with its version; the entries log when it is in force, how long it took to arrive and to apply; a request without a route logs how old the confirmation of the view is. Links know when a frame began to arrive.

--- a/packages/entry/EntryRequest.h
+++ b/packages/entry/EntryRequest.h
@@ -85,6 +85,7 @@
 private:
   bool readMetadata();
   bool findRoute();
+  void refuseUnknownRoute();
   /// Reserves the VM's network link for the answer. Refuses the request and
   /// returns false if the backlog of reserved answers is too long.
   bool reserveLink();
--- a/packages/entry/RequestHandler.h
+++ b/packages/entry/RequestHandler.h
@@ -25,6 +25,7 @@
 #include "routing/WeightedChoice.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -62,6 +63,14 @@
   base::EventLoopThread &loop() { return EventLoop; }
   const EntryFormat &format() const { return Format; }
   const fleet::View &view() const { return View; }
+  /// Time since the leader confirmed the view, as far as this VM has received
+  /// it; 0 if there is no hook.
+  base::Duration viewAge() const {
+    return ReadViewAge ? ReadViewAge() : base::Duration::zero();
+  }
+  void readViewAgeBy(std::function<base::Duration()> hook) {
+    ReadViewAge = std::move(hook);
+  }
   const routing::RouteTable &routes() const { return Routes; }
   TargetPool &pool() { return Pool; }
   gateway::TargetClient &client() { return Client; }
@@ -118,6 +127,7 @@
   const fleet::FleetSettings &Settings;
   const EntryFormat &Format;
   const fleet::View &View;
+  std::function<base::Duration()> ReadViewAge;
   routing::RouteTable Routes;
   /// The largest priority number of the routes of each service: the least
   /// urgent one.
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -37,6 +37,8 @@
   void start();
   void updateSeeds(const std::vector<settings::ListenAddress> &seeds);
   const fleet::View &view() const { return CurrentView; }
+  /// When the leader last confirmed that the view is current.
+  base::MonoTime confirmedAt() const { return ConfirmedAt; }
   /// Sends \p frame to the current core; drops it if there is no open link.
   void send(const fleet::Frame &frame);
   /// Whether the current core understands a StripeLoadReport.
@@ -50,6 +52,9 @@
   void onUpdate(const fleet::ViewUpdate &update);
   void onHello(const fleet::Hello &hello);
   void onCurrent(const fleet::ViewCurrent &current);
+  /// Logs the configuration items of an applied update. \p received is the time
+  /// at which it was complete.
+  void logItems(const fleet::ViewUpdate &update, base::MonoTime received) const;
   /// Leaves the current core. Another one is contacted with the next check.
   void switchCore(const std::string &reason);
   /// The same, and contacts another core at once.
--- a/packages/entry/internal/EntryNode.cpp
+++ b/packages/entry/internal/EntryNode.cpp
@@ -100,6 +100,8 @@
   Handler.crashes().reportTo([this](const dispatch::CrashReport &report) {
     Subscription.send(report);
   });
+  Handler.readViewAgeBy(
+      [this] { return base::readMonotonic() - Subscription.confirmedAt(); });
   Clients = std::make_shared<gateway::HttpServer>(
       EventLoop, makeClientConfig(Settings),
       [this](gateway::HttpCall call, protocol::AnswerSink sink) {
--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -38,6 +38,8 @@
 constexpr base::Duration MaxLinkRetryAfter = std::chrono::milliseconds(400);
 /// A request waits for its key's holder for the remaining time divided by this.
 constexpr int HolderWaitDivisor = 3;
+/// Bounds the host and the path in a log line, in bytes.
+constexpr std::size_t MaxLoggedName = 64;
 /// First status by which a target says that it failed.
 constexpr std::uint16_t FirstServerError = 500;
 
@@ -108,7 +110,7 @@
   if (Origin == RequestOrigin::Entry && !readRelayHeaders())
     return false;
   if (!route) {
-    answerFailure(ResultCode::UnknownRoute, "no route matches", {});
+    refuseUnknownRoute();
     return false;
   }
   Deadline = ArrivedAt +
@@ -127,6 +129,20 @@
   return true;
 }
 
+void EntryRequest::refuseUnknownRoute() {
+  const auto host = std::string_view(Metadata.Host).substr(0, MaxLoggedName);
+  const auto path = std::string_view(Request.Target).substr(0, MaxLoggedName);
+  base::logInfo("entry", "a request matches no route",
+                {{"request", Metadata.Id},
+                 {"host", host},
+                 {"path", path},
+                 {"routes", Handler.view().config().countRoutes()},
+                 {"unconfirmed_ms", base::toMs(Handler.viewAge())},
+                 {"view_term", Handler.view().version().Term},
+                 {"view_number", Handler.view().version().Number}});
+  answerFailure(ResultCode::UnknownRoute, "no route matches", {});
+}
+
 bool EntryRequest::reserveLink() {
   const auto own = Handler.link().expectedTime(Route->Name);
   // Small answers are sent between the parts of large ones.
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -113,7 +113,8 @@
   const bool WasKnown = update.Version == CurrentView.version();
   const auto outcome = CurrentView.apply(update);
   if (outcome == fleet::View::Outcome::Applied) {
-    ConfirmedAt = base::readMonotonic();
+    const auto now = base::readMonotonic();
+    ConfirmedAt = now;
     base::log(base::LogLevel::Debug, "view", ResultCode::Ok,
               "the view was updated",
               {{"core", Core},
@@ -123,6 +124,7 @@
                {"targets", update.Targets.size()},
                {"routes", update.Items.Routes.size()}});
     Hooks.OnView();
+    logItems(update, now);
     return preferOwnDataCentre();
   }
   // Configuration items are merged even if the update was not applied.
@@ -134,6 +136,21 @@
     switchCore("view updates are missing");
 }
 
+void ViewSubscription::logItems(const fleet::ViewUpdate &update,
+                                base::MonoTime received) const {
+  if (CurrentView.lastChange().Items.empty())
+    return;
+  base::logInfo("view", "the configuration was updated",
+                {{"core", Core},
+                 {"term", update.Version.Term},
+                 {"number", update.Version.Number},
+                 {"whole", update.IsWhole},
+                 {"routes", CurrentView.lastChange().Items.Routes.size()},
+                 {"services", CurrentView.lastChange().Items.Services.size()},
+                 {"transfer_ms", base::toMs(received - Link->frameBegan())},
+                 {"apply_ms", base::toMs(base::readMonotonic() - received)}});
+}
+
 void ViewSubscription::preferOwnDataCentre() {
   const auto best = Selector.choose(CurrentView.cores(), base::readMonotonic());
   if (best == Core)
--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -65,6 +65,8 @@
   /// \p host is the core that has sent the report; empty for an entry.
   void onStripeLoads(const std::string &host, const StripeLoadReport &report);
   void onViewUpdate(ViewUpdate update);
+  /// Logs the configuration items of the update that was applied last.
+  void logItems(const ViewUpdate &update) const;
   void relayViewCurrent(const ViewCurrent &current);
   /// The leader's last confirmation of LocalView.
   ViewCurrent describeCurrent() const;
--- a/packages/fleet/Link.h
+++ b/packages/fleet/Link.h
@@ -54,6 +54,8 @@
   /// When bytes were last received; before that, when the link was created or
   /// opened.
   base::MonoTime lastHeard() const { return LastHeard; }
+  /// When the first byte of the frame that is being delivered was received.
+  base::MonoTime frameBegan() const { return FrameBegan; }
 
 private:
   enum class Phase { Idle, Connecting, Open, Closed };
@@ -72,6 +74,7 @@
   LinkHooks Hooks;
   Phase State = Phase::Idle;
   base::MonoTime LastHeard;
+  base::MonoTime FrameBegan;
   std::array<char, 16384> ReadBuffer{};
   std::string Received;
   /// A frame of an unknown kind was received and logged.
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -388,6 +388,7 @@
   case View::Outcome::Applied:
     ViewConfirmedAt = base::readMonotonic();
     Permits.onView(LocalView);
+    logItems(update);
     return broadcast(encodeShared(std::move(update)));
   case View::Outcome::Stale:
     return;
@@ -440,9 +441,21 @@
   LocalView.apply(update);
   ViewConfirmedAt = base::readMonotonic();
   Permits.onView(LocalView);
+  logItems(update);
   broadcast(encodeShared(std::move(update)));
 }
 
+void CoreNode::logItems(const ViewUpdate &update) const {
+  if (!LocalView.lastChange().Items.empty())
+    base::logInfo("fleet", "a change of configuration is sent to subscribers",
+                  {{"term", update.Version.Term},
+                   {"number", update.Version.Number},
+                   {"whole", update.IsWhole},
+                   {"routes", LocalView.lastChange().Items.Routes.size()},
+                   {"services", LocalView.lastChange().Items.Services.size()},
+                   {"subscribers", Subscribers.size()}});
+}
+
 void CoreNode::broadcast(const EncodedFrame &frame) {
   // A link that fails while sending is removed later, when its end is reported,
   // so Subscribers doesn't change in this loop.
--- a/packages/fleet/internal/Link.cpp
+++ b/packages/fleet/internal/Link.cpp
@@ -121,6 +121,8 @@
 
 void Link::onRead(std::size_t n) {
   LastHeard = base::readMonotonic();
+  if (Received.empty())
+    FrameBegan = LastHeard;
   Received.append(ReadBuffer.data(), n);
   if (dispatchFrames())
     read();
@@ -152,6 +154,7 @@
     deliver(std::move(frame.value()));
     if (State != Phase::Open)
       return false;
+    FrameBegan = LastHeard;
   }
   Received.erase(0, begin);
   return true;
