--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -85,6 +85,9 @@
   /// When the leader last confirmed that the view is current.
   base::MonoTime ConfirmedAt;
   base::MonoTime NextEntriesAsk;
+  /// How long a frame may take. Rises with each core that is left while it
+  /// sends one, until an update is applied.
+  base::Duration TransferTime;
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -19,6 +19,13 @@
 /// Time for the first confirmation by a core that was just contacted, if there
 /// are others: together with SilenceLimit less than those 2 s.
 constexpr base::Duration FirstConfirmTime = std::chrono::milliseconds(550);
+/// A core is left if no byte of a frame that it has begun arrives for this
+/// time.
+constexpr base::Duration StallTime = FirstConfirmTime;
+/// How long a frame may take, at first. A complete view of thousands of routes
+/// takes seconds on a narrow link, and the core may also be what is slow.
+constexpr base::Duration MinTransferTime = std::chrono::seconds(2);
+constexpr base::Duration MaxTransferTime = std::chrono::seconds(16);
 constexpr base::Duration CheckInterval = std::chrono::milliseconds(250);
 /// How often the core is asked for other entries.
 constexpr base::Duration EntriesInterval = std::chrono::seconds(3);
@@ -30,7 +37,7 @@
                                    ViewSubscriptionHooks hooks)
     : EventLoop(loop), Settings(settings), Hooks(std::move(hooks)),
       Selector(settings.DataCentre, base::hash64(settings.Vm, 0)),
-      Timer(loop.context()) {}
+      Timer(loop.context()), TransferTime(MinTransferTime) {}
 
 ViewSubscription::~ViewSubscription() {
   if (Link)
@@ -115,6 +122,7 @@
   if (outcome == fleet::View::Outcome::Applied) {
     const auto now = base::readMonotonic();
     ConfirmedAt = now;
+    TransferTime = MinTransferTime;
     base::log(base::LogLevel::Debug, "view", ResultCode::Ok,
               "the view was updated",
               {{"core", Core},
@@ -166,6 +174,7 @@
       {{"core", Core},
        {"reason", reason},
        {"unconfirmed_ms", base::toMs(base::readMonotonic() - ConfirmedAt)},
+       {"is_receiving", Link && Link->isReceiving()},
        {"term", CurrentView.version().Term},
        {"number", CurrentView.version().Number}});
   if (Link)
@@ -200,7 +209,13 @@
 }
 
 base::MonoTime ViewSubscription::confirmationDue() const {
-  const auto due = ConfirmedAt + SilenceLimit;
+  // A confirmation can't overtake a frame that is arriving, and another core
+  // would begin the view anew.
+  const auto arriving = Link->isReceiving()
+                            ? std::min(Link->lastHeard() + StallTime,
+                                       Link->frameBegan() + TransferTime)
+                            : base::MonoTime{};
+  const auto due = std::max(ConfirmedAt + SilenceLimit, arriving);
   // There is no better core if all have lost the leader, or none has had one.
   const bool HasOther =
       !CurrentView.isEmpty() &&
@@ -214,8 +229,12 @@
   if (!Link)
     return connect();
   const auto now = base::readMonotonic();
-  if (now >= confirmationDue())
+  if (now >= confirmationDue()) {
+    // Bounds the number of cores that are left for a slow link of this VM.
+    if (Link->isReceiving())
+      TransferTime = std::min(2 * TransferTime, MaxTransferTime);
     return replaceCore("the core does not confirm the view");
+  }
   const bool HasEntries = CoreProtocol >= fleet::EntriesProtocolVersion;
   if (now < NextEntriesAsk || !HasEntries)
     return;
--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -4,8 +4,11 @@
 #include "SubscribedEntry.h"
 
 #include <array>
+#include <atomic>
+#include <boost/asio/write.hpp>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <thread>
 
 using namespace magnoliamill;
@@ -117,8 +120,107 @@
       LoopbackCore{hookOf(States[2]), Hosts[2], Port}};
 };
 
+/// A core that sends its view at a steady pace, as over a narrow link.
+class SlowCore {
+public:
+  SlowCore(const char *host, std::uint16_t port, base::Duration duration)
+      : Acceptor(EventLoop.EventLoop.context(),
+                 {boost::asio::ip::make_address(host), port}),
+        Timer(EventLoop.EventLoop.context()), PartInterval(duration / Parts) {
+    auto view = makeView(OldView);
+    // Names that don't compress.
+    for (std::uint64_t n = 0; n < 2000; ++n)
+      view.GoneTargets.push_back({std::to_string(base::hash64("t", n)), n});
+    const auto frame = fleet::encodeShared(view);
+    const auto header = static_cast<std::uint32_t>(
+        frame->Bytes.size() | (frame->IsCompressed ? 1U << 31 : 0));
+    Bytes.assign(reinterpret_cast<const char *>(&header), sizeof header);
+    Bytes += frame->Bytes;
+    EventLoop.run([this] { accept(); });
+  }
+  ~SlowCore() {
+    EventLoop.run([this] {
+      Acceptor.close();
+      Timer.cancel();
+      Socket.reset();
+    });
+  }
+  /// Sends nothing more after this part of the view.
+  void stopAfter(std::size_t part) { LastPart = part; }
+  int countLinks() const { return Links; }
+
+  static constexpr std::size_t Parts = 40;
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](boost::system::error_code ec,
+                                 boost::asio::ip::tcp::socket socket) {
+      if (ec)
+        return;
+      ++Links;
+      Socket.emplace(std::move(socket));
+      sendPart(0);
+      accept();
+    });
+  }
+  void sendPart(std::size_t part) {
+    if (part >= LastPart)
+      return;
+    const auto begin = Bytes.size() * part / Parts;
+    const auto end = Bytes.size() * (part + 1) / Parts;
+    boost::system::error_code ec;
+    boost::asio::write(
+        *Socket, boost::asio::buffer(Bytes.data() + begin, end - begin), ec);
+    Timer.expires_after(PartInterval);
+    Timer.async_wait([this, part](boost::system::error_code error) {
+      if (!error)
+        sendPart(part + 1);
+    });
+  }
+
+  gateway::tests::ScopedEventLoop EventLoop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer Timer;
+  base::Duration PartInterval;
+  std::string Bytes;
+  std::optional<boost::asio::ip::tcp::socket> Socket;
+  std::atomic<int> Links{0};
+  std::atomic<std::size_t> LastPart{Parts};
+};
+
 } // namespace
 
+// The entry left each core before the view had arrived, and began anew at the
+// next one: it had no later configuration until its link was faster.
+TEST_CASE("An entry leaves cores that send a view over a narrow link") {
+  const auto port = findFreePort();
+  const std::array hosts{Hosts[0], Hosts[1]};
+  constexpr base::Duration Transfer = 1800ms;
+  SlowCore first(Hosts[0], port, Transfer);
+  SlowCore second(Hosts[1], port, Transfer);
+
+  SECTION("for any time") {
+    const auto start = base::readMonotonic();
+    const SubscribedEntry entry(hosts, port);
+    REQUIRE(waitFor([&] { return entry.viewNumber() == OldView.Number; }));
+    CHECK(base::toMs(base::readMonotonic() - start) < base::toMs(2 * Transfer));
+    CHECK(first.countLinks() + second.countLinks() == 1);
+  }
+  SECTION("also if it takes longer than it waits at first") {
+    SlowCore third(Hosts[2], port, 2 * Transfer);
+    const SubscribedEntry entry(std::array{Hosts[2]}, port);
+    CHECK(waitFor([&] { return entry.viewNumber() == OldView.Number; }));
+    CHECK(third.countLinks() == 2);
+  }
+  SECTION("but not one that sends no more of it") {
+    first.stopAfter(SlowCore::Parts / 2);
+    second.stopAfter(SlowCore::Parts / 2);
+    const SubscribedEntry entry(hosts, port);
+    CHECK(waitFor(
+        [&] { return first.countLinks() > 0 && second.countLinks() > 0; }));
+  }
+}
+
 TEST_CASE("An entry has the leader's view within the drain time although the "
           "cores that it contacts first are cut off") {
   const std::size_t CutOffCount = GENERATE(1, 2);
--- a/packages/fleet/Link.h
+++ b/packages/fleet/Link.h
@@ -54,7 +54,10 @@
   /// When bytes were last received; before that, when the link was created or
   /// opened.
   base::MonoTime lastHeard() const { return LastHeard; }
-  /// When the first byte of the frame that is being delivered was received.
+  /// True while a frame has been received in part.
+  bool isReceiving() const { return !Received.empty(); }
+  /// When the first byte of the frame that is being received or delivered
+  /// arrived.
   base::MonoTime frameBegan() const { return FrameBegan; }
 
 private:
