CoreNode: subscribers that missed some updates get these, not the whole view

An entry that changes its core has the view but for the last updates, and was sent all of it again: with 5,600 more routes, a second on a narrow link, in which a change of configuration waits. A follower whose link was lost passed the whole view on to all its entries.

--- a/packages/fleet/CoreNode.h
+++ b/packages/fleet/CoreNode.h
@@ -10,6 +10,7 @@
 #include "fleet/FleetState.h"
 #include "fleet/Heartbeat.h"
 #include "fleet/PermitDesk.h"
+#include "fleet/RecentUpdates.h"
 #include "fleet/internal/CoreLinks.h"
 #include "fleet/internal/GroupMembership.h"
 #include "node/GroupRunner.h"
@@ -79,6 +80,10 @@
   void sendPending();
   void expireCalls(base::MonoTime now);
   void publish(ViewUpdate update);
+  /// Sends the update that was applied last to all subscribers.
+  void passOn(ViewUpdate update);
+  /// Sends what a subscriber with the view \p known lacks.
+  void sendMissing(Link &to, const ViewVersion &known);
   void broadcast(const EncodedFrame &frame);
   const EncodedFrame &encodedView();
   /// \p host is the core to which it is sent; empty for an entry.
@@ -100,6 +105,8 @@
   /// LocalView encoded as a frame; null after LocalView has changed.
   EncodedFrame EncodedView;
   base::MonoTime ViewEncodedAt{};
+  /// The updates that led to LocalView.
+  RecentUpdates Recent;
   std::unique_ptr<node::GroupRunner> Runner;
   /// Set with Runner.
   std::optional<internal::GroupMembership> Members;
--- a/packages/fleet/internal/CoreNode.cpp
+++ b/packages/fleet/internal/CoreNode.cpp
@@ -360,13 +360,21 @@
   Subscribers.insert(from);
   if (LocalView.isEmpty())
     return;
-  if (hello.KnownView != LocalView.version())
-    from->send(encodedView());
+  sendMissing(*from, hello.KnownView);
   // An entry leaves a core that has lost the leader.
   if (!hello.IsCore)
     from->send(describeCurrent());
 }
 
+void CoreNode::sendMissing(Link &to, const ViewVersion &known) {
+  const auto updates =
+      Recent.listAfter(known, base::readMonotonic(), MaxEncodedViewAge);
+  if (!updates)
+    return to.send(encodedView());
+  for (const auto &update : *updates)
+    to.send(update);
+}
+
 ViewCurrent CoreNode::describeCurrent() const {
   return {LocalView.version(), base::readMonotonic() - ViewConfirmedAt};
 }
@@ -388,8 +396,7 @@
   case View::Outcome::Applied:
     ViewConfirmedAt = base::readMonotonic();
     Permits.onView(LocalView);
-    logItems(update);
-    return broadcast(encodeShared(std::move(update)));
+    return passOn(std::move(update));
   case View::Outcome::Stale:
     return;
   case View::Outcome::Gap:
@@ -441,8 +448,16 @@
   LocalView.apply(update);
   ViewConfirmedAt = base::readMonotonic();
   Permits.onView(LocalView);
+  passOn(std::move(update));
+}
+
+void CoreNode::passOn(ViewUpdate update) {
   logItems(update);
-  broadcast(encodeShared(std::move(update)));
+  auto frame = encodeShared(update);
+  broadcast(frame);
+  // A leader that has been replaced may publish what isn't applied any more.
+  if (update.Version == LocalView.version())
+    Recent.add(std::move(update), std::move(frame), base::readMonotonic());
 }
 
 void CoreNode::logItems(const ViewUpdate &update) const {
