--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -38,6 +38,9 @@
 constexpr base::Duration MaxLinkRetryAfter = std::chrono::milliseconds(400);
 /// A request waits for its key's holder for the remaining time divided by this.
 constexpr int HolderWaitDivisor = 3;
+/// Changes have to be in force within this time. With a view that was not
+/// confirmed for longer, this VM can't tell that a route doesn't exist.
+constexpr base::Duration MaxRouteAge = std::chrono::seconds(2);
 /// Bounds the host and the path in a log line, in bytes.
 constexpr std::size_t MaxLoggedName = 64;
 /// First status by which a target says that it failed.
@@ -140,6 +143,10 @@
                  {"unconfirmed_ms", base::toMs(Handler.viewAge())},
                  {"view_term", Handler.view().version().Term},
                  {"view_number", Handler.view().version().Number}});
+  if (Handler.viewAge() > MaxRouteAge)
+    return refuse(ResultCode::NotRunNotReady,
+                  "no route matches, but this VM's configuration may be old",
+                  NoHolderRetryAfter);
   answerFailure(ResultCode::UnknownRoute, "no route matches", {});
 }
 
--- a/packages/entry/tests/EntryFixture.h
+++ b/packages/entry/tests/EntryFixture.h
@@ -180,6 +180,10 @@
     });
     return [this, cancel] { EventLoop.run(cancel); };
   }
+  /// The view was not confirmed for \p age.
+  void setViewAge(base::Duration age) {
+    EventLoop.run([&] { Handler->readViewAgeBy([age] { return age; }); });
+  }
   /// The view loses the first target and then calls it ready, as a new process
   /// if \p born is new.
   void repeatFirst(std::uint64_t born) {
--- a/packages/entry/tests/RequestHandlerTest.cpp
+++ b/packages/entry/tests/RequestHandlerTest.cpp
@@ -104,6 +104,23 @@
   }
 }
 
+// An entry that was cut off answered 404 for routes that had been added since,
+// and callers don't repeat a request after that.
+TEST_CASE("A route that is newer than the view is refused for good") {
+  Entry entry([](Peer &peer, int) { peer.send(Answer); });
+  CHECK(entry.request("GET", "/other/1") == 404);
+  CHECK_FALSE(entry.hasRetryAfter());
+  entry.setViewAge(1900ms);
+  CHECK(entry.request("GET", "/other/1") == 404);
+
+  SECTION("also if the view was not confirmed for the time of a change") {
+    entry.setViewAge(2100ms);
+    CHECK(entry.request("GET", "/other/1") == 503);
+    CHECK(entry.hasRetryAfter());
+    CHECK(entry.request("GET", "/read/1") == 200);
+  }
+}
+
 TEST_CASE("An answer that ends in its head has an unknown outcome") {
   Entry entry([](Peer &peer, int) {
     peer.send("HTTP/1.1 200 OK\r\nMark: yes\r\nContent-Le");
