--- a/packages/fleet/Heartbeat.h
+++ b/packages/fleet/Heartbeat.h
@@ -25,6 +25,8 @@
   /// without keys.
   std::vector<keyspace::HeldRange> Holds;
   std::vector<keyspace::ReleasedRange> Released;
+  /// Both lists were given, which a heartbeat of a service with keys requires.
+  bool HasKeyLists = true;
   /// The leader already had the sender, at the same address.
   bool IsIdentified = true;
 };
--- a/packages/fleet/internal/FleetLeader.cpp
+++ b/packages/fleet/internal/FleetLeader.cpp
@@ -219,6 +219,16 @@
         {ResultCode::UnknownService, "the configuration has no service '" +
                                          heartbeat.Sender.Service + "'"});
   }
+  if (!heartbeat.HasKeyLists && isKeyed(heartbeat.Sender.Service)) {
+    base::logWarning("fleet", ResultCode::AnnouncementInvalid,
+                     "a heartbeat without lists of keys was refused",
+                     {{"target", instance.Id},
+                      {"service", heartbeat.Sender.Service},
+                      {"address", heartbeat.Sender.Address}});
+    return refuse(reply, StatusBadRequest,
+                  {ResultCode::AnnouncementInvalid,
+                   "a heartbeat of a service with keys must list them"});
+  }
   const Target *known = Directory.find(instance.Id);
   heartbeat.IsIdentified = proof == SenderProof::HealthCheck ||
                            (known && known->Instance == instance);
--- a/packages/fleet/tests/FleetLeaderTest.cpp
+++ b/packages/fleet/tests/FleetLeaderTest.cpp
@@ -28,6 +28,19 @@
     CHECK(fixture.sendHeartbeat("a", TargetState::Ready, "bad") == 400);
     CHECK(fixture.Published.holderOf("stock", 0)->Id == "a");
   }
+  // Counted as the release of all keys while the target still held them.
+  SECTION("an incomplete heartbeat takes the target's keys") {
+    const auto state = GENERATE(TargetState::Ready, TargetState::Leaving);
+    fixture.FakeControl.Next.HasKeyLists = false;
+    CHECK(fixture.sendHeartbeat("a", state) == 400);
+    fixture.commit();
+    fixture.Leader->tick(fixture.Now);
+    const auto *holder = fixture.Published.holderOf("stock", 0);
+    REQUIRE(holder);
+    CHECK(holder->Id == "a");
+    CHECK(fixture.Published.targets().begin()->second.State ==
+          TargetState::Ready);
+  }
   SECTION("without the leader's lease nothing is granted or changed") {
     fixture.HasLease = false;
     CHECK(fixture.sendHeartbeat("a", TargetState::Ready) == 503);
