entry: a wait that has ended uses the object that was destroyed

'An entry keeps its link to a core of an older or a newer build' aborted once in 24 concurrent runs: basic_string::_M_create in the event loop, 1 s after the start, when the test destroys its subscription. A wait that has ended already can't be cancelled, so its handler ran on the destroyed object.

--- a/packages/entry/PermitClient.h
+++ b/packages/entry/PermitClient.h
@@ -89,6 +89,8 @@
   std::map<std::uint64_t, Pending> Waiting;
   /// The core of each permit that was granted and is not ended.
   std::map<std::uint64_t, std::string> Granted;
+  /// Set to false by the destructor.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   boost::asio::steady_timer Timer;
   bool IsTimerArmed = false;
   /// The number of entries that ask it, by core.
--- a/packages/entry/ViewSubscription.h
+++ b/packages/entry/ViewSubscription.h
@@ -88,6 +88,8 @@
   /// How long a frame may take. Rises with each core that is left while it
   /// sends one, until an update is applied.
   base::Duration TransferTime;
+  /// Set to false by the destructor.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace magnoliamill::entry
--- a/packages/entry/internal/PermitClient.cpp
+++ b/packages/entry/internal/PermitClient.cpp
@@ -28,6 +28,7 @@
       Timer(loop.context()) {}
 
 PermitClient::~PermitClient() {
+  *Alive = false;
   for (const auto &[core, link] : Links)
     link->close();
 }
@@ -97,8 +98,10 @@
     if (const auto *reply = std::get_if<fleet::PermitReply>(&frame))
       onReply(*reply);
   };
-  hooks.OnClosed = [this, core,
+  hooks.OnClosed = [this, core, alive = Alive,
                     weak = std::weak_ptr(link)](const std::string &reason) {
+    if (!*alive)
+      return;
     if (auto it = Links.find(core);
         it != Links.end() && it->second == weak.lock())
       onFault(core, reason);
@@ -164,8 +167,9 @@
     return;
   IsTimerArmed = true;
   Timer.expires_after(CheckInterval);
-  Timer.async_wait([this](const boost::system::error_code &ec) {
-    if (ec)
+  // A wait that has ended already can't be cancelled.
+  Timer.async_wait([this, alive = Alive](const boost::system::error_code &ec) {
+    if (ec || !*alive)
       return;
     IsTimerArmed = false;
     checkPending();
--- a/packages/entry/internal/TargetProbe.cpp
+++ b/packages/entry/internal/TargetProbe.cpp
@@ -27,8 +27,10 @@
     if (const auto *target = Pool.pickMember(group))
       connect(*target);
   Timer.expires_after(ProbeInterval);
-  Timer.async_wait([this](const boost::system::error_code &ec) {
-    if (!ec)
+  // A wait that has ended already can't be cancelled.
+  Timer.async_wait([this, alive = std::weak_ptr(IsAlive)](
+                       const boost::system::error_code &ec) {
+    if (!ec && !alive.expired())
       probe();
   });
 }
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -40,6 +40,7 @@
       Timer(loop.context()), TransferTime(MinTransferTime) {}
 
 ViewSubscription::~ViewSubscription() {
+  *Alive = false;
   if (Link)
     Link->close();
 }
@@ -69,9 +70,9 @@
   Link = std::make_shared<fleet::Link>(EventLoop.context());
   fleet::LinkHooks hooks;
   hooks.OnFrame = [this](fleet::Frame frame) { onFrame(std::move(frame)); };
-  hooks.OnClosed = [this,
+  hooks.OnClosed = [this, alive = Alive,
                     weak = std::weak_ptr(Link)](const std::string &reason) {
-    if (Link == weak.lock())
+    if (*alive && Link == weak.lock())
       switchCore(reason);
   };
   Link->open(Core, Settings.LinkPort, std::move(hooks));
@@ -200,8 +201,9 @@
   if (Link)
     wait = std::min(wait, base::delayUntil(confirmationDue()));
   Timer.expires_after(wait);
-  Timer.async_wait([this](const boost::system::error_code &ec) {
-    if (ec)
+  // A wait that has ended already can't be cancelled.
+  Timer.async_wait([this, alive = Alive](const boost::system::error_code &ec) {
+    if (ec || !*alive)
       return;
     checkConnection();
     startTimer();
--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <atomic>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <mutex>
 #include <optional>
@@ -164,7 +165,8 @@
     });
   }
   void sendPart(std::size_t part) {
-    if (part >= LastPart)
+    // The wait for this part may have ended before the socket was closed.
+    if (!Socket || part >= LastPart)
       return;
     const auto begin = Bytes.size() * part / Parts;
     const auto end = Bytes.size() * (part + 1) / Parts;
@@ -221,6 +223,29 @@
   }
 }
 
+// The handler of a wait that had ended used the subscription that had just been
+// destroyed; seen once, as an abort of the test of other builds.
+TEST_CASE("The timer of a subscription that ends uses it") {
+  gateway::tests::ScopedEventLoop loop;
+  fleet::FleetSettings settings;
+  ViewSubscriptionHooks hooks;
+  hooks.DescribeCrashes = [] { return dispatch::CrashReport{}; };
+  auto subscription = std::make_unique<ViewSubscription>(
+      loop.EventLoop, settings, std::move(hooks));
+  std::atomic<bool> IsDestroyed{false};
+  loop.run([&] {
+    subscription->start();
+    // The timer expires before the loop looks at it again.
+    std::this_thread::sleep_for(300ms);
+    boost::asio::post(loop.EventLoop.context(), [&] {
+      subscription.reset();
+      IsDestroyed = true;
+    });
+  });
+  CHECK(waitFor([&] { return IsDestroyed.load(); }));
+  loop.run([] {});
+}
+
 TEST_CASE("An entry has the leader's view within the drain time although the "
           "cores that it contacts first are cut off") {
   const std::size_t CutOffCount = GENERATE(1, 2);
