--- a/packages/entry/tests/ViewSubscriptionTest.cpp
+++ b/packages/entry/tests/ViewSubscriptionTest.cpp
@@ -230,15 +230,15 @@
   fleet::FleetSettings settings;
   ViewSubscriptionHooks hooks;
   hooks.DescribeCrashes = [] { return dispatch::CrashReport{}; };
-  auto subscription = std::make_unique<ViewSubscription>(
-      loop.EventLoop, settings, std::move(hooks));
+  auto ending = std::make_unique<ViewSubscription>(loop.EventLoop, settings,
+                                                   std::move(hooks));
   std::atomic<bool> IsDestroyed{false};
   loop.run([&] {
-    subscription->start();
+    ending->start();
     // The timer expires before the loop looks at it again.
     std::this_thread::sleep_for(300ms);
     boost::asio::post(loop.EventLoop.context(), [&] {
-      subscription.reset();
+      ending.reset();
       IsDestroyed = true;
     });
   });
