--- a/packages/entry/internal/EntryRequest.cpp
+++ b/packages/entry/internal/EntryRequest.cpp
@@ -38,8 +38,8 @@
 constexpr base::Duration MaxLinkRetryAfter = std::chrono::milliseconds(400);
 /// A request waits for its key's holder for the remaining time divided by this.
 constexpr int HolderWaitDivisor = 3;
-/// Changes have to be in force within this time. With a view that was not
-/// confirmed for longer, this VM can't tell that a route doesn't exist.
+/// Changes have to be in force within this time. A view that was not confirmed
+/// for longer may lack a route.
 constexpr base::Duration MaxRouteAge = std::chrono::seconds(2);
 /// Bounds the host and the path in a log line, in bytes.
 constexpr std::size_t MaxLoggedName = 64;
--- a/packages/entry/internal/ViewSubscription.cpp
+++ b/packages/entry/internal/ViewSubscription.cpp
@@ -25,6 +25,7 @@
 /// How long a frame may take, at first. A complete view of thousands of routes
 /// takes seconds on a narrow link, and the core may also be what is slow.
 constexpr base::Duration MinTransferTime = std::chrono::seconds(2);
+/// How long it may take after several cores were left while they sent one.
 constexpr base::Duration MaxTransferTime = std::chrono::seconds(16);
 constexpr base::Duration CheckInterval = std::chrono::milliseconds(250);
 /// How often the core is asked for other entries.
